--- /dev/null
+++ b/cmd/sapphirectl/main.go
@@ -0,0 +1,4 @@
+// Command sapphirectl is the command-line tool for operators.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/sapphirehaven/main.go
@@ -0,0 +1,4 @@
+// Command sapphirehaven is the daemon that runs on every host.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/core/dispatch/api.go
@@ -0,0 +1,162 @@
+// Package dispatch decides, for one service on one host, which target gets a
+// request, when a target stops getting work, and when a request is tried
+// again. It joins the packages health, balance, limit and retry.
+//
+// A Dispatcher is driven event by event: every method takes the time and
+// returns the actions that the driver has to carry out. It starts no
+// goroutine, reads no clock and does no I/O, so that a server, a trace player
+// and a test drive it alike. It is not safe for concurrent use.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/health"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+// Target is a target as the document declares it.
+type Target struct {
+	ID       ident.TargetID
+	Location ident.Location
+	// Slots is the number of requests the target serves at once.
+	Slots int
+	// MaxConnections bounds open connections to the target, from all hosts.
+	MaxConnections int
+}
+
+// Class is a request class of the service.
+type Class struct {
+	Name       ident.ClassName
+	Idempotent bool
+	// Upload marks classes with large request bodies that stream.
+	Upload bool
+	// Floor is the fraction of the declared slots, 0 to 1, below which
+	// ejection never takes the capacity in rotation.
+	Floor float64
+	// Deadline applies when the caller states none.
+	Deadline time.Duration
+	// AttemptTimeout bounds one attempt.
+	AttemptTimeout time.Duration
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
+}
+
+// Config is the part of the document in force that concerns one service.
+type Config struct {
+	Revision uint64
+	Service  ident.ServiceName
+	Targets  []Target
+	Classes  []Class
+	// Balance weighs detection time against false ejections: 0 to 1, where 1
+	// weighs only detection time.
+	Balance float64
+	// QueueLength bounds the requests that wait for a slot on this host.
+	QueueLength int
+	// RetryBudget is the number of retries allowed per request, as a fraction
+	// of recent requests.
+	RetryBudget float64
+	// ProbeInterval is the time between two probes of one target; 0 disables
+	// probes.
+	ProbeInterval time.Duration
+}
+
+// Self describes the host that the dispatcher runs on.
+type Self struct {
+	Host     ident.HostID
+	Location ident.Location
+}
+
+// Request is a request that arrived for the service.
+type Request struct {
+	ID    ident.RequestID
+	Class ident.ClassName
+	// Deadline is the time by which the caller wants the answer.
+	Deadline time.Time
+	// BodyBytes is the declared size of the request body, -1 if unknown.
+	BodyBytes int64
+}
+
+// Result is the end of an attempt.
+type Result = attempt.Result
+
+// LoadReport is what a target's load endpoint or another host says.
+type LoadReport struct {
+	Target   ident.TargetID
+	InFlight int
+	Slots    int
+	Draining bool
+}
+
+// RefuseReason says why a request was not admitted.
+type RefuseReason string
+
+// Reasons for a refusal. None of them follows an attempt that may have run.
+const (
+	QueueFull        RefuseReason = "queue_full"
+	DeadlineTooShort RefuseReason = "deadline_too_short"
+	NoTarget         RefuseReason = "no_target"
+	UnknownClass     RefuseReason = "unknown_class"
+)
+
+// Action is one thing that the driver has to do.
+type Action interface{ action() }
+
+// Start asks the driver to start an attempt.
+type Start struct {
+	Request ident.RequestID
+	Attempt ident.AttemptID
+	Target  ident.TargetID
+	// Timeout is the longest time the attempt may take.
+	Timeout time.Duration
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Trial marks work sent to an ejected target to test its return.
+	Trial bool
+}
+
+// Refuse ends a request that was not run.
+type Refuse struct {
+	Request    ident.RequestID
+	Reason     RefuseReason
+	RetryAfter time.Duration
+}
+
+// Complete ends a request with the answer of an attempt.
+type Complete struct {
+	Request ident.RequestID
+	Attempt ident.AttemptID
+}
+
+// Fail ends a request after its last attempt failed.
+type Fail struct {
+	Request ident.RequestID
+	Attempt ident.AttemptID
+	Result  Result
+	// NotRun tells that no attempt of the request can have run.
+	NotRun bool
+}
+
+// Probe asks the driver to probe a target and call ProbeResult.
+type Probe struct{ Target ident.TargetID }
+
+// Record asks the driver to add an event to the time line.
+type Record struct {
+	Kind   event.Kind
+	Fields []event.Field
+}
+
+func (Start) action()    {}
+func (Refuse) action()   {}
+func (Complete) action() {}
+func (Fail) action()     {}
+func (Probe) action()    {}
+func (Record) action()   {}
+
+// TargetStatus is what a dispatcher holds about a target.
+type TargetStatus struct {
+	health.Status
+	InFlight int
+}
