--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,88 @@
-// Command standin runs stand-ins for the platform and the targets.
+// Command standin runs stand-ins for the platform and the targets on loopback,
+// for demonstrations and tests: "standin log", "standin hosts" or "standin
+// target", each with its own flags.
 package main
 
-func main() {}
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/standin"
+)
+
+const usage = "usage: standin log|hosts|target [flags]"
+
+// exitUsage is the exit code for wrong arguments.
+const exitUsage = 2
+
+func main() {
+	if len(os.Args) < 2 {
+		fmt.Fprintln(os.Stderr, usage)
+		os.Exit(exitUsage)
+	}
+	name := os.Args[1]
+	flags := flag.NewFlagSet(name, flag.ExitOnError)
+	listen := flags.String("listen", "127.0.0.1:0", "loopback `address` to listen on")
+	var handler func() http.Handler
+	switch name {
+	case "log":
+		handler = logHandler(flags)
+	case "hosts":
+		handler = hostsHandler(flags)
+	case "target":
+		handler = targetHandler(flags)
+	default:
+		fmt.Fprintln(os.Stderr, usage)
+		os.Exit(exitUsage)
+	}
+	_ = flags.Parse(os.Args[2:])
+	if err := serve(*listen, handler()); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func logHandler(flags *flag.FlagSet) func() http.Handler {
+	log := standin.NewLogService()
+	flags.IntVar(&log.MaxRecords, "max-records", 0, "records kept; 0 keeps all")
+	flags.DurationVar(&log.MaxAge, "max-age", 0, "age of the oldest record kept; 0 keeps all")
+	return log.Handler
+}
+
+func hostsHandler(flags *flag.FlagSet) func() http.Handler {
+	list := &standin.HostList{}
+	flags.DurationVar(&list.Lag, "lag", 2*time.Second, "time until a change shows")
+	return list.Handler
+}
+
+func targetHandler(flags *flag.FlagSet) func() http.Handler {
+	var cfg standin.TargetConfig
+	flags.StringVar(&cfg.Name, "name", "target", "name in answers")
+	flags.IntVar(&cfg.Slots, "slots", 6, "requests served at once")
+	flags.IntVar(&cfg.Queue, "queue", 4, "requests that wait for a slot before shedding")
+	flags.DurationVar(&cfg.Latency, "latency", 5*time.Millisecond, "median service time")
+	flags.Float64Var(&cfg.Sigma, "sigma", 0.3, "spread of the lognormal service time")
+	flags.DurationVar(&cfg.ColdStart, "cold-start", 0, "time of slower service after the start")
+	flags.DurationVar(&cfg.ReportLag, "report-lag", time.Second, "age of the load report")
+	flags.Uint64Var(&cfg.Seed, "seed", 1, "seed of the random choices")
+	return func() http.Handler { return standin.NewTarget(cfg).Handler() }
+}
+
+func serve(address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		_ = server.Close()
+	}()
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adapter/ingress/addresses.go
@@ -0,0 +1,80 @@
+package ingress
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+// Addresses is the answer to the question which hosts to use.
+type Addresses struct {
+	Service  string    `json:"service"`
+	Revision uint64    `json:"revision"`
+	MaxAgeMs int64     `json:"max_age_ms"`
+	Hosts    []Address `json:"hosts"`
+}
+
+// Address is one host of the answer, in order of preference.
+type Address struct {
+	Address string `json:"address"`
+	Region  string `json:"region"`
+	Zone    string `json:"zone"`
+}
+
+func (s *Server) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	active := s.active.Load()
+	if active == nil {
+		s.noConfiguration().write(w)
+		return
+	}
+	name := ident.ServiceName(r.URL.Query().Get("service"))
+	backend := active.Backends[name]
+	if backend == nil {
+		notRun(http.StatusNotFound, "unknown_service", "service: the document has no service \""+string(name)+"\"").write(w)
+		return
+	}
+	members := s.cfg.Members.Serving()
+	at := s.location(ident.Zone(r.URL.Query().Get("zone")), members)
+	a := Addresses{
+		Service:  string(name),
+		Revision: active.Revision,
+		MaxAgeMs: s.cfg.AddressMaxAge.Milliseconds(),
+		Hosts:    s.order(name, backend.Service.ServingHosts, at, members),
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderOutcome, OutcomeAnswered)
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+// location returns the caller's location; without a known zone it is the
+// host's own.
+func (s *Server) location(zone ident.Zone, members []port.Host) ident.Location {
+	for _, m := range members {
+		if zone != "" && m.Location.Zone == zone {
+			return m.Location
+		}
+	}
+	return s.cfg.Location
+}
+
+func (s *Server) order(service ident.ServiceName, size int, at ident.Location, members []port.Host) []Address {
+	byID := make(map[ident.HostID]port.Host, len(members))
+	for _, m := range members {
+		byID[m.ID] = m
+	}
+	s.mu.Lock()
+	ordered := serving.Answer(service, size, at, ServingHosts(members), s.rng)
+	s.mu.Unlock()
+	list := make([]Address, 0, len(ordered))
+	for _, h := range ordered {
+		list = append(list, Address{
+			Address: byID[h.ID].CallerAddress,
+			Region:  string(h.Location.Region),
+			Zone:    string(h.Location.Zone),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/adapter/ingress/attempt.go
@@ -0,0 +1,152 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+// heldResponse is a complete response that waits for the dispatcher's decision.
+type heldResponse struct {
+	attempt ident.AttemptID
+	status  int
+	header  http.Header
+	body    []byte
+}
+
+// attempt carries out one attempt and reports its result. It returns true when
+// the response was streamed to the caller, so that the request has ended.
+func (q *request) attempt(ctx context.Context, start dispatch.Start) bool {
+	ctx, cancel := context.WithTimeout(ctx, start.Timeout)
+	defer cancel()
+	var trace target.Trace
+	response, result := q.server.cfg.Transport.Do(ctx, q.newAttempt(start, &trace))
+	if response == nil {
+		q.finish(start, &trace, result)
+		return false
+	}
+	return q.receive(start, &trace, response)
+}
+
+func (q *request) newAttempt(start dispatch.Start, trace *target.Trace) target.Attempt {
+	endpoint := q.backend.Targets[start.Target]
+	a := target.Attempt{
+		Address:       endpoint.Address,
+		Method:        q.r.Method,
+		URI:           q.r.URL.RequestURI(),
+		Host:          q.r.Host,
+		Header:        q.header(),
+		Body:          q.newBody(),
+		ContentLength: q.contentLength(),
+		Idempotent:    q.class.Idempotent,
+		Fresh:         start.Fresh,
+		RequestID:     q.wireID,
+		Statuses: target.Statuses{
+			Failure: q.backend.Service.Health.FailureStatuses,
+			Shed:    q.backend.Service.Health.ShedStatuses,
+			NotRun:  q.class.NotRunStatuses,
+		},
+		CrossRegion: endpoint.Region != q.server.cfg.Location.Region,
+		Class:       string(q.class.Name),
+		Trace:       trace,
+	}
+	if q.class.Upload != nil {
+		a.MinBodyBytesPerSecond = int64(q.class.Upload.MinBytesPerSecond)
+		a.InterruptBody = func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Now()) }
+	}
+	return a
+}
+
+// header returns the caller's header with this host added to Via.
+func (q *request) header() http.Header {
+	h := q.r.Header.Clone()
+	h.Del(HeaderTicket)
+	h.Del(HeaderDeadline)
+	h.Add("Via", "1.1 "+string(q.server.cfg.Host))
+	return h
+}
+
+// finish reports the end of an attempt. An upload whose body was read in part
+// cannot be sent again, whatever the dispatcher would decide.
+func (q *request) finish(start dispatch.Start, trace *target.Trace, result attempt.Result) {
+	if q.class.Upload != nil && trace.BodyBytesRead > 0 {
+		q.backend.Engine.Commit(start.Attempt)
+	}
+	q.backend.Engine.Finish(start.Attempt, result)
+}
+
+// receive holds the response back until it is complete, or streams it when it
+// is too large for that.
+func (q *request) receive(start dispatch.Start, trace *target.Trace, response *target.Response) bool {
+	limit := int64(q.class.MaxBufferedAnswerBytes)
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit && !response.Unverifiable {
+		q.stream(start, response, body)
+		return true
+	}
+	result := response.Finish()
+	if response.Unverifiable {
+		// Without a length a truncated response looks complete.
+		result.Kind = attempt.BadAnswer
+	}
+	if result.Kind == attempt.Answered || result.Kind == attempt.ServerError || result.NotRun || result.Kind == attempt.Shed {
+		q.held = &heldResponse{attempt: start.Attempt, status: response.Status, header: response.Header, body: body}
+	}
+	q.finish(start, trace, result)
+	return false
+}
+
+// stream passes a large response on while it arrives. When it breaks off, the
+// caller's connection is aborted.
+func (q *request) stream(start dispatch.Start, response *target.Response, first []byte) {
+	q.backend.Engine.Commit(start.Attempt)
+	q.copyHeader(response.Header)
+	q.w.WriteHeader(response.Status)
+	_, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(first), response.Body))
+	q.backend.Engine.Finish(start.Attempt, response.Finish())
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// passOn sends the held response of an attempt to the caller.
+func (q *request) passOn(id ident.AttemptID) *Problem {
+	if q.held == nil || q.held.attempt != id {
+		return unknown(http.StatusBadGateway, "internal", "the response of the attempt is missing")
+	}
+	q.copyHeader(q.held.header)
+	q.w.WriteHeader(q.held.status)
+	_, _ = q.w.Write(q.held.body)
+	return nil
+}
+
+func (q *request) copyHeader(from http.Header) {
+	to := q.w.Header()
+	for name, values := range from {
+		to[name] = values
+	}
+	to.Set(HeaderRequestID, q.wireID)
+	to.Set(HeaderOutcome, OutcomeAnswered)
+}
+
+// failed ends a request whose last attempt failed.
+func (q *request) failed(a dispatch.Fail) *Problem {
+	if a.NotRun {
+		return unavailable("not_run_"+a.Result.Kind.String(), "no target ran the request", a.Result.RetryAfter)
+	}
+	switch a.Result.Kind {
+	case attempt.ServerError:
+		return q.passOn(a.Attempt)
+	case attempt.TimedOut, attempt.Canceled:
+		return unknown(http.StatusGatewayTimeout, a.Result.Kind.String(), "no complete response arrived in time; the request may have run")
+	default:
+		return unknown(http.StatusBadGateway, a.Result.Kind.String(), "no complete response arrived; the request may have run")
+	}
+}
--- /dev/null
+++ b/internal/adapter/ingress/request.go
@@ -0,0 +1,183 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/engine"
+)
+
+// maxDeadline bounds the deadline that a caller may ask for.
+const maxDeadline = time.Hour
+
+// request is a caller's request on its way through the host.
+type request struct {
+	server  *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	active  *Active
+	backend *Backend
+	class   *document.Class
+	id      ident.RequestID
+	// wireID is the request ID that targets and callers see.
+	wireID   string
+	deadline time.Time
+	// body is the whole request body of a class that is not an upload.
+	body []byte
+	call *engine.Call
+	// held is the last complete response that was not passed on yet.
+	held *heldResponse
+}
+
+// serveRequest serves one routed request. A returned problem has not been sent.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) *Problem {
+	arrived := time.Now()
+	active := s.active.Load()
+	if active == nil {
+		return s.noConfiguration()
+	}
+	w.Header().Set(HeaderRevision, strconv.FormatUint(active.Revision, 10))
+	route := active.Routes.Lookup(r.Method, r.URL.Path)
+	if route == nil {
+		return notRun(http.StatusNotFound, "no_route", fmt.Sprintf("no route matches %s %s", r.Method, r.URL.Path))
+	}
+	backend := active.Backends[route.Service]
+	req := &request{
+		server:  s,
+		w:       w,
+		r:       r,
+		active:  active,
+		backend: backend,
+		class:   backend.Classes[route.Class],
+		id:      ident.RequestID(s.lastID.Add(1)),
+	}
+	req.wireID = fmt.Sprintf("%s-%x-%x", s.cfg.Host, uint64(s.cfg.Incarnation), uint64(req.id))
+	w.Header().Set(HeaderRequestID, req.wireID)
+	if problem := req.readDeadline(arrived); problem != nil {
+		return problem
+	}
+	if problem := req.readBody(); problem != nil {
+		return problem
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	defer cancel()
+	return req.run(ctx)
+}
+
+func (s *Server) noConfiguration() *Problem {
+	return unavailable("no_configuration", "the host has no configuration yet: neither the log service nor a peer could be reached", time.Second)
+}
+
+func (q *request) readDeadline(arrived time.Time) *Problem {
+	left := time.Duration(q.class.Deadline)
+	if value := q.r.Header.Get(HeaderDeadline); value != "" {
+		ms, err := strconv.ParseInt(value, 10, 64)
+		if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+			return notRun(http.StatusBadRequest, "bad_deadline", fmt.Sprintf("%s is %q, want 1 to %d milliseconds", HeaderDeadline, value, maxDeadline.Milliseconds()))
+		}
+		left = time.Duration(ms) * time.Millisecond
+	}
+	q.deadline = arrived.Add(left)
+	return nil
+}
+
+// readBody reads the body of a class that is not an upload, before the request
+// is admitted, so that a slow caller holds no slot.
+func (q *request) readBody() *Problem {
+	limit := int64(q.class.MaxRequestBytes)
+	if q.r.ContentLength > limit {
+		return q.bodyTooLarge()
+	}
+	if q.class.Upload != nil {
+		return nil
+	}
+	if q.r.ContentLength == 0 {
+		return nil
+	}
+	_ = http.NewResponseController(q.w).SetReadDeadline(q.deadline)
+	defer func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		return q.bodyTooLarge()
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return notRun(http.StatusRequestTimeout, "body_timeout", "the request body did not arrive before the deadline")
+	case err != nil:
+		return notRun(http.StatusBadRequest, "bad_body", "the request body broke off")
+	}
+	q.body = body
+	return nil
+}
+
+func (q *request) bodyTooLarge() *Problem {
+	return notRun(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body is larger than max_request_bytes of class %q: %d", q.class.Name, q.class.MaxRequestBytes))
+}
+
+// run follows the dispatcher's steps until the request has ended.
+func (q *request) run(ctx context.Context) *Problem {
+	q.call = q.backend.Engine.Arrive(dispatch.Request{
+		ID:        q.id,
+		Class:     q.class.Name,
+		Deadline:  q.deadline,
+		BodyBytes: q.r.ContentLength,
+	})
+	for {
+		action, err := q.call.Next(ctx)
+		if err != nil {
+			return q.abandon()
+		}
+		switch a := action.(type) {
+		case dispatch.Start:
+			if q.attempt(ctx, a) {
+				return nil
+			}
+		case dispatch.Refuse:
+			return q.refused(a)
+		case dispatch.Complete:
+			return q.passOn(a.Attempt)
+		case dispatch.Fail:
+			return q.failed(a)
+		}
+	}
+}
+
+// abandon ends a request whose deadline passed or whose caller left while no
+// attempt was running.
+func (q *request) abandon() *Problem {
+	q.call.Cancel()
+	return notRun(http.StatusGatewayTimeout, "deadline", "the deadline passed before an attempt was started")
+}
+
+func (q *request) refused(a dispatch.Refuse) *Problem {
+	return unavailable(string(a.Reason), "the request was not sent to a target", a.RetryAfter)
+}
+
+func (q *request) newBody() io.Reader {
+	if q.class.Upload != nil {
+		return http.MaxBytesReader(q.w, q.r.Body, int64(q.class.MaxRequestBytes))
+	}
+	if len(q.body) == 0 {
+		return nil
+	}
+	return bytes.NewReader(q.body)
+}
+
+func (q *request) contentLength() int64 {
+	if q.class.Upload != nil {
+		return q.r.ContentLength
+	}
+	return int64(len(q.body))
+}
--- /dev/null
+++ b/internal/adapter/ingress/server.go
@@ -0,0 +1,108 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
+	"github.com/sapphirehaven/sapphirehaven/internal/engine"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+// Members tells which hosts can serve callers.
+type Members interface {
+	// Serving returns the live hosts that are not leaving.
+	Serving() []port.Host
+}
+
+// Config holds what a Server needs.
+type Config struct {
+	Host ident.HostID
+	// Incarnation makes request IDs unique over the lives of a host.
+	Incarnation ident.Incarnation
+	Location    ident.Location
+	// AddressMaxAge is how long a caller may keep an address answer.
+	AddressMaxAge time.Duration
+	Transport     *target.Transport
+	Members       Members
+	Recorder      engine.Recorder
+}
+
+// pathPrefix is the path below which the host answers itself.
+const pathPrefix = "/.sapphirehaven/v1/"
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	cfg      Config
+	active   atomic.Pointer[Active]
+	draining atomic.Bool
+	inFlight atomic.Int64
+	lastID   atomic.Uint64
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// New returns a server without a configuration; it refuses requests until
+// Activate is called.
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg, rng: rand.New(rand.NewPCG(uint64(cfg.Incarnation), 3))}
+}
+
+// Activate puts a configuration in force for requests that arrive from now on.
+func (s *Server) Activate(a *Active) { s.active.Store(a) }
+
+// Active returns the configuration in force, or nil.
+func (s *Server) Active() *Active { return s.active.Load() }
+
+// Drain makes the server close each caller's connection after its response.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// InFlight returns the number of requests that are being served.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.ProtoMajor == 1 && r.ProtoMinor == 0 {
+		// An HTTP/1.0 caller could not tell a truncated response from a
+		// complete one.
+		notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required").write(w)
+		return
+	}
+	if name, ok := strings.CutPrefix(r.URL.Path, pathPrefix); ok {
+		s.serveOwn(w, r, name)
+		return
+	}
+	if problem := s.serveRequest(w, r); problem != nil {
+		problem.write(w)
+	}
+}
+
+func (s *Server) serveOwn(w http.ResponseWriter, r *http.Request, name string) {
+	switch name {
+	case "addresses":
+		s.serveAddresses(w, r)
+	default:
+		notRun(http.StatusNotFound, "unknown_resource", "the host has no resource "+pathPrefix+name).write(w)
+	}
+}
+
+// ServingHosts returns the members in the form that the core uses.
+func ServingHosts(members []port.Host) []serving.Host {
+	hosts := make([]serving.Host, 0, len(members))
+	for _, m := range members {
+		hosts = append(hosts, serving.Host{ID: m.ID, Location: m.Location})
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/adminapi/adminapi.go
@@ -0,0 +1,113 @@
+// Package adminapi defines the messages of the administration interface, which
+// the daemon serves and sapphirectl reads.
+package adminapi
+
+import "time"
+
+// Paths of the administration interface.
+const (
+	PathStatus    = "/v1/status"
+	PathMembers   = "/v1/members"
+	PathTimeline  = "/v1/timeline"
+	PathDocument  = "/v1/document"
+	PathProposals = "/v1/document/proposals/"
+	PathHistory   = "/v1/document/history"
+)
+
+// Status is the state of one host.
+type Status struct {
+	Host        string    `json:"host"`
+	Incarnation uint64    `json:"incarnation"`
+	Region      string    `json:"region"`
+	Zone        string    `json:"zone"`
+	Draining    bool      `json:"draining"`
+	InFlight    int       `json:"in_flight"`
+	Revision    uint64    `json:"revision"`
+	Hash        string    `json:"hash"`
+	AsOf        int64     `json:"as_of"`
+	InForceAt   time.Time `json:"in_force_at"`
+	// LogAvailable tells whether the last call of the log service succeeded;
+	// hosts that do not read the log report what their peers say.
+	LogAvailable bool      `json:"log_available"`
+	ReadsLog     bool      `json:"reads_log"`
+	Services     []Service `json:"services"`
+}
+
+// Service is the state of a service on one host.
+type Service struct {
+	Name    string   `json:"name"`
+	Serving bool     `json:"serving"`
+	Queued  int      `json:"queued"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is the state of a target on one host.
+type Target struct {
+	Name     string  `json:"name"`
+	State    string  `json:"state"`
+	Weight   float64 `json:"weight"`
+	InFlight int     `json:"in_flight"`
+	Score    float64 `json:"score"`
+}
+
+// Member is a host as another one knows it.
+type Member struct {
+	Host          string `json:"host"`
+	Incarnation   uint64 `json:"incarnation"`
+	Region        string `json:"region"`
+	Zone          string `json:"zone"`
+	CallerAddress string `json:"caller_address"`
+	AdminAddress  string `json:"admin_address"`
+	State         string `json:"state"`
+}
+
+// Event is an event of the timeline.
+type Event struct {
+	WallMicros int64    `json:"wall_us"`
+	Logical    uint32   `json:"logical"`
+	Host       string   `json:"host"`
+	Kind       string   `json:"kind"`
+	Fields     []string `json:"fields"`
+}
+
+// Results of a proposal.
+const (
+	ResultAccepted = "accepted"
+	ResultRefused  = "refused"
+	ResultUnknown  = "unknown"
+	ResultInvalid  = "invalid"
+)
+
+// ProposalResult says what became of a document.
+type ProposalResult struct {
+	ID       string `json:"id"`
+	Result   string `json:"result"`
+	Revision uint64 `json:"revision,omitempty"`
+	Hash     string `json:"hash,omitempty"`
+	Offset   int64  `json:"offset,omitempty"`
+	// Reason says why a document was refused or is unknown, and what to do.
+	Reason string `json:"reason,omitempty"`
+	// Errors lists the errors of an invalid document.
+	Errors []string `json:"errors,omitempty"`
+	// Difference lists what differs from the document in force.
+	Difference string `json:"difference,omitempty"`
+}
+
+// Document is the document in force.
+type Document struct {
+	Revision uint64 `json:"revision"`
+	Hash     string `json:"hash"`
+	Offset   int64  `json:"offset"`
+	YAML     string `json:"yaml"`
+}
+
+// HistoryEntry is one revision that this host has seen.
+type HistoryEntry struct {
+	Revision  uint64    `json:"revision"`
+	Hash      string    `json:"hash"`
+	ID        string    `json:"id"`
+	Author    string    `json:"author"`
+	Note      string    `json:"note"`
+	Offset    int64     `json:"offset"`
+	InForceAt time.Time `json:"in_force_at"`
+}
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -133,6 +133,15 @@
 	return append(actions, Fail{Request: a.request.ID, Attempt: id, Result: res, NotRun: res.NotSent || res.NotRun})
 }
 
+// Commit reports that the response of an attempt is being passed on: its
+// request is not tried again.
+func (d *Dispatcher) Commit(_ time.Time, id ident.AttemptID) []Action {
+	if a := d.attempts[id]; a != nil {
+		a.request.attempts = a.request.class.MaxAttempts
+	}
+	return nil
+}
+
 // Cancel reports that the caller is gone.
 func (d *Dispatcher) Cancel(_ time.Time, id ident.RequestID) []Action {
 	delete(d.requests, id)
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,58 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// requestTimeout bounds one call of a host; an apply waits for the log service
+// and a withdrawal, so it takes longer.
+const requestTimeout = 30 * time.Second
+
+// maxResponseBytes bounds what is read of a host's response.
+const maxResponseBytes = 64 << 20
+
+var httpClient = &http.Client{Timeout: requestTimeout}
+
+// call sends a request and decodes the JSON response into out, whatever the
+// status is.
+func call(ctx context.Context, method, url, token string, body io.Reader, out any) (status int, err error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return 0, err
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	res, err := httpClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	if err != nil {
+		return res.StatusCode, errors.Wrap(err, url)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return res.StatusCode, errors.Errorf("%s: status %d: %s", url, res.StatusCode, strings.TrimSpace(string(data)))
+	}
+	return res.StatusCode, nil
+}
+
+// getJSON reads a resource and treats every status but 200 as an error.
+func getJSON(ctx context.Context, url string, out any) error {
+	status, err := call(ctx, http.MethodGet, url, "", nil, out)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return errors.Errorf("%s: status %d", url, status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/engine/service.go
@@ -0,0 +1,228 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/health"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+// Prober sends a probe to a target and reports whether it passed.
+type Prober interface {
+	Probe(ctx context.Context, service ident.ServiceName, target ident.TargetID) (ok bool, latency time.Duration)
+}
+
+// Recorder adds an event to the host's timeline.
+type Recorder interface {
+	Record(kind event.Kind, fields ...event.Field)
+}
+
+// minTick is the shortest time between two ticks of a dispatcher, so that
+// timers that are due together cost one wake-up.
+const minTick = 5 * time.Millisecond
+
+// maxProbes bounds the probes that one service runs at once.
+const maxProbes = 32
+
+// Service drives the dispatcher of one service. It is safe for concurrent use.
+type Service struct {
+	name     ident.ServiceName
+	prober   Prober
+	recorder Recorder
+	probes   chan struct{}
+
+	mu         sync.Mutex
+	dispatcher *dispatch.Dispatcher
+	calls      map[ident.RequestID]*Call
+	timer      *time.Timer
+	dueAt      time.Time
+	closed     bool
+}
+
+// Call is a request that waits for its next step.
+type Call struct {
+	service *Service
+	id      ident.RequestID
+	steps   chan dispatch.Action
+}
+
+// stepBuffer holds the actions of one request that can be outstanding while
+// its goroutine runs an attempt: a cancellation and the final action.
+const stepBuffer = 4
+
+// NewService starts a dispatcher with its configuration.
+func NewService(cfg dispatch.Config, self dispatch.Self, seed uint64, prober Prober, recorder Recorder) *Service {
+	now := time.Now()
+	s := &Service{
+		name:       cfg.Service,
+		prober:     prober,
+		recorder:   recorder,
+		probes:     make(chan struct{}, maxProbes),
+		dispatcher: dispatch.New(now, cfg, self, seed),
+		calls:      map[ident.RequestID]*Call{},
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dueAt = now.Add(minTick)
+	s.timer = time.AfterFunc(minTick, s.tick)
+	return s
+}
+
+// Close stops timers and probes. Attempts in flight end as usual.
+func (s *Service) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.timer.Stop()
+}
+
+// Configure puts a new revision in force.
+func (s *Service) Configure(cfg dispatch.Config) {
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Configure(now, cfg) })
+}
+
+// Arrive hands a request to the dispatcher. The caller receives its steps from
+// Next until one of them ends the request.
+func (s *Service) Arrive(r dispatch.Request) *Call {
+	c := &Call{service: s, id: r.ID, steps: make(chan dispatch.Action, stepBuffer)}
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+		s.calls[r.ID] = c
+		return d.Arrive(now, r)
+	})
+	return c
+}
+
+// Next waits for the next step: dispatch.Start, dispatch.CancelAttempt, or one
+// that ends the request: dispatch.Refuse, dispatch.Complete, dispatch.Fail.
+func (c *Call) Next(ctx context.Context) (dispatch.Action, error) {
+	select {
+	case a := <-c.steps:
+		return a, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Cancel tells the dispatcher that the caller is gone.
+func (c *Call) Cancel() {
+	c.service.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+		actions := d.Cancel(now, c.id)
+		delete(c.service.calls, c.id)
+		return actions
+	})
+}
+
+// Finish reports the end of an attempt.
+func (s *Service) Finish(id ident.AttemptID, res dispatch.Result) {
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Finish(now, id, res) })
+}
+
+// Commit tells that the response of an attempt is being passed on, so that its
+// request is not tried again.
+func (s *Service) Commit(id ident.AttemptID) {
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Commit(now, id) })
+}
+
+// LoadReport reports a target's load.
+func (s *Service) LoadReport(r dispatch.LoadReport) {
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.LoadReport(now, r) })
+}
+
+// Evidence returns the report for the other serving hosts.
+func (s *Service) Evidence() health.Evidence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Evidence(time.Now())
+}
+
+// Merge takes the report of another serving host.
+func (s *Service) Merge(e health.Evidence) {
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Merge(now, e) })
+}
+
+// Status returns the state of every target.
+func (s *Service) Status() []dispatch.TargetStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Status()
+}
+
+func (s *Service) tick() {
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Tick(now) })
+}
+
+// step runs one event under the lock, hands out the actions and sets the timer.
+func (s *Service) step(event func(time.Time, *dispatch.Dispatcher) []dispatch.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, a := range event(now, s.dispatcher) {
+		s.carryOut(a)
+	}
+	s.schedule(now)
+}
+
+func (s *Service) schedule(now time.Time) {
+	if s.closed {
+		return
+	}
+	next := s.dispatcher.NextTick(now)
+	if earliest := now.Add(minTick); next.Before(earliest) {
+		next = earliest
+	}
+	if s.dueAt.After(now) && !next.Before(s.dueAt) {
+		return
+	}
+	s.dueAt = next
+	s.timer.Reset(next.Sub(now))
+}
+
+func (s *Service) carryOut(a dispatch.Action) {
+	switch a := a.(type) {
+	case dispatch.Start:
+		s.deliver(a.Request, a, false)
+	case dispatch.Refuse:
+		s.deliver(a.Request, a, true)
+	case dispatch.Complete:
+		s.deliver(a.Request, a, true)
+	case dispatch.Fail:
+		s.deliver(a.Request, a, true)
+	case dispatch.Probe:
+		s.startProbe(a.Target)
+	case dispatch.Record:
+		s.recorder.Record(a.Kind, a.Fields...)
+	}
+}
+
+func (s *Service) deliver(id ident.RequestID, a dispatch.Action, last bool) {
+	c := s.calls[id]
+	if c == nil {
+		return
+	}
+	if last {
+		delete(s.calls, id)
+	}
+	c.steps <- a
+}
+
+func (s *Service) startProbe(target ident.TargetID) {
+	if s.closed {
+		return
+	}
+	select {
+	case s.probes <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		ok, latency := s.prober.Probe(context.Background(), s.name, target)
+		<-s.probes
+		s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+			return d.ProbeResult(now, target, ok, latency)
+		})
+	}()
+}
