--- /dev/null
+++ b/internal/adapter/target/sockopt_linux.go
@@ -0,0 +1,51 @@
+package target
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h, which package syscall
+// does not define.
+const tcpUserTimeout = 0x12
+
+// setUserTimeout bounds how long sent data may stay unacknowledged.
+func setUserTimeout(nc net.Conn, d time.Duration) error {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sockErr error
+	err = raw.Control(func(fd uintptr) {
+		sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return sockErr
+}
+
+// quiet tells whether an idle connection is open and has nothing to read. It
+// does not block.
+func quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var recvErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, recvErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && (recvErr == syscall.EAGAIN || recvErr == syscall.EINTR)
+}
