Report every document error at once with line, column and field path

Cause: the YAML library stops at the first unknown field and gives no field path, and explicit zero values were replaced by defaults.

--- /dev/null
+++ b/internal/adapter/admin/admin.go
@@ -0,0 +1,74 @@
+// Package admin serves the administration interface: state, timeline, metrics
+// and the operators' document.
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adminapi"
+)
+
+// Host is what the administration interface shows of a host.
+type Host interface {
+	Status() adminapi.Status
+	Members() []adminapi.Member
+	Timeline() []adminapi.Event
+}
+
+// Server serves the administration interface.
+type Server struct {
+	host  Host
+	token string
+	mux   *mux.Router
+}
+
+// New returns a server. An empty token turns writing off.
+func New(host Host, token string) *Server {
+	s := &Server{host: host, token: token, mux: mux.NewRouter()}
+	get := func(path string, value func() any) {
+		s.mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, value()) }).Methods(http.MethodGet)
+	}
+	get(adminapi.PathStatus, func() any { return host.Status() })
+	get(adminapi.PathMembers, func() any { return host.Members() })
+	get(adminapi.PathTimeline, func() any { return host.Timeline() })
+	s.mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }).Methods(http.MethodGet)
+	s.mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }).Methods(http.MethodGet)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// errorBody is the body of an error response.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+// authorized checks the token in constant time and answers when it is wrong.
+func (s *Server) authorized(w http.ResponseWriter, r *http.Request) bool {
+	if s.token == "" {
+		writeJSON(w, http.StatusForbidden, errorBody{"writing is off: the host has no -admin-token"})
+		return false
+	}
+	given, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	want, got := sha256.Sum256([]byte(s.token)), sha256.Sum256([]byte(given))
+	if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		writeJSON(w, http.StatusUnauthorized, errorBody{"the Authorization header has no valid token"})
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/app/services.go
@@ -0,0 +1,130 @@
+package app
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/route"
+	"github.com/sapphirehaven/sapphirehaven/internal/engine"
+)
+
+// services holds the dispatchers of a host and puts documents in force.
+type services struct {
+	self      dispatch.Self
+	transport *target.Transport
+	recorder  engine.Recorder
+
+	mu      sync.Mutex
+	engines map[ident.ServiceName]*engine.Service
+	active  *ingress.Active
+}
+
+func newServices(self dispatch.Self, transport *target.Transport, recorder engine.Recorder) *services {
+	return &services{self: self, transport: transport, recorder: recorder, engines: map[ident.ServiceName]*engine.Service{}}
+}
+
+// activate builds the configuration of a revision. Dispatchers of services that
+// stay keep their state.
+func (s *services) activate(revision uint64, doc *document.Document) *ingress.Active {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active := &ingress.Active{
+		Revision: revision,
+		Routes:   route.New(doc.Routes),
+		Backends: make(map[ident.ServiceName]*ingress.Backend, len(doc.Services)),
+	}
+	regions := zoneRegions(doc)
+	for i := range doc.Services {
+		svc := &doc.Services[i]
+		active.Backends[svc.Name] = s.backend(revision, doc, svc, regions)
+	}
+	for name, e := range s.engines {
+		if active.Backends[name] == nil {
+			e.Close()
+			delete(s.engines, name)
+		}
+	}
+	s.active = active
+	return active
+}
+
+func (s *services) backend(revision uint64, doc *document.Document, svc *document.Service, regions map[ident.Zone]ident.Region) *ingress.Backend {
+	b := &ingress.Backend{
+		Service: svc,
+		Targets: make(map[ident.TargetID]ingress.Endpoint, len(svc.Targets)),
+		Classes: make(map[ident.ClassName]*document.Class, len(svc.Classes)),
+	}
+	for _, t := range svc.Targets {
+		b.Targets[t.Name] = ingress.Endpoint{Address: t.Address, Region: regions[t.Zone]}
+	}
+	for i := range svc.Classes {
+		b.Classes[svc.Classes[i].Name] = &svc.Classes[i]
+	}
+	cfg := dispatchConfig(revision, doc, svc)
+	b.Engine = s.engines[svc.Name]
+	if b.Engine == nil {
+		b.Engine = engine.NewService(cfg, s.self, seed(s.self.Host, svc.Name), s, s.recorder)
+		s.engines[svc.Name] = b.Engine
+	} else {
+		b.Engine.Configure(cfg)
+	}
+	return b
+}
+
+// seed differs between hosts, so that they do not make the same choices at the
+// same time.
+func seed(host ident.HostID, service ident.ServiceName) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(host))
+	h.Write([]byte{0})
+	h.Write([]byte(service))
+	return h.Sum64()
+}
+
+func (s *services) current() *ingress.Active {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+// Probe implements engine.Prober. It also reads the target's load report.
+func (s *services) Probe(ctx context.Context, service ident.ServiceName, id ident.TargetID) (bool, time.Duration) {
+	active := s.current()
+	if active == nil || active.Backends[service] == nil {
+		return false, 0
+	}
+	backend := active.Backends[service]
+	endpoint, ok := backend.Targets[id]
+	if !ok {
+		return false, 0
+	}
+	s.readLoad(ctx, backend, id, endpoint)
+	result := s.transport.Probe(ctx, target.Query{Address: endpoint.Address, Path: backend.Service.Health.ProbePath, Fresh: true})
+	return result.OK, result.Latency
+}
+
+func (s *services) readLoad(ctx context.Context, backend *ingress.Backend, id ident.TargetID, endpoint ingress.Endpoint) {
+	if backend.Service.Health.LoadPath == "" {
+		return
+	}
+	load, err := s.transport.LoadReport(ctx, target.Query{Address: endpoint.Address, Path: backend.Service.Health.LoadPath})
+	if err != nil {
+		return
+	}
+	backend.Engine.LoadReport(dispatch.LoadReport{Target: id, InFlight: load.InFlight, Slots: load.Slots, Draining: load.Draining})
+}
+
+func (s *services) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		e.Close()
+	}
+}
--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -3,11 +3,7 @@
 // and what counts as healthy. It parses and validates the YAML form.
 package document
 
-import (
-	"time"
-
-	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
-)
+import "github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 
 // FormatVersion is the document format that this build reads.
 const FormatVersion = 1
@@ -70,7 +66,7 @@
 	// whole; default 1 MiB.
 	MaxBufferedAnswerBytes Size `yaml:"max_buffered_answer_bytes"`
 	// Upload marks large request bodies that stream.
-	Upload *Upload `yaml:"upload"`
+	Upload *Upload `yaml:"upload,omitempty"`
 }
 
 // Upload holds the rules for large request bodies.
@@ -125,9 +121,3 @@
 	Service ident.ServiceName `yaml:"service"`
 	Class   ident.ClassName   `yaml:"class"`
 }
-
-// Duration is a time span written like "1.5s" in a document.
-type Duration time.Duration
-
-// Size is a number of bytes written like "64KiB" in a document.
-type Size int64
--- a/internal/core/document/parse.go
+++ b/internal/core/document/parse.go
@@ -2,133 +2,218 @@
 
 import (
 	"bytes"
+	"io"
+	"reflect"
 	"strconv"
 	"strings"
-	"time"
 
-	"github.com/pkg/errors"
 	"go.yaml.in/yaml/v3"
 )
 
-// Parse reads a document in its YAML form, refuses unknown fields and fills in
-// defaults.
+// MaxBytes bounds the YAML form of a document.
+const MaxBytes = 64 << 20
+
+// Parse reads a document in its YAML form and fills in defaults. It reports all
+// errors at once, as Errors, each with its line, column and field path. Unknown
+// and repeated fields are errors.
 func Parse(data []byte) (*Document, error) {
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
+	if len(data) > MaxBytes {
+		return nil, Errors{{Message: "the document is larger than " + Size(MaxBytes).String()}}
+	}
+	root, errs := readNode(data)
+	if errs != nil {
+		return nil, errs
+	}
 	doc := &Document{}
-	if err := dec.Decode(doc); err != nil {
-		return nil, errors.Wrap(err, "document")
+	d := decoder{places: map[string]place{}}
+	d.decode(root, reflect.ValueOf(doc).Elem(), "")
+	doc.setDerivedDefaults()
+	for _, e := range doc.validate() {
+		e.Line, e.Column = d.find(e.Path)
+		if !d.failed[e.Path] {
+			d.errs = append(d.errs, e)
+		}
 	}
-	doc.setDefaults()
-	if err := doc.Validate(); err != nil {
-		return nil, err
+	if len(d.errs) > 0 {
+		return nil, d.errs.sorted()
 	}
 	return doc, nil
 }
 
-// Validate checks the references and ranges of a document.
-func (d *Document) Validate() error {
-	if d.Format != FormatVersion {
-		return errors.Errorf("format: %d is not supported, want %d", d.Format, FormatVersion)
+func readNode(data []byte) (*yaml.Node, Errors) {
+	var root yaml.Node
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	err := dec.Decode(&root)
+	switch {
+	case err == io.EOF:
+		return nil, Errors{{Message: "the document is empty"}}
+	case err != nil:
+		return nil, Errors{{Message: strings.TrimPrefix(err.Error(), "yaml: ")}}
 	}
-	classes := map[string]bool{}
-	for _, s := range d.Services {
-		for _, c := range s.Classes {
-			classes[string(s.Name)+"/"+string(c.Name)] = true
-		}
+	var second yaml.Node
+	if dec.Decode(&second) != io.EOF {
+		return nil, Errors{{Message: "there is more than one document in the file"}}
+	}
+	return root.Content[0], nil
+}
+
+type place struct{ line, column int }
+
+// decoder fills Go values from YAML nodes by their yaml tags and collects all
+// errors instead of stopping at the first.
+type decoder struct {
+	errs   Errors
+	places map[string]place
+	// failed holds the paths that have an error already, so that a value that
+	// could not be read is not also reported as out of range.
+	failed map[string]bool
+}
+
+func (d *decoder) fail(node *yaml.Node, path, message string) {
+	if d.failed == nil {
+		d.failed = map[string]bool{}
 	}
-	for i, r := range d.Routes {
-		if !classes[string(r.Service)+"/"+string(r.Class)] {
-			return errors.Errorf("routes[%d]: service %q has no class %q", i, r.Service, r.Class)
+	d.failed[path] = true
+	d.errs = append(d.errs, FieldError{Path: path, Line: node.Line, Column: node.Column, Message: message})
+}
+
+// find returns the place of a field, or of the nearest enclosing one.
+func (d *decoder) find(path string) (line, column int) {
+	for {
+		if p, ok := d.places[path]; ok {
+			return p.line, p.column
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			p := d.places[""]
+			return p.line, p.column
 		}
+		path = path[:cut]
 	}
-	return nil
 }
 
-func (d *Document) setDefaults() {
-	for i := range d.Services {
-		d.Services[i].setDefaults()
+func (d *decoder) decode(node *yaml.Node, v reflect.Value, path string) {
+	d.places[path] = place{node.Line, node.Column}
+	if node.Kind == yaml.AliasNode {
+		d.fail(node, path, "aliases are not supported")
+		return
+	}
+	if s, ok := v.Addr().Interface().(scalar); ok {
+		d.decodeScalar(node, path, s.parse)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.decodeStruct(node, v, path)
+	case reflect.Slice:
+		d.decodeSlice(node, v, path)
+	case reflect.Pointer:
+		if node.Tag == "!!null" {
+			return
+		}
+		v.Set(newWithDefaults(v.Type().Elem()))
+		d.decode(node, v.Elem(), path)
+	default:
+		d.decodeBasic(node, v, path)
 	}
 }
 
-func (s *Service) setDefaults() {
-	setDefault(&s.ServingHosts, 4)
-	setDefault(&s.Limits.QueueLength, 64)
-	setDefault(&s.Retry.Budget, 0.1)
-	setDefault(&s.Retry.MaxAttempts, 3)
-	setDefault(&s.Health.ProbeInterval, Duration(2*time.Second))
-	if s.Health.FailureStatuses == nil {
-		s.Health.FailureStatuses = []int{500, 502, 504}
-	}
-	if s.Health.ShedStatuses == nil {
-		s.Health.ShedStatuses = []int{429, 503}
-	}
-	for i := range s.Targets {
-		setDefault(&s.Targets[i].Connections, 330)
-		setDefault(&s.Targets[i].Slots, 1)
-	}
-	for i := range s.Classes {
-		c := &s.Classes[i]
-		setDefault(&c.Deadline, Duration(5*time.Second))
-		setDefault(&c.AttemptTimeout, c.Deadline)
-		setDefault(&c.MaxRequestBytes, 1<<20)
-		setDefault(&c.MaxBufferedAnswerBytes, 1<<20)
-		if c.Upload != nil {
-			setDefault(&c.Upload.MinBytesPerSecond, 16<<10)
-			setDefault(&c.Upload.MaxBytesPerSecondAcrossRegions, 1<<20)
+func (d *decoder) decodeStruct(node *yaml.Node, v reflect.Value, path string) {
+	if node.Kind != yaml.MappingNode {
+		d.fail(node, path, "want fields with values")
+		return
+	}
+	fields := fieldsByTag(v.Type())
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key, value := node.Content[i], node.Content[i+1]
+		at := join(path, key.Value)
+		index, known := fields[key.Value]
+		switch {
+		case !known:
+			d.fail(key, at, "unknown field")
+		case seen[key.Value]:
+			d.fail(key, at, "the field is given twice")
+		default:
+			seen[key.Value] = true
+			d.decode(value, v.Field(index), at)
 		}
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+func (d *decoder) decodeSlice(node *yaml.Node, v reflect.Value, path string) {
+	if node.Kind != yaml.SequenceNode {
+		d.fail(node, path, "want a list")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), 0, len(node.Content)))
+	for i, item := range node.Content {
+		element := newWithDefaults(v.Type().Elem()).Elem()
+		d.decode(item, element, path+"["+strconv.Itoa(i)+"]")
+		v.Set(reflect.Append(v, element))
 	}
 }
 
-// UnmarshalYAML reads a duration in Go's notation.
-func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
-	v, err := time.ParseDuration(node.Value)
-	if err != nil {
-		return errors.Errorf("line %d: %q is not a duration such as 1.5s", node.Line, node.Value)
+func (d *decoder) decodeScalar(node *yaml.Node, path string, parse func(string) error) {
+	if node.Kind != yaml.ScalarNode {
+		d.fail(node, path, "want a single value")
+		return
+	}
+	if err := parse(node.Value); err != nil {
+		d.fail(node, path, err.Error())
 	}
-	*d = Duration(v)
-	return nil
 }
 
-// MarshalYAML writes a duration in Go's notation.
-func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
-
-// sizeUnits maps the accepted suffixes to bytes, longest suffix first.
-var sizeUnits = []struct {
-	suffix string
-	bytes  int64
-}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}, {"", 1}}
-
-// UnmarshalYAML reads a size such as 64KiB.
-func (s *Size) UnmarshalYAML(node *yaml.Node) error {
-	for _, u := range sizeUnits {
-		digits, ok := strings.CutSuffix(node.Value, u.suffix)
-		if !ok {
-			continue
-		}
-		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
-		if err != nil || n < 0 || n > (1<<62)/u.bytes {
-			break
+func (d *decoder) decodeBasic(node *yaml.Node, v reflect.Value, path string) {
+	d.decodeScalar(node, path, func(text string) error {
+		if err := node.Decode(v.Addr().Interface()); err != nil {
+			return notA{text, kindName(v.Kind())}
 		}
-		*s = Size(n * u.bytes)
 		return nil
+	})
+}
+
+// notA says that a text does not have the wanted kind.
+type notA struct{ text, kind string }
+
+func (e notA) Error() string { return strconv.Quote(e.text) + " is not " + e.kind }
+
+func kindName(k reflect.Kind) string {
+	switch k {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a text"
 	}
-	return errors.Errorf("line %d: %q is not a size such as 64KiB", node.Line, node.Value)
 }
 
-// MarshalYAML writes a size with the largest unit that divides it.
-func (s Size) MarshalYAML() (any, error) {
-	for _, u := range sizeUnits {
-		if int64(s) >= u.bytes && int64(s)%u.bytes == 0 {
-			return strconv.FormatInt(int64(s)/u.bytes, 10) + u.suffix, nil
-		}
+// defaulter is a value that has defaults before it is read.
+type defaulter interface{ setDefaults() }
+
+func newWithDefaults(t reflect.Type) reflect.Value {
+	v := reflect.New(t)
+	if d, ok := v.Interface().(defaulter); ok {
+		d.setDefaults()
+	}
+	return v
+}
+
+func fieldsByTag(t reflect.Type) map[string]int {
+	fields := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
+		fields[name] = i
+	}
+	return fields
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
 	}
-	return "0B", nil
+	return path + "." + name
 }
