--- a/internal/adapter/admin/admin.go
+++ b/internal/adapter/admin/admin.go
@@ -24,14 +24,15 @@
 
 // Server serves the administration interface.
 type Server struct {
-	host  Host
-	token string
-	mux   *mux.Router
+	host      Host
+	documents Documents
+	token     string
+	mux       *mux.Router
 }
 
 // New returns a server. An empty token turns writing off.
-func New(host Host, token string) *Server {
-	s := &Server{host: host, token: token, mux: mux.NewRouter()}
+func New(host Host, documents Documents, token string) *Server {
+	s := &Server{host: host, documents: documents, token: token, mux: mux.NewRouter()}
 	get := func(path string, value func() any) {
 		s.mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, value()) }).Methods(http.MethodGet)
 	}
@@ -40,6 +41,7 @@
 	get(adminapi.PathTimeline, func() any { return host.Timeline() })
 	s.mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }).Methods(http.MethodGet)
 	s.mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }).Methods(http.MethodGet)
+	s.handleDocuments()
 	return s
 }
 
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -76,6 +76,8 @@
 	ResultRefused  = "refused"
 	ResultUnknown  = "unknown"
 	ResultInvalid  = "invalid"
+	// ResultValid is the result of a check without an append.
+	ResultValid = "valid"
 )
 
 // ProposalResult says what became of a document.
@@ -101,13 +103,17 @@
 	YAML     string `json:"yaml"`
 }
 
-// HistoryEntry is one revision that this host has seen.
+// HistoryEntry is one decision about a proposal.
 type HistoryEntry struct {
-	Revision  uint64    `json:"revision"`
-	Hash      string    `json:"hash"`
-	ID        string    `json:"id"`
-	Author    string    `json:"author"`
-	Note      string    `json:"note"`
-	Offset    int64     `json:"offset"`
-	InForceAt time.Time `json:"in_force_at"`
+	ID     string `json:"id"`
+	Result string `json:"result"`
+	Reason string `json:"reason,omitempty"`
+	// Revision and Hash are those of an accepted proposal.
+	Revision uint64 `json:"revision,omitempty"`
+	Hash     string `json:"hash,omitempty"`
+	Author   string `json:"author"`
+	Note     string `json:"note"`
+	Offset   int64  `json:"offset"`
+	// DecidedAt is the log's time of the record that decided.
+	DecidedAt time.Time `json:"decided_at"`
 }
--- /dev/null
+++ b/internal/app/host.go
@@ -0,0 +1,191 @@
+// Package app wires the core, the ports and the adapters into one host and runs
+// its life from start to graceful shutdown.
+package app
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/admin"
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/hostlist"
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/logservice"
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
+	"github.com/sapphirehaven/sapphirehaven/internal/configlog"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/revision"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+	"github.com/sapphirehaven/sapphirehaven/internal/timeline"
+)
+
+// Host is one running host.
+type Host struct {
+	settings    Settings
+	log         logrus.FieldLogger
+	location    ident.Location
+	incarnation ident.Incarnation
+	timeline    *timeline.Timeline
+	transport   *target.Transport
+	services    *services
+	members     *listedMembers
+	follower    *configlog.Follower
+	writer      *configlog.Writer
+	checkpoints *configlog.CheckpointWriter
+	ingress     *ingress.Server
+	admin       *admin.Server
+	draining    atomic.Bool
+	inForceAt   atomic.Int64
+}
+
+// New builds a host from checked settings; Run starts it.
+func New(settings Settings, log logrus.FieldLogger) (*Host, error) {
+	h := &Host{
+		settings:    settings,
+		log:         log,
+		location:    ident.Location{Region: ident.Region(settings.Region), Zone: ident.Zone(settings.Zone)},
+		incarnation: ident.Incarnation(time.Now().UnixMicro()),
+	}
+	id := ident.HostID(settings.HostID)
+	h.timeline = timeline.New(id, log)
+	h.transport = target.New(target.DefaultConfig())
+	h.services = newServices(dispatch.Self{Host: id, Location: h.location}, h.transport, h.timeline)
+	h.members = &listedMembers{list: hostlist.New(settings.HostsURL), self: h.self(), log: log}
+	if err := h.newConfiguration(id); err != nil {
+		return nil, err
+	}
+	h.ingress = ingress.New(ingress.Config{
+		Host:          id,
+		Incarnation:   h.incarnation,
+		Location:      h.location,
+		AddressMaxAge: settings.AddressMaxAge,
+		Transport:     h.transport,
+		Members:       h.members,
+		Recorder:      h.timeline,
+	})
+	h.admin = admin.New(h, &documents{follower: h.follower, writer: h.writer}, settings.AdminToken)
+	return h, nil
+}
+
+func (h *Host) newConfiguration(id ident.HostID) error {
+	log, err := logservice.New(logservice.DefaultConfig(h.settings.LogURL))
+	if err != nil {
+		return errors.Wrap(err, "-log-url")
+	}
+	cfg := configlog.DefaultConfig()
+	cfg.Seed = uint64(h.incarnation)
+	cfg.OnEvent = h.configurationEvent
+	h.follower = configlog.NewFollower(log, cfg)
+	h.writer = configlog.NewWriter(log, h.follower, revision.DefaultAppendConfig())
+	h.checkpoints = configlog.NewCheckpointWriter(log, h.follower, id, h.checkpointRank, revision.DefaultCheckpointConfig(h.settings.LogRetention))
+	return nil
+}
+
+func (h *Host) self() port.Host {
+	return port.Host{
+		ID:            ident.HostID(h.settings.HostID),
+		Incarnation:   h.incarnation,
+		Location:      h.location,
+		CallerAddress: h.settings.CallerAdvertise,
+		AdminAddress:  h.settings.AdminAdvertise,
+		PeerAddress:   h.settings.PeerAdvertise,
+		Leaving:       h.draining.Load(),
+	}
+}
+
+// checkpointRank is this host's place in the order in which hosts write a
+// checkpoint.
+func (h *Host) checkpointRank() int {
+	return rank("checkpoint", ident.HostID(h.settings.HostID), ingress.ServingHosts(h.members.Serving()))
+}
+
+func rank(key string, id ident.HostID, hosts []serving.Host) int {
+	ranked := serving.Rank(key, hosts)
+	for i, host := range ranked {
+		if host.ID == id {
+			return i
+		}
+	}
+	return len(ranked)
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	h.timeline.Record(event.HostStarted, event.F("incarnation", h.incarnation), event.F("caller_address", h.settings.CallerAdvertise))
+	background, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, run := range []func(context.Context){h.members.run, h.follower.Run, h.checkpoints.Run, h.activateRevisions} {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			run(background)
+		}()
+	}
+	h.follower.SetReading(true)
+	failed := listeners.serve()
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	h.shutDown(listeners)
+	stop()
+	running.Wait()
+	h.services.close()
+	h.transport.Close()
+	return err
+}
+
+// activateRevisions puts each new revision in force.
+func (h *Host) activateRevisions(ctx context.Context) {
+	activated, cancel := h.follower.Subscribe()
+	defer cancel()
+	for {
+		if active := h.follower.Active(); active.Document != nil {
+			h.activate(active)
+		}
+		select {
+		case <-activated:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) activate(active configlog.Active) {
+	current := h.ingress.Active()
+	if current != nil && current.Revision >= active.Revision {
+		return
+	}
+	h.ingress.Activate(h.services.activate(active.Revision, active.Document))
+	h.inForceAt.Store(time.Now().UnixMicro())
+	h.timeline.Record(event.ConfigurationInForce, event.F("revision", active.Revision), event.F("hash", active.Chain), event.F("offset", active.AsOf))
+}
+
+// configurationEvent records what happens in the log. Activated revisions are
+// recorded when requests run under them.
+func (h *Host) configurationEvent(e configlog.Event) {
+	switch e.Kind {
+	case configlog.LogUnavailable:
+		h.timeline.Record(event.LogUnavailable, event.F("error", e.Err))
+	case configlog.LogAvailable:
+		h.timeline.Record(event.LogAvailable)
+	case configlog.CheckpointAppended:
+		h.timeline.Record(event.CheckpointWritten, event.F("revision", e.Revision), event.F("as_of", e.AsOf))
+	case configlog.Refused:
+		h.timeline.Record(event.ConfigurationRefused, event.F("id", e.Result.ID), event.F("reason", e.Result.Reason))
+	case configlog.Activated, configlog.CheckpointSeen:
+	default:
+		h.log.WithError(e.Err).WithField("event", e.Kind.String()).Warn("configuration")
+	}
+}
--- /dev/null
+++ b/internal/app/listeners.go
@@ -0,0 +1,75 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+)
+
+// Limits of the HTTP servers.
+const (
+	readHeaderTimeout = 5 * time.Second
+	callerIdleTimeout = 60 * time.Second
+)
+
+// listeners are the HTTP servers of a host.
+type listeners struct {
+	caller, admin         *http.Server
+	callerSock, adminSock net.Listener
+}
+
+func (h *Host) listen() (*listeners, error) {
+	l := &listeners{
+		caller: &http.Server{Handler: h.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: h.settings.MaxHeaderBytes},
+		admin:  &http.Server{Handler: h.admin, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
+	}
+	var err error
+	if l.callerSock, err = net.Listen("tcp", h.settings.CallerListen); err != nil {
+		return nil, errors.Wrap(err, "-caller-listen")
+	}
+	if l.adminSock, err = net.Listen("tcp", h.settings.AdminListen); err != nil {
+		l.callerSock.Close()
+		return nil, errors.Wrap(err, "-admin-listen")
+	}
+	return l, nil
+}
+
+// serve starts the servers; the channel gets the first failure.
+func (l *listeners) serve() <-chan error {
+	failed := make(chan error, 2)
+	for _, s := range []struct {
+		server *http.Server
+		sock   net.Listener
+	}{{l.caller, l.callerSock}, {l.admin, l.adminSock}} {
+		go func() {
+			if err := s.server.Serve(s.sock); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	return failed
+}
+
+// shutDown stops the host gracefully: it leaves the address answers, serves
+// until every kept answer has run out, then closes idle connections and waits
+// for the requests in flight, up to the drain limit.
+func (h *Host) shutDown(l *listeners) {
+	started := time.Now()
+	h.draining.Store(true)
+	h.ingress.Drain()
+	h.timeline.Record(event.HostDraining, event.F("in_flight", h.ingress.InFlight()))
+	time.Sleep(min(h.settings.AddressMaxAge, h.settings.DrainLimit))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.settings.DrainLimit))
+	defer cancel()
+	if err := l.caller.Shutdown(ctx); err != nil {
+		h.log.WithField("in_flight", h.ingress.InFlight()).Warn("the drain limit was reached; requests in flight are cut")
+		_ = l.caller.Close()
+	}
+	h.timeline.Record(event.HostStopped, event.F("drained_in", time.Since(started).Round(time.Millisecond)))
+	_ = l.admin.Close()
+}
--- /dev/null
+++ b/internal/app/status.go
@@ -0,0 +1,96 @@
+package app
+
+import (
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
+	"github.com/sapphirehaven/sapphirehaven/internal/adminapi"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
+)
+
+// Status implements admin.Host.
+func (h *Host) Status() adminapi.Status {
+	config := h.follower.Status()
+	status := adminapi.Status{
+		Host:         h.settings.HostID,
+		Incarnation:  uint64(h.incarnation),
+		Region:       h.settings.Region,
+		Zone:         h.settings.Zone,
+		Draining:     h.draining.Load(),
+		InFlight:     h.ingress.InFlight(),
+		Hash:         config.Chain.String(),
+		AsOf:         config.AsOf,
+		LogAvailable: config.LogErr == nil,
+		ReadsLog:     config.Reading,
+		Services:     []adminapi.Service{},
+	}
+	active := h.ingress.Active()
+	if active == nil {
+		return status
+	}
+	status.Revision = active.Revision
+	status.InForceAt = time.UnixMicro(h.inForceAt.Load()).UTC()
+	hosts := ingress.ServingHosts(h.members.Serving())
+	for name, backend := range active.Backends {
+		set := serving.Set(name, h.location.Region, backend.Service.ServingHosts, hosts)
+		status.Services = append(status.Services, h.serviceStatus(name, backend, set))
+	}
+	return status
+}
+
+func (h *Host) serviceStatus(name ident.ServiceName, backend *ingress.Backend, set []serving.Host) adminapi.Service {
+	svc := adminapi.Service{Name: string(name), Targets: []adminapi.Target{}}
+	for _, host := range set {
+		svc.Serving = svc.Serving || host.ID == ident.HostID(h.settings.HostID)
+	}
+	for _, t := range backend.Engine.Status() {
+		svc.Targets = append(svc.Targets, adminapi.Target{
+			Name:     string(t.Target),
+			State:    t.State.String(),
+			Weight:   t.Weight,
+			InFlight: t.InFlight,
+			Score:    t.Score,
+		})
+	}
+	return svc
+}
+
+// Members implements admin.Host.
+func (h *Host) Members() []adminapi.Member {
+	members := []adminapi.Member{}
+	for _, m := range h.members.All() {
+		state := "live"
+		if m.Leaving {
+			state = "leaving"
+		}
+		members = append(members, adminapi.Member{
+			Host:          string(m.ID),
+			Incarnation:   uint64(m.Incarnation),
+			Region:        string(m.Location.Region),
+			Zone:          string(m.Location.Zone),
+			CallerAddress: m.CallerAddress,
+			AdminAddress:  m.AdminAddress,
+			State:         state,
+		})
+	}
+	return members
+}
+
+// Timeline implements admin.Host.
+func (h *Host) Timeline() []adminapi.Event {
+	events := []adminapi.Event{}
+	for _, e := range h.timeline.Events() {
+		events = append(events, apiEvent(e))
+	}
+	return events
+}
+
+func apiEvent(e event.Event) adminapi.Event {
+	out := adminapi.Event{WallMicros: e.Stamp.WallMicros, Logical: e.Stamp.Logical, Host: string(e.Host), Kind: string(e.Kind), Fields: []string{}}
+	for _, f := range e.Fields {
+		out.Fields = append(out.Fields, f.Key+"="+f.Value)
+	}
+	return out
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -49,6 +49,7 @@
 type command func(e *env, args []string) int
 
 var commands = map[string]command{
+	"document":  runDocument,
 	"addresses": runAddresses,
 	"status":    runStatus,
 	"members":   runMembers,
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // TargetFaults are the gray failures of a target. Shares are from 0 to 1.
@@ -93,6 +95,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", t.serveProbe)
 	mux.HandleFunc("GET /load", t.serveLoad)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteProcessMetrics(w) })
 	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
