Test the transport's failure paths and bound silent reused connections

Cause: the transport had tests of whole round trips only. A reused connection that stopped responding held a request until its deadline. New field Attempt.SilentTimeout ends the wait for the first byte on a reused connection. Figures (synctest, all three idle connections silent, deadline 1 s): the first request suffered 1 s without SilentTimeout and 200 ms with SilentTimeout 200 ms; the second request suffered 0 s in both cases, since the other idle connections are closed as suspect. Conclusion: the dispatcher should set SilentTimeout from its latency estimates.

--- a/internal/adapter/target/attempt.go
+++ b/internal/adapter/target/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/outcome"
 )
@@ -19,6 +20,7 @@
 	ErrHeadTooLarge       = errors.New("target: the response head is too large")
 	ErrBadResponse        = errors.New("target: malformed response")
 	ErrBadRequest         = errors.New("target: the request cannot be sent")
+	ErrSilent             = errors.New("target: no response on a reused connection")
 	ErrClosed             = errors.New("target: the transport is closed")
 	ErrPeerClosed         = errors.New("target: the target closed the connection")
 )
@@ -44,6 +46,10 @@
 	ContentLength int64
 	// Idempotent requests may use any idle connection.
 	Idempotent bool
+	// SilentTimeout bounds the wait for the first byte on a reused connection
+	// whose request was written whole; 0 leaves it to ctx. It lets a retry
+	// leave a connection that stopped responding before the deadline.
+	SilentTimeout time.Duration
 	// Fresh asks for a new connection.
 	Fresh bool
 	// RequestID is sent and compared with the response's.
--- a/internal/adapter/target/exchange.go
+++ b/internal/adapter/target/exchange.go
@@ -111,6 +111,8 @@
 		return outcome.DeadlinePassed
 	case x.ctx.Err() != nil, cause != nil, isCallerError(err):
 		return outcome.CallerGone
+	case errors.Is(err, ErrSilent):
+		return outcome.DeadlinePassed
 	case isBadResponse(err):
 		return outcome.ResponseGarbled
 	case !x.responded, errors.As(err, &netErr):
--- /dev/null
+++ b/internal/adapter/target/pool_test.go
@@ -0,0 +1,257 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/outcome"
+)
+
+// pipeDial connects to fakes over net.Pipe, so that a test controls the time.
+func pipeDial(handle func(n int, c net.Conn)) func(context.Context, string) (net.Conn, error) {
+	var n atomic.Int64
+	return func(context.Context, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		go func() {
+			defer theirs.Close()
+			handle(int(n.Add(1))-1, theirs)
+		}()
+		return ours, nil
+	}
+}
+
+// answer reads one request and answers it with its path.
+func answer(br *bufio.Reader, w io.Writer) error {
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, err = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(req.URL.Path))+"\r\n\r\n"+req.URL.Path)
+	return err
+}
+
+func answerAll(_ int, c net.Conn) {
+	for br := bufio.NewReader(c); answer(br, c) == nil; {
+	}
+}
+
+// openIdle leaves n idle connections in the pool.
+func openIdle(t *testing.T, tr *Transport, address string, n int) {
+	t.Helper()
+	var list []*Response
+	for range n {
+		resp, res := tr.Do(t.Context(), Attempt{Address: address, Method: "GET", URI: "/a", Fresh: true})
+		if resp == nil {
+			t.Fatal(res)
+		}
+		list = append(list, resp)
+	}
+	for _, resp := range list {
+		_, _ = io.ReadAll(resp.Body)
+		resp.Finish()
+	}
+	if idle := tr.PoolStats().Idle; idle != n {
+		t.Fatalf("%d idle connections, want %d", idle, n)
+	}
+}
+
+// TestLateResponse guards against a response that arrives after its request
+// was given up and is taken for the response of the next one.
+func TestLateResponse(t *testing.T) {
+	late := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	address := serve(t, func(n int, c net.Conn) {
+		br := bufio.NewReader(c)
+		for i := 0; ; i++ {
+			if n == 0 && i == 1 {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				cancel()
+				<-late
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+				return
+			}
+			if answer(br, c) != nil {
+				return
+			}
+		}
+	})
+	tr := newTransport(t, nil)
+	openIdle(t, tr, address, 1)
+	trace := &Trace{}
+	resp, res := tr.Do(ctx, Attempt{Address: address, Method: "POST", URI: "/b", Trace: trace})
+	if resp != nil || res.Kind != attempt.Canceled || res.NotSent || !trace.Reused {
+		t.Fatalf("%+v %+v", res, trace)
+	}
+	close(late)
+	for range 3 {
+		if _, body, res := exchangeBody(t, tr, Attempt{Address: address, URI: "/c", Idempotent: true}); body != "/c" {
+			t.Fatalf("body %q, result %+v", body, res)
+		}
+	}
+}
+
+// TestSilentConnections measures how long requests suffer when all open
+// connections stop responding, and guards against a second one that suffers.
+func TestSilentConnections(t *testing.T) {
+	for _, silentTimeout := range []time.Duration{0, 200 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			tr := newTransport(t, func(c *Config) {
+				c.Dial = pipeDial(func(n int, c net.Conn) {
+					br := bufio.NewReader(c)
+					if answer(br, c) != nil || n < 3 {
+						_, _ = io.Copy(io.Discard, br)
+						return
+					}
+					answerAll(n, c)
+				})
+			})
+			openIdle(t, tr, "a", 3)
+			start := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			resp, res := tr.Do(ctx, Attempt{Address: "a", Method: "GET", URI: "/a", Idempotent: true, SilentTimeout: silentTimeout})
+			suffered := time.Since(start)
+			want := silentTimeout
+			if want == 0 {
+				want = time.Second
+			}
+			if resp != nil || res.Kind != attempt.TimedOut || suffered != want {
+				t.Fatalf("%+v after %s, want %s", res, suffered, want)
+			}
+			if s := tr.PoolStats(); s.Idle != 0 || s.Suspicions != 1 {
+				t.Fatalf("suspect connections are kept: %+v", s)
+			}
+			_, body, res := exchangeBody(t, tr, Attempt{Address: "a", Idempotent: true})
+			if body != "/" || !res.FreshConnection || time.Since(start) != suffered {
+				t.Fatalf("%q %+v", body, res)
+			}
+			t.Logf("silent timeout %s: one request suffered %s, the next one 0s", silentTimeout, suffered)
+		})
+	}
+}
+
+// TestReuseRules guards against the reuse of a connection that is too old for
+// the request at hand.
+func TestReuseRules(t *testing.T) {
+	tests := []struct {
+		name       string
+		idle       time.Duration
+		idempotent bool
+		fresh      bool
+		reused     bool
+	}{
+		{"non-idempotent at once", 0, false, false, true},
+		{"non-idempotent at the limit", time.Second, false, false, true},
+		{"non-idempotent after the limit", time.Second + 1, false, false, false},
+		{"idempotent", 14 * time.Second, true, false, true},
+		{"idempotent after the idle time", 31 * time.Second, true, false, false},
+		{"fresh", 0, true, true, false},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			tr := newTransport(t, func(c *Config) { c.Dial = pipeDial(answerAll) })
+			openIdle(t, tr, "a", 1)
+			time.Sleep(tt.idle)
+			_, _, res := exchangeBody(t, tr, Attempt{Address: "a", Idempotent: tt.idempotent, Fresh: tt.fresh})
+			if res.FreshConnection == tt.reused {
+				t.Errorf("%s: %+v", tt.name, res)
+			}
+			time.Sleep(time.Minute)
+			if s := tr.PoolStats(); s.Open != 0 {
+				t.Errorf("%s: expired connections stay open: %+v", tt.name, s)
+			}
+		})
+	}
+}
+
+// TestMaxAge guards against a connection that is kept for ever by steady use.
+func TestMaxAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTransport(t, func(c *Config) { c.Dial, c.MaxAge = pipeDial(answerAll), time.Minute })
+		for range 70 {
+			exchangeBody(t, tr, Attempt{Address: "a", Idempotent: true})
+			time.Sleep(time.Second)
+		}
+		if s := tr.PoolStats(); s.Dials != 2 {
+			t.Errorf("%+v, want 2 dials in 70 s", s)
+		}
+	})
+}
+
+// TestMaxConnections guards against more connections than the bound, and
+// against a refusal that blames the target.
+func TestMaxConnections(t *testing.T) {
+	address := serve(t, answerAll)
+	tr := newTransport(t, func(c *Config) { c.MaxConnections = 2 })
+	var list []*Response
+	for range 2 {
+		resp, _ := tr.Do(t.Context(), Attempt{Address: address, Method: "GET", URI: "/a"})
+		list = append(list, resp)
+	}
+	trace := &Trace{}
+	_, _, res := exchangeBody(t, tr, Attempt{Address: address, Trace: trace})
+	if res.Kind != attempt.Canceled || !res.NotSent || !errors.Is(trace.Err, ErrTooManyConnections) {
+		t.Fatalf("%+v %+v", res, trace)
+	}
+	for _, resp := range list {
+		_, _ = io.ReadAll(resp.Body)
+		resp.Finish()
+	}
+	if _, _, res = exchangeBody(t, tr, Attempt{Address: address, Fresh: true}); res.Kind != attempt.Answered {
+		t.Fatalf("an idle connection is not replaced: %+v", res)
+	}
+	if s := tr.PoolStats(); s.Open != 2 {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// TestIdleConnectionClosedByTarget guards against sending on a connection that
+// the target has closed while it was idle.
+func TestIdleConnectionClosedByTarget(t *testing.T) {
+	var closed sync.WaitGroup
+	closed.Add(1)
+	address := serve(t, func(n int, c net.Conn) {
+		if n == 0 {
+			_ = answer(bufio.NewReader(c), c)
+			c.Close()
+			closed.Done()
+			return
+		}
+		answerAll(n, c)
+	})
+	tr := newTransport(t, nil)
+	openIdle(t, tr, address, 1)
+	closed.Wait()
+	if _, body, res := exchangeBody(t, tr, Attempt{Address: address, Method: "POST"}); body != "/" || !res.FreshConnection {
+		t.Fatalf("%q %+v", body, res)
+	}
+}
+
+// TestDialRefused guards against a refused dial that counts as sent.
+func TestDialRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	trace := &Trace{}
+	_, _, res := exchangeBody(t, newTransport(t, nil), Attempt{Address: l.Addr().String(), Method: "POST", Trace: trace})
+	if res.Kind != attempt.DialFailed || !res.NotSent || trace.Stage != outcome.Dialing {
+		t.Fatalf("%+v %+v", res, trace)
+	}
+}
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -38,13 +39,16 @@
 func (x *exchange) readHead() (*http.Response, error) {
 	x.c.limitHead(x.t.cfg.MaxHeadBytes)
 	defer x.c.unlimit()
-	if _, err := x.c.br.Peek(1); err != nil {
+	if err := x.awaitFirstByte(); err != nil {
 		if err == io.EOF && !x.responded {
 			return nil, ErrPeerClosed
 		}
 		return nil, err
 	}
 	if !x.responded {
+		if x.boundsSilence() {
+			x.c.boundRead(time.Time{})
+		}
 		x.responded = true
 		x.firstByte = time.Since(x.start)
 		x.apply(outcome.ResponseStarted)
@@ -56,6 +60,23 @@
 	return head, nil
 }
 
+// awaitFirstByte waits for the first byte of a head.
+func (x *exchange) awaitFirstByte() error {
+	if x.boundsSilence() {
+		x.c.boundRead(time.Now().Add(x.a.SilentTimeout))
+	}
+	_, err := x.c.br.Peek(1)
+	if x.boundsSilence() && errors.Is(err, os.ErrDeadlineExceeded) && x.ctx.Err() == nil {
+		return ErrSilent
+	}
+	return err
+}
+
+// boundsSilence tells whether SilentTimeout applies now.
+func (x *exchange) boundsSilence() bool {
+	return x.a.SilentTimeout > 0 && x.c.reused && !x.responded && x.requestWritten()
+}
+
 // headError separates a malformed head from a broken connection.
 func headError(err error) error {
 	var netErr net.Error
