--- /dev/null
+++ b/internal/core/balance/reported.go
@@ -0,0 +1,103 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+// ReportLifetime is the time over which a report of load decays linearly to
+// zero, so that a stale or wrong report cannot keep work from a target.
+const ReportLifetime = 3 * time.Second
+
+// maxPeers bounds the hosts whose reports are kept for one target. Serving
+// sets have 4 hosts in each region by default.
+const maxPeers = 64
+
+// Reported is the load that others put on a target: as the target's load
+// endpoint reports it, or as other hosts report their own attempts. The
+// fresher source counts.
+type Reported struct {
+	target sample
+	peers  []peerSample
+}
+
+type sample struct {
+	requests float64
+	at       time.Time
+}
+
+type peerSample struct {
+	host ident.HostID
+	sample
+}
+
+// FromTarget takes the number of requests at the target that are not this
+// host's own.
+func (r *Reported) FromTarget(now time.Time, requests float64) {
+	r.target = sample{max(0, requests), now}
+}
+
+// FromPeer takes another host's number of attempts at the target.
+func (r *Reported) FromPeer(now time.Time, host ident.HostID, requests float64) {
+	r.dropExpired(now)
+	for i := range r.peers {
+		if r.peers[i].host == host {
+			r.peers[i].sample = sample{requests, now}
+			return
+		}
+	}
+	if len(r.peers) < maxPeers {
+		r.peers = append(r.peers, peerSample{host, sample{requests, now}})
+	}
+}
+
+func (r *Reported) dropExpired(now time.Time) {
+	kept := r.peers[:0]
+	for _, p := range r.peers {
+		if now.Sub(p.at) < ReportLifetime {
+			kept = append(kept, p)
+		}
+	}
+	r.peers = kept
+}
+
+// At returns the decayed load of others.
+func (r *Reported) At(now time.Time) float64 {
+	peers := 0.0
+	newest := time.Time{}
+	for _, p := range r.peers {
+		peers += p.decayed(now)
+		if p.at.After(newest) {
+			newest = p.at
+		}
+	}
+	if newest.After(r.target.at) {
+		return peers
+	}
+	return r.target.decayed(now)
+}
+
+func (s sample) decayed(now time.Time) float64 {
+	age := now.Sub(s.at)
+	if s.requests <= 0 || age >= ReportLifetime {
+		return 0
+	}
+	return s.requests * (1 - max(0, age.Seconds())/ReportLifetime.Seconds())
+}
+
+// decaySteps is the number of steps in which limits follow the decay.
+const decaySteps = 6
+
+// NextChange returns the next time at which a limit that depends on At should
+// be computed again, and false when nothing is left to decay.
+func (r *Reported) NextChange(now time.Time) (time.Time, bool) {
+	if r.At(now) <= 0 {
+		return time.Time{}, false
+	}
+	return now.Add(ReportLifetime / decaySteps), true
+}
+
+// Whole returns At rounded up to whole requests.
+func (r *Reported) Whole(now time.Time) int { return int(math.Ceil(min(r.At(now), 1e6))) }
