balance: select the least loaded target, with measurements

Cause: the first version selected by power of two choices, without a measurement at 2 and 6 slots. Small targets and ramping targets got more than their share under load.

Change: indexed heaps hold the available candidates of each distance. The least loaded is selected; own attempts count fully and reported load at a weight of 0.1. Ties take turns in proportion to slots times weight, and ramping candidates get work only in their turn.

The design page still names power of two choices.

--- a/internal/core/balance/picker.go
+++ b/internal/core/balance/picker.go
@@ -2,14 +2,16 @@
 // request class.
 //
 // The nearest distance with an available candidate is used. At that distance
-// two candidates are sampled with probability proportional to their capacity,
-// and the one with the lower load relative to its capacity is selected. The
+// the candidate with the least load relative to its slots is selected; own
+// attempts count fully and the reported load of others with a small weight.
+// Candidates with equal load take turns in proportion to their capacity, and
+// ramping candidates get work only in their turn. The
 // figures behind this rule are in docs/decisions/006-selection.md. Selection
 // and updates take logarithmic time in the number of candidates.
 package balance
 
 import (
-	"math"
+	"container/heap"
 	"math/rand/v2"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
@@ -40,60 +42,103 @@
 
 // Candidate is a target in the rotation of a class.
 type Candidate struct {
-	// Capacity is the number of slots times the ramp weight.
-	Capacity float64
+	Slots float64
+	// Weight is the ramp weight, above 0 and up to 1.
+	Weight   float64
 	Distance Distance
 }
 
-// Loads returns the current load of a candidate, in requests.
-type Loads interface{ Load(candidate int) float64 }
+func (c Candidate) capacity() float64 { return c.Slots * c.Weight }
+
+// ReportedWeight is the weight of a request that others report, relative to an
+// own attempt. Reports are up to a second old, so they mostly decide between
+// targets with equal own load; docs/decisions/006-selection.md has the figures.
+const ReportedWeight = 0.1
+
+// Load combines own attempts and the reported requests of others.
+func Load(own int, reported float64) float64 {
+	return float64(own) + ReportedWeight*reported
+}
 
 // Picker selects among a fixed list of candidates, which are identified by
 // their index in that list.
 type Picker struct {
 	candidates []Candidate
+	entries    []entry
 	groups     [distances]group
-	positions  []int
 }
 
-// group holds the candidates at one distance; unavailable ones have weight 0.
+// group holds the available candidates at one distance.
 type group struct {
-	members []int
-	tree    sumTree
+	ready entryHeap
+	// waiting holds ramping candidates until their next turn, since a target
+	// that ramps is idle more often than others and would get too much work.
+	waiting entryHeap
+	// turn is the latest turn that a pick used.
+	turn float64
+	// clock advances by 1/capacity with each pick, where capacity is the sum
+	// over all candidates. A candidate with capacity c is due once in 1/c.
+	clock    float64
+	capacity float64
+	// idleLoad is the load of the idle candidate with the fewest slots. Lower
+	// loads count as equal to it, so that idle candidates take turns.
+	idleLoad float64
 }
 
-// weightUnit is the sampling weight of one slot; ramp weights are rounded to
-// its inverse.
-const weightUnit = 1024
+// halfRequest is added to the load before it is divided by the slots, as in
+// Webster's method of apportionment: without it small targets, and with a
+// whole request large targets, would get more than their share.
+const halfRequest = 0.5
 
-// New returns a picker whose candidates are all unavailable.
-func New(candidates []Candidate) *Picker {
-	p := &Picker{candidates: candidates, positions: make([]int, len(candidates))}
+// New returns a picker whose candidates are all unavailable. Their first turns
+// are random, so that hosts do not select the same targets in step.
+func New(candidates []Candidate, rng *rand.Rand) *Picker {
+	p := &Picker{candidates: candidates, entries: make([]entry, len(candidates))}
+	for i := range p.groups {
+		p.groups[i].waiting.byDue = true
+	}
 	for i, c := range candidates {
+		phase := rng.Float64() / c.capacity()
+		p.entries[i] = entry{candidate: i, turn: phase, due: phase}
 		g := &p.groups[c.Distance]
-		p.positions[i] = len(g.members)
-		g.members = append(g.members, i)
-	}
-	for i := range p.groups {
-		p.groups[i].tree = newSumTree(make([]int64, len(p.groups[i].members)))
+		g.capacity += c.capacity()
+		g.idleLoad = max(g.idleLoad, halfRequest/c.Slots)
 	}
 	return p
 }
 
-// SetAvailable tells whether a candidate can take another attempt.
-func (p *Picker) SetAvailable(candidate int, available bool) {
+// Set updates the load of a candidate, in requests, and whether it can take
+// another attempt.
+func (p *Picker) Set(candidate int, load float64, available bool) {
 	c := p.candidates[candidate]
-	weight := int64(0)
-	if available {
-		weight = max(1, int64(math.Round(c.Capacity*weightUnit)))
+	e := &p.entries[candidate]
+	g := &p.groups[c.Distance]
+	load = max(g.idleLoad, (load+halfRequest)/c.Slots)
+	changed := e.load != load
+	e.load = load
+	switch {
+	case !available && e.in != nil:
+		heap.Remove(e.in, e.position)
+	case available && e.in == nil:
+		e.turn = max(e.turn, g.turn)
+		p.insert(g, e)
+	case available && changed:
+		heap.Fix(e.in, e.position)
+	}
+}
+
+func (p *Picker) insert(g *group, e *entry) {
+	if p.candidates[e.candidate].Weight < 1 && e.due > g.clock {
+		heap.Push(&g.waiting, e)
+		return
 	}
-	p.groups[c.Distance].tree.set(p.positions[candidate], weight)
+	heap.Push(&g.ready, e)
 }
 
 // Available reports whether any candidate can take another attempt.
 func (p *Picker) Available() bool {
 	for i := range p.groups {
-		if p.groups[i].tree.total > 0 {
+		if p.groups[i].ready.Len() > 0 || p.groups[i].waiting.Len() > 0 {
 			return true
 		}
 	}
@@ -101,14 +146,10 @@
 }
 
 // Pick selects an available candidate that is not excluded.
-func (p *Picker) Pick(rng *rand.Rand, loads Loads, excluded []int) (int, bool) {
+func (p *Picker) Pick(excluded []int) (int, bool) {
 	for i := range p.groups {
-		g := &p.groups[i]
-		if g.tree.total == 0 {
-			continue
-		}
-		if candidate, ok := p.pickAt(Distance(i), rng, loads, excluded); ok {
-			return candidate, true
+		if e := p.pickAt(Distance(i), excluded); e != nil {
+			return e.candidate, true
 		}
 	}
 	return 0, false
@@ -117,58 +158,44 @@
 // maxExcluded bounds the exclusions of one Pick; further ones are ignored.
 const maxExcluded = 16
 
-func (p *Picker) pickAt(d Distance, rng *rand.Rand, loads Loads, excluded []int) (int, bool) {
+func (p *Picker) pickAt(d Distance, excluded []int) *entry {
 	g := &p.groups[d]
-	var saved [maxExcluded]int64
-	excluded = excluded[:min(len(excluded), maxExcluded)]
-	for i, c := range excluded {
-		saved[i] = p.hide(d, c)
-	}
-	candidate, ok := p.twoChoices(g, rng, loads)
-	for i := len(excluded) - 1; i >= 0; i-- {
-		p.restore(d, excluded[i], saved[i])
-	}
-	return candidate, ok
-}
-
-// hide removes a candidate from sampling and returns its weight.
-func (p *Picker) hide(d Distance, candidate int) int64 {
-	if p.candidates[candidate].Distance != d {
-		return 0
+	var hidden [maxExcluded]*entry
+	n := 0
+	for _, c := range excluded[:min(len(excluded), maxExcluded)] {
+		if e := &p.entries[c]; p.candidates[c].Distance == d && e.in != nil {
+			heap.Remove(e.in, e.position)
+			hidden[n] = e
+			n++
+		}
 	}
-	tree := &p.groups[d].tree
-	weight := tree.weights[p.positions[candidate]]
-	tree.set(p.positions[candidate], 0)
-	return weight
-}
-
-func (p *Picker) restore(d Distance, candidate int, weight int64) {
-	if weight > 0 {
-		p.groups[d].tree.set(p.positions[candidate], weight)
+	best := p.next(g)
+	for _, e := range hidden[:n] {
+		p.insert(g, e)
 	}
+	return best
 }
 
-// twoChoices samples two different members and returns the less loaded one,
-// or the first one when both have the same relative load.
-func (p *Picker) twoChoices(g *group, rng *rand.Rand, loads Loads) (int, bool) {
-	if g.tree.total == 0 {
-		return 0, false
+// next selects the least loaded ready candidate. A ramping one whose turn has
+// not come is selected only when no other is available.
+func (p *Picker) next(g *group) *entry {
+	for g.waiting.Len() > 0 && g.waiting.entries[0].due <= g.clock {
+		heap.Push(&g.ready, heap.Pop(&g.waiting))
 	}
-	position := g.tree.find(rng.Int64N(g.tree.total))
-	first := g.members[position]
-	weight := g.tree.weights[position]
-	if weight == g.tree.total {
-		return first, true
+	from := &g.ready
+	if from.Len() == 0 {
+		from = &g.waiting
 	}
-	g.tree.set(position, 0)
-	second := g.members[g.tree.find(rng.Int64N(g.tree.total))]
-	g.tree.set(position, weight)
-	if p.relative(second, loads) < p.relative(first, loads) {
-		return second, true
+	if from.Len() == 0 {
+		return nil
 	}
-	return first, true
-}
-
-func (p *Picker) relative(candidate int, loads Loads) float64 {
-	return loads.Load(candidate) / p.candidates[candidate].Capacity
+	best := heap.Pop(from).(*entry)
+	g.turn = max(g.turn, best.turn)
+	g.clock += 1 / g.capacity
+	share := 1 / p.candidates[best.candidate].capacity()
+	best.turn = g.turn + share
+	// A candidate that could not take its turns catches up by at most one.
+	best.due = max(best.due, g.clock-share) + share
+	p.insert(g, best)
+	return best
 }
--- a/internal/core/dispatch/admit.go
+++ b/internal/core/dispatch/admit.go
@@ -82,7 +82,7 @@
 	if !r.class.picker.Available() {
 		return false
 	}
-	t := r.class.pick(now, d.rng, d.exclusions(r))
+	t := r.class.pick(d.exclusions(r))
 	if t == nil {
 		return false
 	}
--- a/internal/core/dispatch/class.go
+++ b/internal/core/dispatch/class.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/balance"
@@ -28,24 +27,19 @@
 
 	crossAttempts uint64
 	crossBytes    uint64
-	now           time.Time
 }
 
-// Load implements balance.Loads at the time of the pick.
-func (c *class) Load(i int) float64 { return c.members[i].load(c.now) }
-
 func (c *class) refresh(now time.Time, t *target) {
 	i := t.places[c.ordinal]
 	lim := t.limitAt(now, c.weights[i])
 	c.capacity += lim - c.limits[i]
 	c.limits[i] = lim
-	c.picker.SetAvailable(i, t.usable(now) && t.inFlight < lim)
+	c.picker.Set(i, t.load(now), t.usable(now) && t.inFlight < lim)
 }
 
 // pick selects a target in rotation with a free slot.
-func (c *class) pick(now time.Time, rng *rand.Rand, excluded []int) *target {
-	c.now = now
-	i, ok := c.picker.Pick(rng, c, excluded)
+func (c *class) pick(excluded []int) *target {
+	i, ok := c.picker.Pick(excluded)
 	if !ok {
 		return nil
 	}
@@ -86,11 +80,12 @@
 		c.members = append(c.members, t)
 		c.weights = append(c.weights, m.Weight)
 		candidates = append(candidates, balance.Candidate{
-			Capacity: float64(max(1, t.Slots)) * m.Weight,
+			Slots:    float64(max(1, t.Slots)),
+			Weight:   min(1, m.Weight),
 			Distance: t.distance,
 		})
 	}
 	c.limits = make([]int, len(c.members))
 	c.capacity = 0
-	c.picker = balance.New(candidates)
+	c.picker = balance.New(candidates, d.rng)
 }
--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -161,6 +161,7 @@
 	r.attempts++
 	r.addTried(t.ID)
 	t.inFlight++
+	t.lastStart = now
 	t.trial = t.trial || isTrial
 	if c.Upload {
 		d.uploads++
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -17,10 +17,11 @@
 
 type target struct {
 	Target
-	distance balance.Distance
-	inFlight int
-	limit    limit.Adaptive
-	reported balance.Reported
+	distance  balance.Distance
+	inFlight  int
+	lastStart time.Time
+	limit     limit.Adaptive
+	reported  balance.Reported
 	// drainUntil is the end of the hold after the last announcement of
 	// draining; drained tells that health was told of one.
 	drainUntil time.Time
@@ -59,8 +60,14 @@
 	return max(1, min(t.limit.Limit(now), share-t.reported.Whole(now)))
 }
 
+// load returns the load for selection. Reports are left out for a target that
+// got no attempt for a report's lifetime, so that wrong ones cannot keep all
+// work from it.
 func (t *target) load(now time.Time) float64 {
-	return float64(t.inFlight) + t.reported.At(now)
+	if t.inFlight == 0 && now.Sub(t.lastStart) >= balance.ReportLifetime {
+		return 0
+	}
+	return balance.Load(t.inFlight, t.reported.At(now))
 }
 
 // nextChange returns the next time at which the limit or usability changes by
