--- a/internal/core/dispatch/admit.go
+++ b/internal/core/dispatch/admit.go
@@ -23,7 +23,7 @@
 		d.refuse(now, r, DeadlineTooShort)
 	case len(c.members) == 0:
 		d.refuse(now, r, NoTarget)
-	case c.flow.Len() == 0 && d.place(now, r):
+	case c.noneWaits() && d.place(now, r):
 		d.accept(now, r)
 	case d.queue.Full():
 		d.refuse(now, r, QueueFull)
@@ -35,6 +35,13 @@
 	}
 }
 
+// noneWaits reports whether no first attempt waits. A retry that waits does not
+// hold back others: only targets that it must not get have free slots.
+func (c *class) noneWaits() bool {
+	_, first := c.flow.Heads()
+	return first == nil
+}
+
 func (d *Dispatcher) accept(now time.Time, r *request) {
 	d.requests[r.ID] = r
 	d.budget.Request(now)
