--- a/internal/app/compile.go
+++ b/internal/app/compile.go
@@ -14,8 +14,8 @@
 		Revision:    revision,
 		Service:     s.Name,
 		Balance:     s.Health.Balance,
-		QueueLength: s.Limits.QueueLength,
-		RetryBudget: s.Retry.Budget,
+		QueueLength: orNone(s.Limits.QueueLength),
+		RetryBudget: orNone(s.Retry.Budget),
 	}
 	if s.Health.ProbePath != "" {
 		cfg.ProbeInterval = time.Duration(s.Health.ProbeInterval)
@@ -52,3 +52,12 @@
 	}
 	return regions
 }
+
+// orNone translates a setting of 0, which the dispatcher takes for the default,
+// to the negative value that means none.
+func orNone[T int | float64](value T) T {
+	if value == 0 {
+		return -1
+	}
+	return value
+}
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -45,7 +45,9 @@
 	for _, host := range set {
 		svc.Serving = svc.Serving || host.ID == ident.HostID(h.settings.HostID)
 	}
-	for _, t := range backend.Engine.Status() {
+	service, targets := backend.Engine.Status()
+	svc.Queued = service.Waiting
+	for _, t := range targets {
 		svc.Targets = append(svc.Targets, adminapi.Target{
 			Name:     string(t.Target),
 			State:    t.State.String(),
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -50,8 +50,8 @@
 	steps   chan dispatch.Action
 }
 
-// stepBuffer holds the actions of one request that can be outstanding while
-// its goroutine runs an attempt: a cancellation and the final action.
+// stepBuffer holds the actions of one request that can be outstanding: a start
+// and, when the request is canceled at the same time, its end.
 const stepBuffer = 4
 
 // NewService starts a dispatcher with its configuration.
@@ -96,8 +96,10 @@
 	return c
 }
 
-// Next waits for the next step: dispatch.Start, dispatch.CancelAttempt, or one
-// that ends the request: dispatch.Refuse, dispatch.Complete, dispatch.Fail.
+// Next waits for the next step: dispatch.Start, or one that ends the request:
+// dispatch.Refuse, dispatch.Complete, dispatch.Fail. A dispatch.CancelAttempt is
+// not passed on: a request has one attempt at a time, and the context that
+// cancels the request cancels its attempt.
 func (c *Call) Next(ctx context.Context) (dispatch.Action, error) {
 	select {
 	case a := <-c.steps:
@@ -124,7 +126,10 @@
 // Commit tells that the response of an attempt is being passed on, so that its
 // request is not tried again.
 func (s *Service) Commit(id ident.AttemptID) {
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Commit(now, id) })
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+		d.Commit(now, id)
+		return nil
+	})
 }
 
 // LoadReport reports a target's load.
@@ -144,11 +149,11 @@
 	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Merge(now, e) })
 }
 
-// Status returns the state of every target.
-func (s *Service) Status() []dispatch.TargetStatus {
+// Status returns the state of the service and of every target.
+func (s *Service) Status() (dispatch.ServiceStatus, []dispatch.TargetStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatcher.Status()
+	return s.dispatcher.ServiceStatus(time.Now()), s.dispatcher.Status()
 }
 
 func (s *Service) tick() {
