Connect the hosts: calls over drpc, membership over UDP

Cause: hosts knew nothing of each other beyond the host list; every host read the log; health evidence stayed on one host. Ruled out: an age of the log contact that is set once a second, because two hosts would then confirm each other's contact for ever; it is computed when a message is sent.

--- /dev/null
+++ b/internal/adapter/peer/client.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/revision"
+	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+// Limits of connections to other hosts.
+const (
+	dialTimeout = time.Second
+	callTimeout = 3 * time.Second
+	// idleTime bounds how long a connection waits for its next call. Evidence
+	// is exchanged about every second, so live connections stay.
+	idleTime = 30 * time.Second
+	// connections bounds the idle connections to all hosts, and perHost those
+	// to one.
+	connections = 256
+	perHost     = 4
+	// maxSnapshotBytes bounds a snapshot: 70,000 routes take a few megabytes.
+	maxSnapshotBytes = 128 << 20
+)
+
+// Client calls other hosts. It implements port.Peers and is safe for concurrent
+// use. After a failed call its connection is closed, so that a late reply
+// reaches no other call.
+type Client struct {
+	identity Identity
+	pool     *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewClient returns a client.
+func NewClient(identity Identity) *Client {
+	return &Client{
+		identity: identity,
+		pool:     drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTime, Capacity: connections, KeyCapacity: perHost}),
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() { _ = c.pool.Close() }
+
+// conn returns a connection that is dialed at its first call.
+func (c *Client) conn(ctx context.Context, address string, unreachable *error) peerpb.DRPCPeerClient {
+	pooled := c.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+		sock, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			*unreachable = &port.PeerUnreachableError{Address: address, Cause: err}
+			return nil, *unreachable
+		}
+		return drpcconn.New(sock), nil
+	})
+	return peerpb.NewDRPCPeerClient(pooled)
+}
+
+// invoke makes one call with a connection of the pool.
+func (c *Client) invoke(ctx context.Context, address string, call func(context.Context, peerpb.DRPCPeerClient) (*peerpb.Sender, error)) error {
+	var unreachable error
+	from, err := call(ctx, c.conn(ctx, address, &unreachable))
+	if unreachable != nil {
+		return unreachable
+	}
+	if err != nil {
+		return errors.Wrapf(err, "host %s", address)
+	}
+	c.identity.Observe(stamp(from))
+	return nil
+}
+
+// Records implements port.Peers.
+func (c *Client) Records(ctx context.Context, address string, after int64, limit int) (records []revision.Record, snapshotNeeded bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out *peerpb.RecordsResponse
+	err = c.invoke(ctx, address, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.Sender, error) {
+		var err error
+		out, err = p.Records(ctx, &peerpb.RecordsRequest{Sender: sender(c.identity), After: after, Limit: uint32(limit)})
+		return out.GetSender(), err
+	})
+	return fromLogRecords(out.GetRecords()), out.GetSnapshotNeeded(), err
+}
+
+// Snapshot implements port.Peers.
+func (c *Client) Snapshot(ctx context.Context, address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*callTimeout)
+	defer cancel()
+	var data []byte
+	err := c.invoke(ctx, address, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.Sender, error) {
+		stream, err := p.Snapshot(ctx, &peerpb.SnapshotRequest{Sender: sender(c.identity)})
+		if err != nil {
+			return nil, err
+		}
+		defer stream.Close()
+		var from *peerpb.Sender
+		data, from, err = receiveSnapshot(stream)
+		return from, err
+	})
+	return data, err
+}
+
+func receiveSnapshot(stream peerpb.DRPCPeer_SnapshotClient) ([]byte, *peerpb.Sender, error) {
+	var data []byte
+	for {
+		chunk, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil, nil, errors.New("the snapshot broke off")
+		}
+		if err != nil {
+			return nil, nil, err
+		}
+		data = append(data, chunk.GetData()...)
+		if len(data) > maxSnapshotBytes {
+			return nil, nil, errors.Errorf("the snapshot is larger than %d bytes", maxSnapshotBytes)
+		}
+		if chunk.GetChecksum() == nil {
+			continue
+		}
+		if sum := sha256.Sum256(data); !bytes.Equal(sum[:], chunk.GetChecksum()) {
+			return nil, nil, errors.New("the snapshot does not match its checksum")
+		}
+		return data, chunk.GetSender(), nil
+	}
+}
+
+// Push implements port.Peers.
+func (c *Client) Push(ctx context.Context, address string, records []revision.Record) (asOf int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out *peerpb.PushResponse
+	err = c.invoke(ctx, address, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.Sender, error) {
+		var err error
+		out, err = p.Push(ctx, &peerpb.PushRequest{Sender: sender(c.identity), Records: toLogRecords(records)})
+		return out.GetSender(), err
+	})
+	return out.GetAsOf(), err
+}
+
+// Exchange implements port.Peers.
+func (c *Client) Exchange(ctx context.Context, address string, evidence []port.ServiceEvidence) ([]port.ServiceEvidence, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out *peerpb.ExchangeMessage
+	err := c.invoke(ctx, address, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.Sender, error) {
+		var err error
+		out, err = p.Exchange(ctx, &peerpb.ExchangeMessage{Sender: sender(c.identity), Services: toEvidence(evidence)})
+		return out.GetSender(), err
+	})
+	return fromEvidence(out.GetSender(), out.GetServices()), err
+}
+
+// errOtherIncarnation reports a reply from another life of the called host.
+var errOtherIncarnation = errors.New("the reply is from another incarnation of the host")
+
+func checkSender(to port.Host, from *peerpb.Sender) error {
+	if caller(from) != (port.Caller{Host: to.ID, Incarnation: to.Incarnation}) {
+		return errOtherIncarnation
+	}
+	return nil
+}
+
+// Relay implements port.Peers. The deadline of ctx bounds the call.
+func (c *Client) Relay(ctx context.Context, to port.Host, r port.RelayedRequest) (port.RelayedResponse, error) {
+	var out *peerpb.RelayResponse
+	err := c.invoke(ctx, to.PeerAddress, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.Sender, error) {
+		var err error
+		out, err = p.Relay(ctx, &peerpb.RelayRequest{
+			Sender:     sender(c.identity),
+			Ticket:     r.Ticket,
+			Method:     r.Method,
+			Uri:        r.URI,
+			HostHeader: r.Host,
+			Header:     toHeader(r.Header),
+			Body:       r.Body,
+			DeadlineMs: r.TimeLeft.Milliseconds(),
+		})
+		if err == nil {
+			err = checkSender(to, out.GetSender())
+		}
+		return out.GetSender(), err
+	})
+	return port.RelayedResponse{Status: int(out.GetStatus()), Header: fromHeader(out.GetHeader()), Body: out.GetBody()}, err
+}
+
+// Handover implements port.Peers. A refusal is a *port.HandoverRefusedError.
+func (c *Client) Handover(ctx context.Context, to port.Host, m port.HandoverMessage) (complete bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out *peerpb.HandoverResponse
+	err = c.invoke(ctx, to.PeerAddress, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.Sender, error) {
+		var err error
+		out, err = p.Handover(ctx, &peerpb.HandoverRequest{Sender: sender(c.identity), Chunk: m.Chunk, Update: m.Update})
+		if err == nil {
+			err = checkSender(to, out.GetSender())
+		}
+		return out.GetSender(), err
+	})
+	if err == nil && out.GetRefused() != "" {
+		err = &port.HandoverRefusedError{Reason: out.GetRefused()}
+	}
+	return out.GetComplete(), err
+}
--- /dev/null
+++ b/internal/adapter/peer/datagram.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/member"
+	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
+)
+
+// MaxDatagramBytes bounds a datagram, so that no network on the way splits it.
+const MaxDatagramBytes = 1200
+
+// Datagrams sends and receives the messages of the membership protocol.
+type Datagrams struct {
+	identity Identity
+	sock     *net.UDPConn
+}
+
+// ListenDatagrams opens the UDP socket.
+func ListenDatagrams(address string, identity Identity) (*Datagrams, error) {
+	at, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer")
+	}
+	sock, err := net.ListenUDP("udp", at)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer")
+	}
+	return &Datagrams{identity: identity, sock: sock}, nil
+}
+
+// Close closes the socket; Receive then returns.
+func (d *Datagrams) Close() { _ = d.sock.Close() }
+
+// Send sends a message. Updates that do not fit into a datagram are left out;
+// they travel again on later messages.
+func (d *Datagrams) Send(address string, m member.Message) error {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return errors.Wrap(err, "peer")
+	}
+	data, err := d.encode(m)
+	if err != nil {
+		return err
+	}
+	_, err = d.sock.WriteToUDP(data, to)
+	return errors.Wrap(err, "peer")
+}
+
+func (d *Datagrams) encode(m member.Message) ([]byte, error) {
+	pb := toMembership(m)
+	stamp := d.identity.Stamp()
+	pb.WallUs, pb.Logical = stamp.WallMicros, stamp.Logical
+	for {
+		data, err := proto.Marshal(pb)
+		if err != nil || len(data) <= MaxDatagramBytes || len(pb.Updates) == 0 {
+			return data, errors.Wrap(err, "peer")
+		}
+		pb.Updates = pb.Updates[:len(pb.Updates)-1]
+	}
+}
+
+// Receive hands every valid message to handle until ctx ends or the socket is
+// closed.
+func (d *Datagrams) Receive(ctx context.Context, handle func(member.Message)) {
+	buffer := make([]byte, MaxDatagramBytes+1)
+	for ctx.Err() == nil {
+		n, _, err := d.sock.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || n > MaxDatagramBytes {
+			continue
+		}
+		pb := &peerpb.Membership{}
+		if proto.Unmarshal(buffer[:n], pb) != nil {
+			continue
+		}
+		m, ok := fromMembership(pb)
+		if !ok {
+			continue
+		}
+		d.identity.Observe(event.Stamp{WallMicros: pb.GetWallUs(), Logical: pb.GetLogical()})
+		handle(m)
+	}
+}
+
+func toMembership(m member.Message) *peerpb.Membership {
+	pb := &peerpb.Membership{
+		Kind:           uint32(m.Kind),
+		Sequence:       m.Sequence,
+		To:             uint64(m.To),
+		From:           toInfo(m.From),
+		Subject:        string(m.Subject),
+		SubjectAddress: m.SubjectAddress,
+		AsOf:           m.Digest.AsOf,
+		Revision:       m.Digest.Revision,
+		LogAgeMs:       m.Digest.LogAge.Milliseconds(),
+	}
+	for _, u := range m.Updates {
+		pb.Updates = append(pb.Updates, &peerpb.HostUpdate{Info: toInfo(u.Info), State: uint32(u.State)})
+	}
+	return pb
+}
+
+// fromMembership checks and translates a message from the network.
+func fromMembership(pb *peerpb.Membership) (member.Message, bool) {
+	m := member.Message{
+		Kind:           member.Kind(pb.GetKind()),
+		Sequence:       pb.GetSequence(),
+		To:             ident.Incarnation(pb.GetTo()),
+		From:           fromInfo(pb.GetFrom()),
+		Subject:        ident.HostID(pb.GetSubject()),
+		SubjectAddress: pb.GetSubjectAddress(),
+		Digest:         member.Digest{AsOf: pb.GetAsOf(), Revision: pb.GetRevision(), LogAge: time.Duration(pb.GetLogAgeMs()) * time.Millisecond},
+	}
+	m.Digest.LogAge = min(max(m.Digest.LogAge, 0), member.MaxLogAge)
+	if m.From.ID == "" || m.Kind < member.Ping || m.Kind > member.PingRequest {
+		return m, false
+	}
+	for _, u := range pb.GetUpdates() {
+		state := member.State(u.GetState())
+		if u.GetInfo().GetId() == "" || state < member.Alive || state > member.Left {
+			return m, false
+		}
+		m.Updates = append(m.Updates, member.Update{Info: fromInfo(u.GetInfo()), State: state})
+	}
+	return m, true
+}
+
+func toInfo(i member.Info) *peerpb.HostInfo {
+	return &peerpb.HostInfo{
+		Id:            string(i.ID),
+		Incarnation:   uint64(i.Version.Incarnation),
+		Epoch:         i.Version.Epoch,
+		Region:        string(i.Location.Region),
+		Zone:          string(i.Location.Zone),
+		PeerAddress:   i.PeerAddress,
+		CallerAddress: i.CallerAddress,
+		AdminAddress:  i.AdminAddress,
+		Leaving:       i.Leaving,
+		Successor:     string(i.Successor),
+	}
+}
+
+func fromInfo(pb *peerpb.HostInfo) member.Info {
+	return member.Info{
+		ID:            ident.HostID(pb.GetId()),
+		Version:       member.Version{Incarnation: ident.Incarnation(pb.GetIncarnation()), Epoch: pb.GetEpoch()},
+		Location:      ident.Location{Region: ident.Region(pb.GetRegion()), Zone: ident.Zone(pb.GetZone())},
+		PeerAddress:   pb.GetPeerAddress(),
+		CallerAddress: pb.GetCallerAddress(),
+		AdminAddress:  pb.GetAdminAddress(),
+		Leaving:       pb.GetLeaving(),
+		Successor:     ident.HostID(pb.GetSuccessor()),
+	}
+}
--- /dev/null
+++ b/internal/adapter/peer/server.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+// snapshotChunkBytes is the size of the parts of a snapshot, so that one large
+// message does not block a connection.
+const snapshotChunkBytes = 256 << 10
+
+// maxRecords bounds the records in one response.
+const maxRecords = 256
+
+// Serve serves the calls of other hosts until ctx ends.
+func Serve(ctx context.Context, lis net.Listener, identity Identity, handler port.PeerHandler) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &server{identity, handler}); err != nil {
+		return errors.Wrap(err, "peer")
+	}
+	return errors.Wrap(drpcserver.New(mux).Serve(ctx, lis), "peer")
+}
+
+// server translates calls for a port.PeerHandler.
+type server struct {
+	identity Identity
+	handler  port.PeerHandler
+}
+
+// accept notes the caller's clock and returns the caller.
+func (s *server) accept(from *peerpb.Sender) port.Caller {
+	s.identity.Observe(stamp(from))
+	return caller(from)
+}
+
+func (s *server) Records(_ context.Context, in *peerpb.RecordsRequest) (*peerpb.RecordsResponse, error) {
+	s.accept(in.GetSender())
+	records, snapshotNeeded := s.handler.Records(in.GetAfter(), min(int(in.GetLimit()), maxRecords))
+	return &peerpb.RecordsResponse{Sender: sender(s.identity), Records: toLogRecords(records), SnapshotNeeded: snapshotNeeded}, nil
+}
+
+func (s *server) Snapshot(in *peerpb.SnapshotRequest, stream peerpb.DRPCPeer_SnapshotStream) error {
+	s.accept(in.GetSender())
+	data, err := s.handler.Snapshot()
+	if err != nil {
+		return err
+	}
+	checksum := sha256.Sum256(data)
+	for len(data) > snapshotChunkBytes {
+		if err := stream.Send(&peerpb.SnapshotChunk{Sender: sender(s.identity), Data: data[:snapshotChunkBytes]}); err != nil {
+			return err
+		}
+		data = data[snapshotChunkBytes:]
+	}
+	return stream.Send(&peerpb.SnapshotChunk{Sender: sender(s.identity), Data: data, Checksum: checksum[:]})
+}
+
+func (s *server) Push(_ context.Context, in *peerpb.PushRequest) (*peerpb.PushResponse, error) {
+	asOf := s.handler.Push(s.accept(in.GetSender()), fromLogRecords(in.GetRecords()))
+	return &peerpb.PushResponse{Sender: sender(s.identity), AsOf: asOf}, nil
+}
+
+func (s *server) Exchange(_ context.Context, in *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
+	from := s.accept(in.GetSender())
+	evidence := s.handler.Exchange(from, fromEvidence(in.GetSender(), in.GetServices()))
+	return &peerpb.ExchangeMessage{Sender: sender(s.identity), Services: toEvidence(evidence)}, nil
+}
+
+func (s *server) Relay(ctx context.Context, in *peerpb.RelayRequest) (*peerpb.RelayResponse, error) {
+	from := s.accept(in.GetSender())
+	res := s.handler.Relay(ctx, from, port.RelayedRequest{
+		Ticket:   in.GetTicket(),
+		Method:   in.GetMethod(),
+		URI:      in.GetUri(),
+		Host:     in.GetHostHeader(),
+		Header:   fromHeader(in.GetHeader()),
+		Body:     in.GetBody(),
+		TimeLeft: time.Duration(in.GetDeadlineMs()) * time.Millisecond,
+	})
+	return &peerpb.RelayResponse{Sender: sender(s.identity), Status: int32(res.Status), Header: toHeader(res.Header), Body: res.Body}, nil
+}
+
+func (s *server) Handover(_ context.Context, in *peerpb.HandoverRequest) (*peerpb.HandoverResponse, error) {
+	from := s.accept(in.GetSender())
+	complete, err := s.handler.Handover(from, port.HandoverMessage{Chunk: in.GetChunk(), Update: in.GetUpdate()})
+	out := &peerpb.HandoverResponse{Sender: sender(s.identity), Complete: complete}
+	if err != nil {
+		out.Refused = err.Error()
+	}
+	return out, nil
+}
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -15,14 +15,15 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/hostlist"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/logservice"
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/peer"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
 	"github.com/sapphirehaven/sapphirehaven/internal/configlog"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/member"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/revision"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
-	"github.com/sapphirehaven/sapphirehaven/internal/port"
 	"github.com/sapphirehaven/sapphirehaven/internal/timeline"
 )
 
@@ -31,11 +32,14 @@
 	settings    Settings
 	log         logrus.FieldLogger
 	location    ident.Location
-	incarnation ident.Incarnation
 	timeline    *timeline.Timeline
 	transport   *target.Transport
 	services    *services
-	members     *listedMembers
+	identity    *identity
+	fleet       *fleet
+	peers       *peer.Client
+	spread      *spread
+	evidence    *evidence
 	follower    *configlog.Follower
 	writer      *configlog.Writer
 	checkpoints *configlog.CheckpointWriter
@@ -48,39 +52,43 @@
 // New builds a host from checked settings; Run starts it.
 func New(settings Settings, log logrus.FieldLogger) (*Host, error) {
 	h := &Host{
-		settings:    settings,
-		log:         log,
-		location:    ident.Location{Region: ident.Region(settings.Region), Zone: ident.Zone(settings.Zone)},
-		incarnation: ident.Incarnation(time.Now().UnixMicro()),
+		settings: settings,
+		log:      log,
+		location: ident.Location{Region: ident.Region(settings.Region), Zone: ident.Zone(settings.Zone)},
 	}
+	incarnation := ident.Incarnation(time.Now().UnixMicro())
 	id := ident.HostID(settings.HostID)
 	h.timeline = timeline.New(id, log)
 	h.transport = target.New(target.DefaultConfig())
 	h.services = newServices(dispatch.Self{Host: id, Location: h.location}, h.transport, h.timeline)
-	h.members = &listedMembers{list: hostlist.New(settings.HostsURL), self: h.self(), log: log}
-	if err := h.newConfiguration(id); err != nil {
+	h.identity = newIdentity(id, incarnation, h.timeline)
+	h.peers = peer.NewClient(h.identity)
+	if err := h.newConfiguration(id, uint64(incarnation)); err != nil {
+		return nil, err
+	}
+	if err := h.newFleet(incarnation); err != nil {
 		return nil, err
 	}
 	h.ingress = ingress.New(ingress.Config{
 		Host:          id,
-		Incarnation:   h.incarnation,
+		Incarnation:   incarnation,
 		Location:      h.location,
 		AddressMaxAge: settings.AddressMaxAge,
 		Transport:     h.transport,
-		Members:       h.members,
+		Members:       h.fleet,
 		Recorder:      h.timeline,
 	})
 	h.admin = admin.New(h, &documents{follower: h.follower, writer: h.writer}, settings.AdminToken)
 	return h, nil
 }
 
-func (h *Host) newConfiguration(id ident.HostID) error {
+func (h *Host) newConfiguration(id ident.HostID, seed uint64) error {
 	log, err := logservice.New(logservice.DefaultConfig(h.settings.LogURL))
 	if err != nil {
 		return errors.Wrap(err, "-log-url")
 	}
 	cfg := configlog.DefaultConfig()
-	cfg.Seed = uint64(h.incarnation)
+	cfg.Seed = seed
 	cfg.OnEvent = h.configurationEvent
 	h.follower = configlog.NewFollower(log, cfg)
 	h.writer = configlog.NewWriter(log, h.follower, revision.DefaultAppendConfig())
@@ -88,22 +96,42 @@
 	return nil
 }
 
-func (h *Host) self() port.Host {
-	return port.Host{
+func (h *Host) newFleet(incarnation ident.Incarnation) error {
+	datagrams, err := peer.ListenDatagrams(h.settings.PeerListen, h.identity)
+	if err != nil {
+		return errors.Wrap(err, "-peer-listen")
+	}
+	self := member.Info{
 		ID:            ident.HostID(h.settings.HostID),
-		Incarnation:   h.incarnation,
+		Version:       member.Version{Incarnation: incarnation},
 		Location:      h.location,
+		PeerAddress:   h.settings.PeerAdvertise,
 		CallerAddress: h.settings.CallerAdvertise,
 		AdminAddress:  h.settings.AdminAdvertise,
-		PeerAddress:   h.settings.PeerAdvertise,
-		Leaving:       h.draining.Load(),
 	}
+	h.fleet = &fleet{
+		list:      hostlist.New(h.settings.HostsURL),
+		datagrams: datagrams,
+		timeline:  h.timeline,
+		log:       h.log,
+		onResumed: h.resumed,
+		members:   member.New(time.Now(), member.DefaultConfig(), self, uint64(incarnation)),
+	}
+	h.spread = &spread{follower: h.follower, peers: h.peers, fleet: h.fleet, host: self.ID, log: h.log}
+	h.fleet.onHeard = h.spread.heard
+	h.evidence = &evidence{services: h.services, fleet: h.fleet, peers: h.peers, identity: h.identity, log: h.log}
+	return nil
+}
+
+// resumed stops work under the incarnation before a pause.
+func (h *Host) resumed(_, current ident.Incarnation) {
+	h.identity.incarnation.Store(uint64(current))
 }
 
 // checkpointRank is this host's place in the order in which hosts write a
 // checkpoint.
 func (h *Host) checkpointRank() int {
-	return rank("checkpoint", ident.HostID(h.settings.HostID), ingress.ServingHosts(h.members.Serving()))
+	return rank("checkpoint", ident.HostID(h.settings.HostID), ingress.ServingHosts(h.fleet.Serving()))
 }
 
 func rank(key string, id ident.HostID, hosts []serving.Host) int {
@@ -122,17 +150,16 @@
 	if err != nil {
 		return err
 	}
-	h.timeline.Record(event.HostStarted, event.F("incarnation", h.incarnation), event.F("caller_address", h.settings.CallerAdvertise))
+	h.timeline.Record(event.HostStarted, event.F("incarnation", h.identity.Caller().Incarnation), event.F("caller_address", h.settings.CallerAdvertise))
 	background, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){h.members.run, h.follower.Run, h.checkpoints.Run, h.activateRevisions} {
+	for _, run := range []func(context.Context){h.fleet.run, h.spread.run, h.spread.chooseReaders, h.spread.join, h.evidence.run, h.follower.Run, h.checkpoints.Run, h.activateRevisions, listeners.servePeers} {
 		running.Add(1)
 		go func() {
 			defer running.Done()
 			run(background)
 		}()
 	}
-	h.follower.SetReading(true)
 	failed := listeners.serve()
 	select {
 	case <-ctx.Done():
@@ -143,6 +170,7 @@
 	running.Wait()
 	h.services.close()
 	h.transport.Close()
+	h.peers.Close()
 	return err
 }
 
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/peer"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 )
 
@@ -21,10 +22,13 @@
 type listeners struct {
 	caller, admin         *http.Server
 	callerSock, adminSock net.Listener
+	peerSock              net.Listener
+	host                  *Host
 }
 
 func (h *Host) listen() (*listeners, error) {
 	l := &listeners{
+		host:   h,
 		caller: &http.Server{Handler: h.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: h.settings.MaxHeaderBytes},
 		admin:  &http.Server{Handler: h.admin, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
 	}
@@ -36,6 +40,11 @@
 		l.callerSock.Close()
 		return nil, errors.Wrap(err, "-admin-listen")
 	}
+	if l.peerSock, err = net.Listen("tcp", h.settings.PeerListen); err != nil {
+		l.callerSock.Close()
+		l.adminSock.Close()
+		return nil, errors.Wrap(err, "-peer-listen")
+	}
 	return l, nil
 }
 
@@ -55,6 +64,13 @@
 	return failed
 }
 
+// servePeers serves the calls of other hosts until ctx ends.
+func (l *listeners) servePeers(ctx context.Context) {
+	if err := peer.Serve(ctx, l.peerSock, l.host.identity, &peerHandler{l.host}); err != nil && ctx.Err() == nil {
+		l.host.log.WithError(err).Error("calls of other hosts are not served any more")
+	}
+}
+
 // shutDown stops the host gracefully: it leaves the address answers, serves
 // until every kept answer has run out, then closes idle connections and waits
 // for the requests in flight, up to the drain limit.
@@ -62,6 +78,7 @@
 	started := time.Now()
 	h.draining.Store(true)
 	h.ingress.Drain()
+	h.fleet.leave()
 	h.timeline.Record(event.HostDraining, event.F("in_flight", h.ingress.InFlight()))
 	time.Sleep(min(h.settings.AddressMaxAge, h.settings.DrainLimit))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.settings.DrainLimit))
@@ -71,5 +88,7 @@
 		_ = l.caller.Close()
 	}
 	h.timeline.Record(event.HostStopped, event.F("drained_in", time.Since(started).Round(time.Millisecond)))
+	h.fleet.stop()
 	_ = l.admin.Close()
+	h.fleet.datagrams.Close()
 }
--- /dev/null
+++ b/internal/app/peers.go
@@ -0,0 +1,48 @@
+package app
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/configlog"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/revision"
+	"github.com/sapphirehaven/sapphirehaven/internal/logcodec"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+// peerHandler serves the calls of other hosts.
+type peerHandler struct{ host *Host }
+
+// Records implements port.PeerHandler.
+func (p *peerHandler) Records(after int64, limit int) (records []revision.Record, snapshotNeeded bool) {
+	records, err := p.host.follower.RecordsAfter(after, limit)
+	var missing *configlog.NotKeptError
+	return records, errors.As(err, &missing)
+}
+
+// Snapshot implements port.PeerHandler.
+func (p *peerHandler) Snapshot() ([]byte, error) {
+	return logcodec.EncodeSnapshot(p.host.follower.Snapshot())
+}
+
+// Push implements port.PeerHandler.
+func (p *peerHandler) Push(from port.Caller, records []revision.Record) int64 {
+	return p.host.spread.receive(from, records)
+}
+
+// Exchange implements port.PeerHandler.
+func (p *peerHandler) Exchange(_ port.Caller, evidence []port.ServiceEvidence) []port.ServiceEvidence {
+	return p.host.evidence.answer(evidence)
+}
+
+// Relay implements port.PeerHandler.
+func (p *peerHandler) Relay(context.Context, port.Caller, port.RelayedRequest) port.RelayedResponse {
+	return port.RelayedResponse{Status: http.StatusNotImplemented}
+}
+
+// Handover implements port.PeerHandler.
+func (p *peerHandler) Handover(port.Caller, port.HandoverMessage) (bool, error) {
+	return false, errors.New("this host takes no tickets")
+}
--- /dev/null
+++ b/internal/app/spread.go
@@ -0,0 +1,241 @@
+package app
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
+	"github.com/sapphirehaven/sapphirehaven/internal/configlog"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/member"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/revision"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
+	"github.com/sapphirehaven/sapphirehaven/internal/logcodec"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+// Parameters of the spread of log records among hosts.
+const (
+	// readersPerZone is the number of hosts in an availability zone that read
+	// the log themselves.
+	readersPerZone = 2
+	// fanOut is the number of random hosts that get new records pushed. Six
+	// rounds of four reach 3,200 hosts.
+	fanOut = 4
+	// pullLimit is the number of records that are asked for at once.
+	pullLimit = 256
+	// snapshotPeers is the number of hosts that a starting host asks.
+	snapshotPeers = 3
+	// silenceLimit is the age of the newest contact with the log service, heard
+	// of through any chain of hosts, from which a host reads the log although it
+	// is not one of the readers. Membership messages carry the age, and among
+	// 3,200 hosts it takes about 12 of them to reach everybody.
+	silenceLimit = 15 * time.Second
+	// digestInterval is the time between two updates of the digest on messages.
+	digestInterval = time.Second
+	// readerInterval is the time between two decisions who reads the log.
+	readerInterval = time.Second
+)
+
+// spread passes log records between hosts, so that few read the log.
+type spread struct {
+	follower *configlog.Follower
+	peers    port.Peers
+	fleet    *fleet
+	host     ident.HostID
+	log      logrus.FieldLogger
+
+	mu sync.Mutex
+	// contactAt is the time of the newest contact with the log service that
+	// this host knows of.
+	contactAt time.Time
+	// pulling tells that a pull is running; one at a time is enough, since it
+	// goes on until nothing is missing.
+	pulling bool
+}
+
+// run pushes applied records to other hosts until ctx ends.
+func (s *spread) run(ctx context.Context) {
+	applied, cancel := s.follower.SubscribeApplied()
+	defer cancel()
+	ticker := time.NewTicker(digestInterval)
+	defer ticker.Stop()
+	pushed := s.follower.Status().AsOf
+	for {
+		status := s.follower.Status()
+		s.announce(status)
+		if status.AsOf > pushed {
+			s.push(ctx, pushed)
+			pushed = status.AsOf
+		}
+		select {
+		case <-applied:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// announce sets what membership messages say about this host's configuration.
+func (s *spread) announce(status configlog.Status) {
+	if status.Reading && status.LogErr == nil {
+		s.contact(0)
+	}
+	digest := member.Digest{AsOf: status.AsOf, Revision: status.Revision}
+	s.mu.Lock()
+	contactAt := s.contactAt
+	s.mu.Unlock()
+	s.fleet.update(func(_ time.Time, l *member.List) []member.Action {
+		l.SetDigest(digest, contactAt)
+		return nil
+	})
+}
+
+func (s *spread) push(ctx context.Context, after int64) {
+	records, err := s.follower.RecordsAfter(after, pullLimit)
+	if err != nil || len(records) == 0 {
+		return
+	}
+	hosts := s.fleet.Live()
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	for _, h := range hosts[:min(fanOut, len(hosts))] {
+		go func() {
+			if _, err := s.peers.Push(ctx, h.PeerAddress, records); err != nil {
+				s.log.WithError(err).WithField("peer", h.ID).Debug("records were not pushed")
+			}
+		}()
+	}
+}
+
+// receive takes pushed records. A host that lacks earlier ones pulls them.
+func (s *spread) receive(from port.Caller, records []revision.Record) int64 {
+	var missing *configlog.NotKeptError
+	if err := s.follower.ApplyFromPeer(records); errors.As(err, &missing) {
+		if n, ok := s.fleet.node(from.Host); ok {
+			go s.pull(portHost(&n))
+		}
+	}
+	return s.follower.Status().AsOf
+}
+
+// heard pulls from a host that has applied more of the log than this one.
+func (s *spread) heard(h port.Host, d member.Digest) {
+	s.contact(d.LogAge)
+	if d.AsOf > s.follower.Status().AsOf {
+		go s.pull(h)
+	}
+}
+
+// contact notes that the log service answered somebody some time ago.
+func (s *spread) contact(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := time.Now().Add(-age); at.After(s.contactAt) {
+		s.contactAt = at
+	}
+}
+
+// logAge returns the time since the newest known contact with the log service.
+func (s *spread) logAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.contactAt)
+}
+
+func (s *spread) pull(h port.Host) {
+	s.mu.Lock()
+	if s.pulling {
+		s.mu.Unlock()
+		return
+	}
+	s.pulling = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.pulling = false
+		s.mu.Unlock()
+	}()
+	if err := s.pullAll(context.Background(), h); err != nil {
+		s.log.WithError(err).WithField("peer", h.ID).Debug("records were not pulled")
+	}
+}
+
+// pullAll takes records until none is missing, or a snapshot when the records
+// are no longer kept.
+func (s *spread) pullAll(ctx context.Context, h port.Host) error {
+	for {
+		after := s.follower.Status().AsOf
+		records, snapshotNeeded, err := s.peers.Records(ctx, h.PeerAddress, after, pullLimit)
+		switch {
+		case err != nil:
+			return err
+		case snapshotNeeded:
+			return s.adoptFrom(ctx, h)
+		case len(records) == 0:
+			return nil
+		}
+		if err := s.follower.ApplyFromPeer(records); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *spread) adoptFrom(ctx context.Context, h port.Host) error {
+	snap, err := s.snapshotOf(ctx, h)
+	if err != nil {
+		return err
+	}
+	_, err = s.follower.AdoptSnapshot(snap)
+	return err
+}
+
+func (s *spread) snapshotOf(ctx context.Context, h port.Host) (revision.Snapshot, error) {
+	data, err := s.peers.Snapshot(ctx, h.PeerAddress)
+	if err != nil {
+		return revision.Snapshot{}, err
+	}
+	return logcodec.DecodeSnapshot(data)
+}
+
+// join takes the newest of the snapshots of some live hosts, once any is known.
+func (s *spread) join(ctx context.Context) {
+	var hosts []port.Host
+	for len(hosts) == 0 && ctx.Err() == nil {
+		hosts = s.fleet.Live()
+		if s.follower.Status().Revision > 0 {
+			return
+		}
+		sleep(ctx, tickFloor)
+	}
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	for _, h := range hosts[:min(snapshotPeers, len(hosts))] {
+		if err := s.adoptFrom(ctx, h); err != nil {
+			s.log.WithError(err).WithField("peer", h.ID).Info("no snapshot from this host")
+		}
+	}
+}
+
+// chooseReaders switches reading the log on and off.
+func (s *spread) chooseReaders(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.follower.SetReading(s.isReader() || s.logAge() >= silenceLimit)
+		sleep(ctx, readerInterval)
+	}
+}
+
+func (s *spread) isReader() bool {
+	self := s.fleet.self()
+	var zone []serving.Host
+	for _, h := range ingress.ServingHosts(s.fleet.Serving()) {
+		if h.Location.Zone == self.Location.Zone {
+			zone = append(zone, h)
+		}
+	}
+	return rank("log-reader", s.host, zone) < readersPerZone
+}
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -7,7 +7,9 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/adminapi"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/member"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
 // Status implements admin.Host.
@@ -15,14 +17,14 @@
 	config := h.follower.Status()
 	status := adminapi.Status{
 		Host:         h.settings.HostID,
-		Incarnation:  uint64(h.incarnation),
+		Incarnation:  uint64(h.identity.Caller().Incarnation),
 		Region:       h.settings.Region,
 		Zone:         h.settings.Zone,
 		Draining:     h.draining.Load(),
 		InFlight:     h.ingress.InFlight(),
 		Hash:         config.Chain.String(),
 		AsOf:         config.AsOf,
-		LogAvailable: config.LogErr == nil,
+		LogAvailable: config.LogErr == nil && h.spread.logAge() < silenceLimit,
 		ReadsLog:     config.Reading,
 		Services:     []adminapi.Service{},
 	}
@@ -32,7 +34,7 @@
 	}
 	status.Revision = active.Revision
 	status.InForceAt = time.UnixMicro(h.inForceAt.Load()).UTC()
-	hosts := ingress.ServingHosts(h.members.Serving())
+	hosts := ingress.ServingHosts(h.fleet.Serving())
 	for name, backend := range active.Backends {
 		set := serving.Set(name, h.location.Region, backend.Service.ServingHosts, hosts)
 		status.Services = append(status.Services, h.serviceStatus(name, backend, set))
@@ -61,25 +63,30 @@
 
 // Members implements admin.Host.
 func (h *Host) Members() []adminapi.Member {
-	members := []adminapi.Member{}
-	for _, m := range h.members.All() {
-		state := "live"
-		if m.Leaving {
+	self := h.fleet.self()
+	members := []adminapi.Member{apiMember(self, "self")}
+	for _, n := range h.fleet.nodes() {
+		state := n.State.String()
+		if n.State == member.Alive && n.IsLeaving() {
 			state = "leaving"
 		}
-		members = append(members, adminapi.Member{
-			Host:          string(m.ID),
-			Incarnation:   uint64(m.Incarnation),
-			Region:        string(m.Location.Region),
-			Zone:          string(m.Location.Zone),
-			CallerAddress: m.CallerAddress,
-			AdminAddress:  m.AdminAddress,
-			State:         state,
-		})
+		members = append(members, apiMember(portHost(&n), state))
 	}
 	return members
 }
 
+func apiMember(m port.Host, state string) adminapi.Member {
+	return adminapi.Member{
+		Host:          string(m.ID),
+		Incarnation:   uint64(m.Incarnation),
+		Region:        string(m.Location.Region),
+		Zone:          string(m.Location.Zone),
+		CallerAddress: m.CallerAddress,
+		AdminAddress:  m.AdminAddress,
+		State:         state,
+	}
+}
+
 // Timeline implements admin.Host.
 func (h *Host) Timeline() []adminapi.Event {
 	events := []adminapi.Event{}
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -31,6 +31,7 @@
 	MemberJoined         Kind = "member_joined"
 	MemberSuspected      Kind = "member_suspected"
 	MemberFailed         Kind = "member_failed"
+	MemberLeaving        Kind = "member_leaving"
 	MemberLeft           Kind = "member_left"
 	RequestRefused       Kind = "request_refused"
 	OutcomeUnknown       Kind = "outcome_unknown"
--- a/internal/core/member/apply.go
+++ b/internal/core/member/apply.go
@@ -8,6 +8,7 @@
 
 // Receive handles a message from another host.
 func (l *List) Receive(now time.Time, m Message) []Action {
+	l.now = now
 	if m.From.ID == l.self.ID {
 		return l.otherSelf(m.From)
 	}
@@ -47,10 +48,8 @@
 	}
 	n.Confirmed = true
 	l.watch(n)
-	if m.Digest != n.Digest {
-		n.Digest = m.Digest
-		actions = append(actions, Heard{Host: n.ID, Digest: m.Digest})
-	}
+	n.Digest = m.Digest
+	actions = append(actions, Heard{Host: n.ID, Digest: m.Digest})
 	if n.State == Suspect || n.State == Failed {
 		// The sender may not know that it is accused; it refutes when told.
 		l.disseminate(Update{Info: n.Info, State: n.State})
--- a/internal/core/member/disseminate.go
+++ b/internal/core/member/disseminate.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 	"sort"
+	"time"
 )
 
 // queued is an update that is still passed on.
@@ -31,16 +32,21 @@
 	}
 }
 
+// MaxLogAge bounds the age of the contact with the log service on messages.
+const MaxLogAge = 24 * time.Hour
+
 // message returns a message of this host with the updates that were sent least
 // often so far.
 func (l *List) message(kind Kind) Message {
 	l.sequence++
+	digest := l.digest
+	digest.LogAge = min(l.now.Sub(l.logContact), MaxLogAge)
 	return Message{
 		Kind:     kind,
 		Sequence: l.sequence,
 		From:     l.self,
 		Updates:  l.takeUpdates(),
-		Digest:   l.digest,
+		Digest:   digest,
 	}
 }
 
--- a/internal/core/member/list.go
+++ b/internal/core/member/list.go
@@ -65,8 +65,12 @@
 	cfg    Config
 	self   Info
 	digest Digest
-	rng    *rand.Rand
-	nodes  map[ident.HostID]*node
+	// logContact is the time of the newest known contact with the log service.
+	logContact time.Time
+	// now is the time of the event that is handled.
+	now   time.Time
+	rng   *rand.Rand
+	nodes map[ident.HostID]*node
 	// doubtful holds the hosts that are not alive.
 	doubtful map[ident.HostID]*node
 	// unconfirmed holds the hosts that only the host list has shown so far.
@@ -110,6 +114,7 @@
 		unconfirmed: map[ident.HostID]*node{},
 		probes:      map[uint64]*probe{},
 		relays:      map[uint64]relay{},
+		now:         now,
 		nextProbe:   now,
 		lastTick:    now,
 		lastHeard:   now,
@@ -119,8 +124,14 @@
 // Self returns what this host says about itself.
 func (l *List) Self() Info { return l.self }
 
-// SetDigest sets the configuration that this host reports.
-func (l *List) SetDigest(d Digest) { l.digest = d }
+// SetDigest sets the configuration that this host reports, and the time of the
+// newest contact with the log service that it knows of. The age on a message is
+// taken when it is sent: an age that stood still for a while would let hosts
+// confirm each other's contact for ever.
+func (l *List) SetDigest(d Digest, logContact time.Time) {
+	l.digest = d
+	l.logContact = logContact
+}
 
 // SetSuccessor announces the host that took over this host's tickets.
 func (l *List) SetSuccessor(id ident.HostID) {
@@ -128,19 +139,27 @@
 	l.announce()
 }
 
-// Leave announces that this host takes no new callers.
-func (l *List) Leave() {
+// Leave announces that this host takes no new callers and returns messages that
+// say so to some other hosts at once, so that address answers follow soon.
+func (l *List) Leave() []Action {
 	l.self.Leaving = true
 	l.announce()
+	return l.tell(Update{Info: l.self, State: Alive})
 }
 
 // Stop announces that this host has stopped and returns the messages that say
 // so to some other hosts.
 func (l *List) Stop() []Action {
 	l.self.Version.Epoch++
-	update := Update{Info: l.self, State: Left}
+	return l.tell(Update{Info: l.self, State: Left})
+}
+
+// announceFanOut is the number of hosts that are told of a departure directly.
+const announceFanOut = 8
+
+func (l *List) tell(update Update) []Action {
 	var actions []Action
-	for _, n := range l.random(l.cfg.IndirectProbes, "") {
+	for _, n := range l.random(announceFanOut, "") {
 		m := l.message(Ping)
 		m.Updates = append([]Update{update}, m.Updates...)
 		actions = append(actions, Send{Address: n.PeerAddress, Message: m})
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -42,7 +42,7 @@
 			case "continue":
 				n.paused[args[0]] = false
 			case "leave":
-				n.hosts[args[0]].Leave()
+				n.run(args[0], n.hosts[args[0]].Leave())
 			case "stop":
 				n.run(args[0], n.hosts[args[0]].Stop())
 				n.kill(args[0])
--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"time"
+
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 )
 
@@ -75,6 +77,9 @@
 type Digest struct {
 	AsOf     int64
 	Revision uint64
+	// LogAge is the time since the host, or one that it heard of, was in contact
+	// with the log service.
+	LogAge time.Duration
 }
 
 // Update is a statement about a host that travels on messages.
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -29,7 +29,7 @@
 // and the detection of a pause.
 func (l *List) Tick(now time.Time) []Action {
 	gap := now.Sub(l.lastTick)
-	l.lastTick = now
+	l.now, l.lastTick = now, now
 	if gap >= l.cfg.PauseLimit {
 		return l.resume(now, gap)
 	}
