--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -16,6 +16,9 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	callerIdleTimeout = 60 * time.Second
+	// departureSpread is the time until every host leaves a departing host out
+	// of its address answers; the last such answer is kept for AddressMaxAge.
+	departureSpread = 3 * time.Second
 )
 
 // listeners are the HTTP servers of a host.
@@ -80,7 +83,7 @@
 	h.ingress.Drain()
 	h.fleet.leave()
 	h.timeline.Record(event.HostDraining, event.F("in_flight", h.ingress.InFlight()))
-	time.Sleep(min(h.settings.AddressMaxAge, h.settings.DrainLimit))
+	time.Sleep(min(h.settings.AddressMaxAge+departureSpread, h.settings.DrainLimit))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.settings.DrainLimit))
 	defer cancel()
 	if err := l.caller.Shutdown(ctx); err != nil {
