--- /dev/null
+++ b/internal/core/outcome/request.go
@@ -0,0 +1,114 @@
+package outcome
+
+import "github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
+
+// Outcome is what a caller may conclude about its request.
+type Outcome int
+
+// Outcomes. Exactly one of Answered, NotRun and Unknown ends a request.
+const (
+	Pending Outcome = iota
+	// Answered: the complete response of a target was obtained.
+	Answered
+	// NotRun: no target ran the request.
+	NotRun
+	// Unknown: a target may have run the request.
+	Unknown
+)
+
+var outcomeNames = [...]string{"pending", "answered", "not-run", "unknown"}
+
+// String returns the outcome as it is sent to callers.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return "invalid"
+	}
+	return outcomeNames[o]
+}
+
+// ProvesNotRun tells whether the end of an attempt proves that the target did
+// not run the request. A result that contradicts itself proves nothing.
+func ProvesNotRun(res attempt.Result) bool {
+	switch res.Kind {
+	case attempt.DialFailed, attempt.TimedOut, attempt.ConnectionLost, attempt.Canceled:
+		return res.NotSent
+	case attempt.ServerError, attempt.Shed, attempt.Draining:
+		return res.NotRun && !res.NotSent
+	}
+	return false
+}
+
+// HasResponse tells whether the attempt brought a complete response that says
+// nothing about not having run.
+func HasResponse(res attempt.Result) bool {
+	switch res.Kind {
+	case attempt.Answered, attempt.ServerError, attempt.Shed, attempt.Draining:
+		return !ProvesNotRun(res)
+	}
+	return false
+}
+
+// Request follows the attempts of one caller request, one at a time.
+type Request struct {
+	idempotent bool
+	running    bool
+	// mayHaveRun is set by the first attempt that does not prove the opposite
+	// and never cleared.
+	mayHaveRun bool
+	// responded tells that the last attempt brought a complete response.
+	responded bool
+	outcome   Outcome
+}
+
+// NewRequest returns a request without attempts.
+func NewRequest(idempotent bool) *Request { return &Request{idempotent: idempotent} }
+
+// MayAttempt tells whether an attempt may start now.
+func (r *Request) MayAttempt() bool {
+	return r.outcome == Pending && !r.running && (r.idempotent || !r.mayHaveRun)
+}
+
+// Begin starts an attempt. It returns false, and starts none, when MayAttempt
+// does.
+func (r *Request) Begin() bool {
+	if !r.MayAttempt() {
+		return false
+	}
+	r.running, r.responded = true, false
+	return true
+}
+
+// End reports the result of the running attempt.
+func (r *Request) End(res attempt.Result) {
+	if !r.running || r.outcome != Pending {
+		return
+	}
+	r.running = false
+	r.responded = HasResponse(res)
+	r.mayHaveRun = r.mayHaveRun || !ProvesNotRun(res)
+}
+
+// Conclude ends the request and returns its outcome. Without attempts it is
+// NotRun; with a running attempt it is Unknown. Later calls return the same.
+func (r *Request) Conclude() Outcome {
+	switch {
+	case r.outcome != Pending:
+	case r.running:
+		r.outcome = Unknown
+	case r.responded:
+		r.outcome = Answered
+	case r.mayHaveRun:
+		r.outcome = Unknown
+	default:
+		r.outcome = NotRun
+	}
+	return r.outcome
+}
+
+// HostKilled ends the request without a conclusion: what the host knew is lost.
+func (r *Request) HostKilled() Outcome {
+	if r.outcome == Pending {
+		r.outcome = Unknown
+	}
+	return r.outcome
+}
