--- /dev/null
+++ b/internal/core/ticket/model_test.go
@@ -0,0 +1,575 @@
+package ticket
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/outcome"
+)
+
+// mutation breaks one rule, to show that the check finds it.
+type mutation int
+
+const (
+	intact mutation = iota
+	// importsBeforeClose: the successor admits although the leaving host does.
+	importsBeforeClose
+	// retriesPartialWrite: a request is sent again after a partial write.
+	retriesPartialWrite
+	// unknownAsNotRun: a timeout is reported as "not run".
+	unknownAsNotRun
+	// anyIncarnation: a restarted successor accepts the hand-over.
+	anyIncarnation
+	// clockIgnored: the successor ignores the leaving host's time.
+	clockIgnored
+	// twoSuccessors: after a lost acknowledgement, A hands over to C as well.
+	twoSuccessors
+)
+
+// Hosts of the model.
+const (
+	hostA = iota
+	hostB
+	hostC
+	hosts
+)
+
+const (
+	modelLifetime = time.Minute
+	maxAdmits     = 4
+	maxAttempts   = 2
+)
+
+// flight is a request on its way to the target, sent by one attempt.
+type flight struct {
+	host, life int
+	ticket     int
+	run        uint32
+	req        *outcome.Request
+	// pending: it may still reach the target. ran, refused: it has.
+	pending, ran, refused bool
+	// open: the host waits for the end of the attempt. failed: the attempt has
+	// ended and the host decides what follows.
+	open, failed bool
+	attempts     int
+}
+
+// world is one state of the model: hosts A, B and C, the target, the network
+// and the caller. Messages stay in the network, so each can arrive late, twice
+// or never; a request on a connection to the target arrives at most once.
+type world struct {
+	mutation mutation
+	tables   [hosts]*Table
+	life     [hosts]int
+	clock    [hosts]time.Time
+	tickets  []Ticket
+	flights  []*flight
+	chunks   []Chunk
+	updates  []Update
+	admits   int
+	crashes  int
+	resumes  int
+	runs     []int
+	// final holds tickets reported as never run.
+	final     []bool
+	verdicts  map[Verdict]bool
+	violation string
+}
+
+func modelConfig() Config {
+	cfg := DefaultConfig()
+	cfg.Lifetime = modelLifetime
+	cfg.MaxChunkBytes = 1
+	return cfg
+}
+
+func issuerOf(host, life int) Issuer {
+	return Issuer{ident.HostID("ABC"[host : host+1]), ident.Incarnation(life)}
+}
+
+func newWorld(m mutation, tickets int) *world {
+	w := &world{mutation: m, runs: make([]int, tickets), final: make([]bool, tickets), verdicts: map[Verdict]bool{}}
+	for h := range hosts {
+		w.clock[h] = time.UnixMilli(0)
+		w.start(h)
+	}
+	w.tickets, _ = w.tables[hostA].Issue(w.clock[hostA], tickets)
+	return w
+}
+
+func (w *world) start(h int) {
+	w.life[h]++
+	w.tables[h] = New(modelConfig(), issuerOf(h, w.life[h]), Key{byte(h), byte(w.life[h])}, w.clock[h])
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.violation == "" {
+		w.violation = fmt.Sprintf(format, args...)
+	}
+}
+
+// step is one event. do returns false when the event is not possible.
+type step struct {
+	name string
+	do   func(w *world) bool
+}
+
+// steps returns every event of the model for a number of tickets.
+func steps(tickets int, m mutation) []step {
+	var list []step
+	add := func(name string, do func(w *world) bool) { list = append(list, step{name, do}) }
+	for h := range hosts {
+		if h == hostC && m != twoSuccessors {
+			continue
+		}
+		for k := range tickets {
+			add(fmt.Sprintf("admit %d at %c", k, "ABC"[h]), func(w *world) bool { return w.admit(h, k) })
+		}
+		add(fmt.Sprintf("time of %c", "ABC"[h]), func(w *world) bool { return w.expire(h) })
+	}
+	for f := range maxAdmits {
+		for name, do := range map[string]func(*world, *flight) bool{
+			"run": (*world).run, "refuse": (*world).refuse, "answer": (*world).answer, "unsent": (*world).unsent,
+			"partial": (*world).partial, "timeout": (*world).timeout, "retry": (*world).retry, "conclude": (*world).conclude,
+		} {
+			add(fmt.Sprintf("%s %d", name, f), func(w *world) bool { return f < len(w.flights) && do(w, w.flights[f]) })
+		}
+	}
+	for i := range 2 {
+		add(fmt.Sprintf("chunk %d", i), func(w *world) bool { return w.importChunk(hostB, i) })
+		add(fmt.Sprintf("update %d", i), func(w *world) bool { return w.applyUpdate(i) })
+	}
+	add("close", (*world).close)
+	add("send update", (*world).sendUpdate)
+	add("crash A", func(w *world) bool { return w.crash(hostA) })
+	add("crash B", func(w *world) bool { return w.crash(hostB) })
+	add("resume A", func(w *world) bool { return w.resume(hostA) })
+	add("resume B", func(w *world) bool { return w.resume(hostB) })
+	add("A lost", func(w *world) bool { w.tables[hostB].Lost(w.clock[hostB], issuerOf(hostA, 1)); return true })
+	if m == twoSuccessors {
+		add("chunk to C", func(w *world) bool { return w.importChunk(hostC, 0) })
+	}
+	slices.SortFunc(list, func(a, b step) int { return strings.Compare(a.name, b.name) })
+	return list
+}
+
+// admit delivers the caller's request, or a repeat of it, to a host.
+func (w *world) admit(h, k int) bool {
+	if w.admits == maxAdmits {
+		return false
+	}
+	w.admits++
+	a := w.tables[h].Admit(w.clock[h], w.tickets[k], Fingerprint{byte(k)})
+	w.verdicts[a.Verdict] = true
+	switch a.Verdict {
+	case Run:
+		f := &flight{host: h, life: w.life[h], ticket: k, run: a.Run, req: outcome.NewRequest(false)}
+		w.flights = append(w.flights, f)
+		w.send(f)
+	case Stored:
+		if w.runs[k] == 0 || a.Response.Status != 200+k {
+			w.fail("ticket %d: wrong stored response", k)
+		}
+	case NeverAdmitted:
+		w.final[k] = true
+	}
+	if a.Verdict.Outcome() == outcome.NotRun {
+		w.checkNotRun(k)
+	}
+	return true
+}
+
+// checkNotRun is called when the caller is told "not run".
+func (w *world) checkNotRun(k int) {
+	if w.runs[k] > 0 {
+		w.fail("ticket %d ran and is reported as not run", k)
+	}
+	for _, f := range w.flights {
+		if f.ticket == k && f.pending {
+			w.fail("ticket %d may still run and is reported as not run", k)
+		}
+	}
+}
+
+func (w *world) send(f *flight) {
+	f.attempts++
+	f.req.Begin()
+	f.pending, f.open, f.failed = true, true, false
+}
+
+// run lets the request reach the target and run.
+func (w *world) run(f *flight) bool {
+	if !f.pending {
+		return false
+	}
+	f.pending, f.ran = false, true
+	w.runs[f.ticket]++
+	if w.runs[f.ticket] > 1 || w.final[f.ticket] {
+		w.fail("ticket %d ran %d times, reported as never run: %v", f.ticket, w.runs[f.ticket], w.final[f.ticket])
+	}
+	return true
+}
+
+func (w *world) refuse(f *flight) bool {
+	if !f.pending {
+		return false
+	}
+	f.pending, f.refused = false, true
+	return true
+}
+
+// alive tells whether the host that sent the request still waits for its end.
+func (w *world) alive(f *flight) bool { return f.open && f.life == w.life[f.host] }
+
+func (w *world) end(f *flight, res attempt.Result) bool {
+	f.req.End(res)
+	f.open, f.failed = false, true
+	return true
+}
+
+func (w *world) answer(f *flight) bool {
+	if !w.alive(f) || (!f.ran && !f.refused) {
+		return false
+	}
+	if f.refused {
+		f.refused = false
+		return w.end(f, attempt.Result{Kind: attempt.Shed, NotRun: true})
+	}
+	return w.end(f, attempt.Result{Kind: attempt.Answered})
+}
+
+func (w *world) unsent(f *flight) bool {
+	if !w.alive(f) || !f.pending {
+		return false
+	}
+	f.pending = false
+	return w.end(f, attempt.Result{Kind: attempt.DialFailed, NotSent: true})
+}
+
+func (w *world) partial(f *flight) bool {
+	if !w.alive(f) {
+		return false
+	}
+	return w.end(f, attempt.Result{Kind: attempt.ConnectionLost, NotSent: w.mutation == retriesPartialWrite})
+}
+
+func (w *world) timeout(f *flight) bool {
+	return w.alive(f) && w.end(f, attempt.Result{Kind: attempt.TimedOut})
+}
+
+// retry starts another attempt if the rules allow it. The earlier message may
+// still be under way; it is kept as a flight of its own.
+func (w *world) retry(f *flight) bool {
+	if !f.failed || f.life != w.life[f.host] || f.attempts == maxAttempts || !f.req.MayAttempt() || f.ran {
+		return false
+	}
+	if f.pending {
+		w.flights = append(w.flights, &flight{host: f.host, life: -1, ticket: f.ticket, pending: true})
+	}
+	w.send(f)
+	return true
+}
+
+// conclude reports the outcome to the caller and stores it.
+func (w *world) conclude(f *flight) bool {
+	if !f.failed || f.life != w.life[f.host] {
+		return false
+	}
+	f.failed = false
+	o := f.req.Conclude()
+	if o == outcome.Unknown && w.mutation == unknownAsNotRun {
+		o = outcome.NotRun
+	}
+	if o == outcome.NotRun {
+		w.checkNotRun(f.ticket)
+	}
+	end := Ending{Outcome: o}
+	if o == outcome.Answered {
+		end.Response = &Response{Status: 200 + f.ticket}
+	}
+	w.tables[f.host].End(w.clock[f.host], w.tickets[f.ticket].ID, f.run, end)
+	return true
+}
+
+// close closes A in favour of B's present incarnation. The chunks enter the
+// network and stay there.
+func (w *world) close() bool {
+	if len(w.chunks) > 0 {
+		return false
+	}
+	a := w.tables[hostA]
+	to := issuerOf(hostB, w.life[hostB])
+	if w.mutation == importsBeforeClose {
+		a.handover, a.closed = a.freeze(to), true
+		defer func() { a.handover, a.closed = nil, false }()
+	} else if a.Close(w.clock[hostA], to) != nil {
+		return false
+	}
+	for i := range a.Chunks() {
+		c, err := a.Export(i)
+		if err != nil {
+			w.fail("export: %v", err)
+		}
+		w.chunks = append(w.chunks, c)
+	}
+	return true
+}
+
+func (w *world) importChunk(h, i int) bool {
+	if i >= len(w.chunks) {
+		return false
+	}
+	c := w.chunks[i]
+	if w.mutation == anyIncarnation || h == hostC {
+		c.To = issuerOf(h, w.life[h])
+	}
+	if w.mutation == clockIgnored && i == 0 {
+		c.Issuers = slices.Clone(c.Issuers)
+		c.Issuers[0].Horizon = time.Time{}
+	}
+	_, _ = w.tables[h].Import(w.clock[h], c)
+	return true
+}
+
+// sendUpdate puts the present update into the network.
+func (w *world) sendUpdate() bool {
+	u, ok := w.tables[hostA].Updates()
+	if !ok || len(w.updates) == 2 {
+		return false
+	}
+	w.updates = append(w.updates, u)
+	return true
+}
+
+// applyUpdate delivers an update; the acknowledgement reaches A if it can.
+func (w *world) applyUpdate(i int) bool {
+	if i >= len(w.updates) {
+		return false
+	}
+	if w.tables[hostB].ApplyUpdate(w.clock[hostB], w.updates[i]) == nil {
+		w.tables[hostA].Acknowledge(w.updates[i])
+	}
+	return true
+}
+
+func (w *world) crash(h int) bool {
+	if w.crashes == 2 {
+		return false
+	}
+	w.crashes++
+	w.start(h)
+	return true
+}
+
+// resume is a pause: requests in flight go on, and end in the new incarnation.
+func (w *world) resume(h int) bool {
+	if w.resumes == 1 || w.tables[h].Resume(w.clock[h], ident.Incarnation(w.life[h]+1), Key{byte(h), byte(w.life[h] + 1)}) != nil {
+		return false
+	}
+	w.resumes++
+	for _, f := range w.flights {
+		if f.host == h && f.life == w.life[h] {
+			f.life++
+		}
+	}
+	w.life[h]++
+	return true
+}
+
+// expire moves the clock of one host past the expiry of the tickets.
+func (w *world) expire(h int) bool {
+	if w.clock[h].After(w.tickets[0].Expiry) {
+		return false
+	}
+	w.clock[h] = w.tickets[0].Expiry.Add(time.Millisecond)
+	w.tables[h].Tick(w.clock[h])
+	return true
+}
+
+// dump identifies a state.
+func (w *world) dump() string {
+	var b strings.Builder
+	fmt.Fprint(&b, w.life, w.admits, w.crashes, w.resumes, w.runs, w.final, len(w.chunks), len(w.updates))
+	for _, f := range w.flights {
+		fmt.Fprint(&b, "|", f.host, f.life, f.ticket, f.run, f.pending, f.ran, f.refused, f.open, f.failed, f.attempts)
+		if f.req != nil {
+			fmt.Fprint(&b, *f.req)
+		}
+	}
+	for _, c := range w.chunks {
+		fmt.Fprint(&b, "|", c.To, len(c.Issuers), len(c.Entries))
+		for _, e := range c.Entries {
+			fmt.Fprint(&b, e.ID.Serial, e.State, e.Run)
+		}
+		for _, i := range c.Issuers {
+			fmt.Fprint(&b, i.Issuer, i.Admits, i.Horizon.UnixMilli())
+		}
+	}
+	for _, u := range w.updates {
+		fmt.Fprint(&b, "|", u.First, len(u.Entries), u.Entries[0].ID.Serial, u.Entries[0].State)
+	}
+	for _, t := range w.tables {
+		dumpTable(&b, t)
+	}
+	return b.String()
+}
+
+func dumpTable(b *strings.Builder, t *Table) {
+	var lines []string
+	for id, i := range t.issuers {
+		lines = append(lines, fmt.Sprint("i", id, i.right, i.horizon.UnixMilli(), i.lastExpiry.UnixMilli()))
+	}
+	for id, e := range t.entries {
+		lines = append(lines, fmt.Sprint("e", id, e.state, e.run, e.at, e.response != nil))
+	}
+	for from, im := range t.imports {
+		lines = append(lines, fmt.Sprint("m", from, im.to, im.count, im.complete, len(im.chunks), im.chunks[0].Count))
+	}
+	slices.Sort(lines)
+	fmt.Fprint(b, "|", t.now.UnixMilli(), t.closed, lines)
+	if t.handover != nil {
+		fmt.Fprint(b, t.handover.to, t.handover.acked, len(t.handover.ended))
+	}
+}
+
+// explored is the result of an exploration.
+type explored struct {
+	states    int
+	violation string
+	path      []string
+	verdicts  map[Verdict]bool
+}
+
+// explore visits every state that up to depth events reach after the prefix,
+// breadth first, and stops at a violation.
+func explore(m mutation, tickets, depth int, prefix ...string) explored {
+	all := steps(tickets, m)
+	result := explored{verdicts: map[Verdict]bool{}}
+	seen := map[[16]byte]bool{}
+	level := [][]byte{indices(all, prefix)}
+	if _, ok := replay(m, tickets, all, level[0]); !ok {
+		panic(fmt.Sprintf("impossible prefix %q", prefix))
+	}
+	for range depth {
+		var next [][]byte
+		for _, path := range level {
+			for i := range all {
+				w, ok := replay(m, tickets, all, append(path[:len(path):len(path)], byte(i)))
+				if !ok {
+					continue
+				}
+				for v := range w.verdicts {
+					result.verdicts[v] = true
+				}
+				longer := append(slices.Clone(path), byte(i))
+				if w.violation != "" {
+					result.violation, result.path = w.violation, names(all, longer)
+					return result
+				}
+				sum := sha256.Sum256([]byte(w.dump()))
+				if key := [16]byte(sum[:16]); !seen[key] {
+					seen[key] = true
+					next = append(next, longer)
+				}
+			}
+		}
+		level = next
+	}
+	result.states = len(seen)
+	return result
+}
+
+func replay(m mutation, tickets int, all []step, path []byte) (*world, bool) {
+	w := newWorld(m, tickets)
+	for _, i := range path {
+		if !all[i].do(w) {
+			return nil, false
+		}
+	}
+	return w, true
+}
+
+func indices(all []step, names []string) []byte {
+	var list []byte
+	for _, name := range names {
+		list = append(list, byte(slices.IndexFunc(all, func(s step) bool { return s.name == name })))
+	}
+	return list
+}
+
+func names(all []step, path []byte) []string {
+	var list []string
+	for _, i := range path {
+		list = append(list, all[i].name)
+	}
+	return list
+}
+
+// modelDepth is the depth of the exploration in events. The default is chosen
+// for some seconds under the race detector.
+var modelDepth = flag.Int("model-depth", 6, "events that the model check explores; 1 less with two tickets, 2 less after a prefix")
+
+// TestModel guards against any order of loss, delay, duplication, crash, pause,
+// repeat and hand-over in which a request runs twice, or is reported as "not
+// run" although it ran or may still run. It starts from the initial state, and
+// from states in the middle of a hand-over that a short sequence can't reach.
+func TestModel(t *testing.T) {
+	starts := []struct {
+		tickets, less int
+		prefix        []string
+	}{
+		{1, 0, nil},
+		{2, 1, nil},
+		{1, 2, []string{"close", "chunk 0", "admit 0 at B", "run 0"}},
+		{1, 2, []string{"admit 0 at A", "close", "chunk 0", "run 0"}},
+		{1, 2, []string{"admit 0 at A", "unsent 0", "conclude 0", "close", "chunk 0"}},
+		{1, 2, []string{"admit 0 at A", "unsent 0", "close", "chunk 0", "conclude 0", "send update", "update 0", "admit 0 at B"}},
+		{2, 2, []string{"admit 0 at A", "admit 1 at A", "run 1", "close", "chunk 0"}},
+	}
+	total := 0
+	for _, s := range starts {
+		depth := *modelDepth - s.less
+		r := explore(intact, s.tickets, depth, s.prefix...)
+		if r.violation != "" {
+			t.Fatalf("%s after %q", r.violation, r.path)
+		}
+		total += r.states
+		t.Logf("%d tickets, %d events after %q: %d states", s.tickets, depth, s.prefix, r.states)
+		for _, v := range []Verdict{Run, InProgress, Stored, EndedUnknown, NeverAdmitted, Expired, Elsewhere, Gone} {
+			if s.less == 0 && !r.verdicts[v] {
+				t.Errorf("verdict %s was never reached", v)
+			}
+		}
+	}
+	t.Logf("%d states", total)
+}
+
+// TestModelFindsBrokenRules guards against a model check that can't fail.
+func TestModelFindsBrokenRules(t *testing.T) {
+	tests := []struct {
+		mutation mutation
+		name     string
+		prefix   []string
+	}{
+		{importsBeforeClose, "successor admits before the leaving host closed", []string{"close", "chunk 0", "admit 0 at A", "run 0"}},
+		{retriesPartialWrite, "retry after a partial write", []string{"admit 0 at A", "partial 0", "retry 0"}},
+		{unknownAsNotRun, "unknown reported as not run", nil},
+		{anyIncarnation, "restarted successor accepts the hand-over", []string{"close", "chunk 0", "admit 0 at B", "run 0"}},
+		{clockIgnored, "successor ignores the leaving host's time", []string{"admit 0 at A", "run 0", "time of A", "close"}},
+		{twoSuccessors, "two successors", []string{"close", "chunk 0", "chunk to C", "admit 0 at C", "run 0"}},
+	}
+	for _, tt := range tests {
+		r := explore(tt.mutation, 1, 4, tt.prefix...)
+		if r.violation == "" {
+			t.Errorf("%s: no violation in %d states", tt.name, r.states)
+		}
+		t.Logf("%s: %s after %q", tt.name, r.violation, r.path)
+	}
+}
