dispatch: bound the cost of trials and of evidence from replaced hosts

Cause: taking over the list of trials compared each target with each other one, which is quadratic when an availability zone fails. After 256 host IDs the load that new hosts report was ignored for good. A paused or draining target counted as capacity in the estimate of the queue.

Change: a target keeps the time since it waits for a trial, and only targets that a request may test are offered to requests. Hosts without evidence for a minute are forgotten when there is no room.

Conclusion: the cost of a tick no longer depends on the square of the ejected targets.

--- a/internal/core/dispatch/class.go
+++ b/internal/core/dispatch/class.go
@@ -16,7 +16,8 @@
 	flow    *limit.Flow[*request]
 	service limit.ServiceTime
 
-	// members, weights and limits are parallel to the picker's candidates.
+	// members, weights and limits are parallel to the picker's candidates;
+	// capacity is the sum of limits.
 	synced   bool
 	version  uint64
 	members  []*target
@@ -31,10 +32,13 @@
 
 func (c *class) refresh(now time.Time, t *target) {
 	i := t.places[c.ordinal]
-	lim := t.limitAt(now, c.weights[i])
+	lim := 0
+	if t.usable(now) {
+		lim = t.limitAt(now, c.weights[i])
+	}
 	c.capacity += lim - c.limits[i]
 	c.limits[i] = lim
-	c.picker.Set(i, t.load(now), t.usable(now) && t.inFlight < lim)
+	c.picker.Set(i, t.load(now), t.inFlight < lim)
 }
 
 // pick selects a target in rotation with a free slot.
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -33,8 +33,10 @@
 	lastID   ident.AttemptID
 	uploads  int
 
-	trials    []trial
-	healthDue time.Time
+	// trials holds the ejected targets that a request may test now.
+	trials     []*target
+	trialRound uint64
+	healthDue  time.Time
 	// now is the time of the last event.
 	now   time.Time
 	peers map[ident.HostID]peerReport
--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -1,19 +1,27 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/health"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 )
 
-// maxPeerReports bounds the hosts whose last evidence is remembered.
-const maxPeerReports = 256
+const (
+	// maxPeerReports bounds the hosts whose last evidence is remembered.
+	maxPeerReports = 256
+	// peerForgotten is the time after which a host without evidence may be
+	// forgotten to make room. Delayed evidence is far younger, and a load that
+	// comes later still decays within a report's lifetime.
+	peerForgotten = time.Minute
+)
 
 // peerReport identifies the newest evidence from a host.
 type peerReport struct {
 	incarnation ident.Incarnation
 	sequence    uint64
+	at          time.Time
 }
 
 func (p peerReport) before(e health.Evidence) bool {
@@ -78,7 +86,7 @@
 
 // Merge takes the report of another serving host.
 func (d *Dispatcher) Merge(now time.Time, e health.Evidence) []Action {
-	if e.Host != d.self.Host && d.newest(e) {
+	if e.Host != d.self.Host && d.newest(now, e) {
 		d.mergeLoad(now, e)
 	}
 	d.record(d.health.Merge(now, e))
@@ -87,18 +95,27 @@
 	return d.settle(now)
 }
 
-func (d *Dispatcher) newest(e health.Evidence) bool {
+func (d *Dispatcher) newest(now time.Time, e health.Evidence) bool {
 	last, known := d.peers[e.Host]
 	if known && !last.before(e) {
 		return false
 	}
-	if !known && len(d.peers) >= maxPeerReports {
+	if !known && len(d.peers) >= maxPeerReports && !d.forgetPeers(now) {
 		return false
 	}
-	d.peers[e.Host] = peerReport{e.Incarnation, e.Sequence}
+	d.peers[e.Host] = peerReport{e.Incarnation, e.Sequence, now}
 	return true
 }
 
+// forgetPeers drops hosts that stopped reporting and reports whether it did.
+func (d *Dispatcher) forgetPeers(now time.Time) bool {
+	before := len(d.peers)
+	maps.DeleteFunc(d.peers, func(_ ident.HostID, p peerReport) bool {
+		return now.Sub(p.at) >= peerForgotten
+	})
+	return len(d.peers) < before
+}
+
 func (d *Dispatcher) mergeLoad(now time.Time, e health.Evidence) {
 	for _, te := range e.Targets {
 		t := d.targets[te.Target]
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -22,47 +22,38 @@
 	trialServiceTimes = 2
 )
 
-// trial is an ejected target that may be tested since a time.
-type trial struct {
-	target *target
-	since  time.Time
-}
-
 // refreshTrials takes the targets that health wants tested. Requests test only
 // targets of this region; probes test the others and those that no request
 // tested in time.
 func (d *Dispatcher) refreshTrials(now time.Time) {
-	old := d.trials
-	d.trials = nil
-	for _, id := range d.health.Trials(now) {
-		t := d.targets[id]
-		if t == nil || t.trial || t.draining(now) {
-			continue
+	d.trials = d.trials[:0]
+	d.trialRound++
+	byRequest := d.hasTestClass()
+	waiting := d.health.Trials(now)
+	for _, id := range waiting {
+		if t := d.targets[id]; t != nil && !t.trial && !t.draining(now) {
+			d.offerTrial(now, t, byRequest && t.distance != balance.OtherRegion)
 		}
-		since := trialSince(old, t, now)
-		if !d.testsWithRequests(t) || now.Sub(since) >= trialWait {
-			d.probe(now, t)
-		}
-		d.trials = append(d.trials, trial{target: t, since: since})
 	}
-	if len(d.trials) > 0 {
+	if len(waiting) > 0 {
 		d.hastenHealth(now)
 	}
 }
 
-func trialSince(list []trial, t *target, now time.Time) time.Time {
-	for _, tr := range list {
-		if tr.target == t {
-			return tr.since
-		}
+func (d *Dispatcher) offerTrial(now time.Time, t *target, byRequest bool) {
+	if t.testableRound != d.trialRound-1 {
+		t.testableSince = now
+	}
+	t.testableRound = d.trialRound
+	if !byRequest || now.Sub(t.testableSince) >= trialWait {
+		d.probe(now, t)
+	}
+	if byRequest {
+		d.trials = append(d.trials, t)
 	}
-	return now
 }
 
-func (d *Dispatcher) testsWithRequests(t *target) bool {
-	if t.distance == balance.OtherRegion {
-		return false
-	}
+func (d *Dispatcher) hasTestClass() bool {
 	for _, c := range d.order {
 		if c.canTest() {
 			return true
@@ -77,9 +68,8 @@
 	if len(d.trials) == 0 || !r.canTest(now) {
 		return nil
 	}
-	for i, tr := range d.trials {
-		t := tr.target
-		if !t.usable(now) || t.trial || t.distance == balance.OtherRegion || t.inFlight >= t.limit.Limit(now) {
+	for i, t := range d.trials {
+		if !t.usable(now) || t.trial || t.inFlight >= t.limit.Limit(now) {
 			continue
 		}
 		if !d.budget.Take(now) {
--- a/internal/core/dispatch/property_test.go
+++ b/internal/core/dispatch/property_test.go
@@ -247,6 +247,14 @@
 	m.apply(m.d.LoadReport(m.now, LoadReport{Target: id, InFlight: n, Slots: 1000}))
 }
 
+// trial offers a target for a trial as health would.
+func (m *model) trial() {
+	if n := len(m.cfg.Targets); n > 0 {
+		id := m.cfg.Targets[rapid.IntRange(0, n-1).Draw(m.t, "target")].ID
+		m.d.trials = append(m.d.trials, m.d.targets[id])
+	}
+}
+
 // configure changes the set of targets but not their slots, since attempts in
 // flight may exceed a lowered number.
 func (m *model) configure() {
@@ -304,6 +312,7 @@
 			"commit":    func(*rapid.T) { m.commit() },
 			"cancel":    func(*rapid.T) { m.cancel() },
 			"tick":      func(*rapid.T) { m.tick() },
+			"trial":     func(*rapid.T) { m.trial() },
 			"report":    func(*rapid.T) { m.report() },
 			"configure": func(*rapid.T) { m.configure() },
 		})
--- a/internal/core/dispatch/table_test.go
+++ b/internal/core/dispatch/table_test.go
@@ -61,7 +61,7 @@
 	case "evidence":
 		tb.print(tb.d.Merge(tb.now, health.Evidence{Host: "peer", Sequence: uint64(scan(t, td, "seq", 0)), Targets: []health.TargetEvidence{{Target: targetArg(t, td), InFlight: uint32(scan(t, td, "in-flight", 0))}}}))
 	case "trial":
-		tb.d.trials = append(tb.d.trials, trial{target: tb.d.targets[targetArg(t, td)], since: tb.now})
+		tb.d.trials = append(tb.d.trials, tb.d.targets[targetArg(t, td)])
 	case "probed":
 		tb.print(tb.d.ProbeResult(tb.now, targetArg(t, td), true, time.Millisecond))
 	case "tick":
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -29,7 +29,12 @@
 	// announced tells that an attempt, not a load report, met the draining.
 	announced bool
 	removed   bool
-	trial     bool
+	// trial tells that a trial is running.
+	trial bool
+	// testableSince is the time from which health wants the target tested, as
+	// of the refresh of trials numbered testableRound.
+	testableSince time.Time
+	testableRound uint64
 	// probeSent is the time of the probe under way, zero if there is none.
 	probeSent  time.Time
 	probeTimer *timer
