Wire request tickets into the caller interface

Cause: the ticket table existed, but no request used it, and a planned stop handed nothing over. Change: tickets are drawn with the address answer or on their own; a request with a ticket is admitted by its table, relayed to the issuing host, or answered from the stored outcome; a leaving host closes its table and hands it to one named successor; a refusal before the table has decided is unknown. Ruled out: relaying through a second host, since two tables could then each think that the other decides.

--- a/internal/adapter/ingress/addresses.go
+++ b/internal/adapter/ingress/addresses.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
+	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
@@ -15,6 +17,10 @@
 	Revision uint64    `json:"revision"`
 	MaxAgeMs int64     `json:"max_age_ms"`
 	Hosts    []Address `json:"hosts"`
+	// Tickets are issued by the answering host, which is then the first of
+	// Hosts. They are left out when it does not serve the service.
+	Tickets   []string  `json:"tickets,omitempty"`
+	ExpiresAt time.Time `json:"expires_at,omitzero"`
 }
 
 // Address is one host of the answer, in order of preference.
@@ -44,11 +50,34 @@
 		MaxAgeMs: s.cfg.AddressMaxAge.Milliseconds(),
 		Hosts:    s.order(name, backend.Service.ServingHosts, at, members),
 	}
+	if count := r.URL.Query().Get("tickets"); count != "" {
+		if problem := s.addTickets(&a, count); problem != nil {
+			problem.write(w)
+			return
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderOutcome, OutcomeAnswered)
 	_ = json.NewEncoder(w).Encode(a)
 }
 
+// addTickets adds tickets of this host if it serves the service. Tickets of
+// another host would make every request with them take a way through this one.
+func (s *Server) addTickets(a *Addresses, count string) *Problem {
+	at := slices.IndexFunc(a.Hosts, func(h Address) bool { return h.Address == s.cfg.CallerAddress })
+	if at < 0 {
+		return nil
+	}
+	issued, problem := s.issue(count)
+	if problem != nil {
+		return problem
+	}
+	own := a.Hosts[at]
+	a.Hosts = slices.Insert(slices.Delete(a.Hosts, at, at+1), 0, own)
+	a.Tickets, a.ExpiresAt = issued.Tickets, issued.ExpiresAt
+	return nil
+}
+
 // location returns the caller's location; without a known zone it is the
 // host's own.
 func (s *Server) location(zone ident.Zone, members []port.Host) ident.Location {
--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -76,6 +76,7 @@
 // finish reports the end of an attempt. An upload whose body was read in part
 // cannot be sent again, whatever the dispatcher would decide.
 func (q *request) finish(start dispatch.Start, trace *target.Trace, result attempt.Result) {
+	q.mayHaveRun = q.mayHaveRun || !result.NotSent && !result.NotRun
 	if q.class.Upload != nil && trace.BodyBytesRead > 0 {
 		q.backend.Engine.Commit(start.Attempt)
 	}
@@ -129,9 +130,7 @@
 
 func (q *request) copyHeader(from http.Header) {
 	to := q.w.Header()
-	for name, values := range from {
-		to[name] = values
-	}
+	copyHeader(to, from)
 	to.Set(HeaderRequestID, q.wireID)
 	to.Set(HeaderOutcome, OutcomeAnswered)
 }
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -15,6 +15,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ticket"
 	"github.com/sapphirehaven/sapphirehaven/internal/engine"
 )
 
@@ -36,12 +37,35 @@
 	// body is the whole request body of a class that is not an upload.
 	body []byte
 	call *engine.Call
+	// mayHaveRun tells that an attempt ended without proof that it did not run.
+	mayHaveRun bool
 	// held is the last complete response that was not passed on yet.
 	held *heldResponse
 }
 
 // serveRequest serves one routed request. A returned problem has not been sent.
+//
+// A request with a ticket may be the repeat of one that has run. Until the
+// ticket's table has decided, a refusal of the repeat says nothing about the
+// first one, so its outcome is unknown.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) *Problem {
+	decided := false
+	problem := s.route(w, r, &decided)
+	if problem == nil || decided || r.Header.Get(HeaderTicket) == "" {
+		return problem
+	}
+	problem.Outcome = OutcomeUnknown
+	problem.RetryAfter = 0
+	if problem.Status == http.StatusServiceUnavailable {
+		problem.Status = http.StatusBadGateway
+		problem.Title = http.StatusText(problem.Status)
+	}
+	return problem
+}
+
+// route finds the service and class of a request and runs it. It sets decided
+// when the outcome is certain although the request may be a repeat.
+func (s *Server) route(w http.ResponseWriter, r *http.Request, decided *bool) *Problem {
 	arrived := time.Now()
 	active := s.active.Load()
 	if active == nil {
@@ -72,6 +96,14 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	if text := r.Header.Get(HeaderTicket); text != "" && !req.class.Idempotent {
+		tk, err := ticket.Parse(text)
+		*decided = true
+		if err != nil {
+			return notRun(http.StatusBadRequest, "bad_ticket", HeaderTicket+": "+err.Error())
+		}
+		return req.runTicketed(ctx, tk)
+	}
 	return req.run(ctx)
 }
 
@@ -158,6 +190,9 @@
 // attempt was running.
 func (q *request) abandon() *Problem {
 	q.call.Cancel()
+	if q.mayHaveRun {
+		return unknown(http.StatusGatewayTimeout, "deadline", "the deadline passed before another attempt; an earlier one may have run")
+	}
 	return notRun(http.StatusGatewayTimeout, "deadline", "the deadline passed before an attempt was started")
 }
 
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -27,10 +27,13 @@
 	// Incarnation makes request IDs unique over the lives of a host.
 	Incarnation ident.Incarnation
 	Location    ident.Location
+	// CallerAddress is the address of this host in address answers.
+	CallerAddress string
 	// AddressMaxAge is how long a caller may keep an address answer.
 	AddressMaxAge time.Duration
 	Transport     *target.Transport
 	Members       Members
+	Tickets       Tickets
 	Recorder      engine.Recorder
 }
 
@@ -93,6 +96,8 @@
 	switch name {
 	case "addresses":
 		s.serveAddresses(w, r)
+	case "tickets":
+		s.serveTickets(w, r)
 	default:
 		notRun(http.StatusNotFound, "unknown_resource", "the host has no resource "+pathPrefix+name).write(w)
 	}
--- /dev/null
+++ b/internal/adapter/ingress/tickets.go
@@ -0,0 +1,214 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/outcome"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ticket"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+// Tickets decides about requests that carry a ticket.
+type Tickets interface {
+	// Issue returns up to n tickets.
+	Issue(n int) ([]ticket.Ticket, error)
+	// Admit decides about a request.
+	Admit(tk ticket.Ticket, fp ticket.Fingerprint) ticket.Admission
+	// End stores the outcome of a run that Admit started.
+	End(id ticket.ID, run uint32, end ticket.Ending)
+	// Relay passes a request on to the host that can decide about its ticket.
+	Relay(ctx context.Context, tk ticket.Ticket, to ticket.Admission, r port.RelayedRequest) (port.RelayedResponse, error)
+}
+
+// maxTicketsPerCall bounds the tickets that one call draws.
+const maxTicketsPerCall = 64
+
+// maxRelayedBytes bounds the body of a request that is relayed to the host
+// that issued its ticket; a call between hosts takes at most 4 MiB.
+const maxRelayedBytes = 1 << 20
+
+// IssuedTickets is the answer to a draw of tickets.
+type IssuedTickets struct {
+	Tickets   []string  `json:"tickets"`
+	ExpiresAt time.Time `json:"expires_at"`
+}
+
+func (s *Server) serveTickets(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		notRun(http.StatusMethodNotAllowed, "bad_method", "tickets are drawn with POST").write(w)
+		return
+	}
+	issued, problem := s.issue(r.URL.Query().Get("count"))
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderOutcome, OutcomeAnswered)
+	_ = json.NewEncoder(w).Encode(issued)
+}
+
+func (s *Server) issue(count string) (IssuedTickets, *Problem) {
+	n, err := strconv.Atoi(count)
+	if err != nil || n < 1 || n > maxTicketsPerCall {
+		return IssuedTickets{}, notRun(http.StatusBadRequest, "bad_count", fmt.Sprintf("count is %q, want 1 to %d", count, maxTicketsPerCall))
+	}
+	list, err := s.cfg.Tickets.Issue(n)
+	if err != nil {
+		return IssuedTickets{}, unavailable("no_tickets", err.Error(), time.Second)
+	}
+	out := IssuedTickets{ExpiresAt: list[0].Expiry.UTC()}
+	for _, tk := range list {
+		out.Tickets = append(out.Tickets, tk.String())
+	}
+	return out, nil
+}
+
+// relayedKey marks the context of a request that another host relayed, which
+// must not be relayed again.
+type relayedKey struct{}
+
+// ServeRelayed serves a request that another host passed on because this one
+// can decide about its ticket.
+func (s *Server) ServeRelayed(ctx context.Context, r port.RelayedRequest) port.RelayedResponse {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	w := &memoryWriter{header: http.Header{}}
+	req, err := http.NewRequestWithContext(context.WithValue(ctx, relayedKey{}, true), r.Method, r.URI, bytes.NewReader(r.Body))
+	if err != nil {
+		unknown(http.StatusBadRequest, "bad_request", "the relayed request is malformed").write(w)
+		return w.response()
+	}
+	req.Header = r.Header
+	req.Host = r.Host
+	req.Header.Set(HeaderTicket, r.Ticket)
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(r.TimeLeft.Milliseconds(), 1), 10))
+	if problem := s.serveRequest(w, req); problem != nil {
+		problem.write(w)
+	}
+	return w.response()
+}
+
+// runTicketed asks the ticket's table whether the request may run.
+func (q *request) runTicketed(ctx context.Context, tk ticket.Ticket) *Problem {
+	target := q.r.URL.RequestURI()
+	admission := q.server.cfg.Tickets.Admit(tk, ticket.NewFingerprint(q.r.Method, target, sha256.Sum256(q.body)))
+	switch admission.Verdict {
+	case ticket.Run:
+		return q.runAdmitted(ctx, tk, admission.Run)
+	case ticket.Stored:
+		q.repeat(admission.Response)
+		return nil
+	case ticket.Elsewhere:
+		return q.relay(ctx, tk, admission)
+	}
+	return verdictProblem(admission.Verdict)
+}
+
+// runAdmitted runs a request and stores its outcome for repeats.
+func (q *request) runAdmitted(ctx context.Context, tk ticket.Ticket, run uint32) *Problem {
+	// Until the run ends otherwise, its outcome is unknown, also when the
+	// response to the caller is aborted.
+	end := ticket.Ending{Outcome: outcome.Unknown}
+	defer func() { q.server.cfg.Tickets.End(tk.ID, run, end) }()
+	recorder := &recordingWriter{ResponseWriter: q.w}
+	q.w = recorder
+	problem := q.run(ctx)
+	if problem != nil {
+		end.Outcome = coreOutcome(problem.Outcome)
+		return problem
+	}
+	end.Outcome = coreOutcome(recorder.Header().Get(HeaderOutcome))
+	if end.Outcome == outcome.Answered {
+		end.Response = recorder.stored()
+	}
+	return nil
+}
+
+func coreOutcome(header string) outcome.Outcome {
+	switch header {
+	case OutcomeAnswered:
+		return outcome.Answered
+	case OutcomeNotRun:
+		return outcome.NotRun
+	default:
+		return outcome.Unknown
+	}
+}
+
+// repeat sends a stored response again.
+func (q *request) repeat(stored *ticket.Response) {
+	h := q.w.Header()
+	for _, line := range stored.Headers {
+		h.Add(line.Name, line.Value)
+	}
+	h.Set(HeaderOutcome, OutcomeAnswered)
+	q.w.WriteHeader(stored.Status)
+	_, _ = q.w.Write(stored.Body)
+}
+
+// relay passes the request on to the host that issued its ticket, or to that
+// host's successor. Whatever goes wrong on the way, the request may have run
+// under its ticket before.
+func (q *request) relay(ctx context.Context, tk ticket.Ticket, to ticket.Admission) *Problem {
+	if q.r.Context().Value(relayedKey{}) != nil {
+		return unknown(http.StatusBadGateway, "ticket_elsewhere", "the ticket has moved to another host; ask again")
+	}
+	if q.class.Upload != nil || len(q.body) > maxRelayedBytes {
+		return unknown(http.StatusMisdirectedRequest, "ticket_elsewhere", fmt.Sprintf("a body of this size is not passed on; send it to host %s, which issued the ticket", to.Host))
+	}
+	response, err := q.server.cfg.Tickets.Relay(ctx, tk, to, port.RelayedRequest{
+		Ticket:   tk.String(),
+		Method:   q.r.Method,
+		URI:      q.r.URL.RequestURI(),
+		Host:     q.r.Host,
+		Header:   q.r.Header,
+		Body:     q.body,
+		TimeLeft: time.Until(q.deadline),
+	})
+	if err != nil {
+		return unknown(http.StatusBadGateway, "ticket_host_unreachable", err.Error())
+	}
+	copyHeader(q.w.Header(), response.Header)
+	q.w.WriteHeader(response.Status)
+	_, _ = q.w.Write(response.Body)
+	return nil
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+// verdictProblem says why a request with a ticket does not run.
+func verdictProblem(v ticket.Verdict) *Problem {
+	switch v {
+	case ticket.InProgress:
+		return unknown(http.StatusConflict, "in_progress", "the first request with this ticket is still running; ask again")
+	case ticket.AnsweredNotStored:
+		p := unknown(http.StatusConflict, "answered_not_stored", "the request ran and was answered, but the response was too large to store")
+		p.Outcome = OutcomeAnswered
+		return p
+	case ticket.EndedUnknown:
+		return unknown(http.StatusBadGateway, "ended_unknown", "the request was sent once and may have run; it will not be sent again")
+	case ticket.NeverAdmitted:
+		return notRun(http.StatusConflict, "ticket_lapsed", "the ticket was never used and is not valid any more; draw a new one")
+	case ticket.OtherRequest:
+		return notRun(http.StatusUnprocessableEntity, "ticket_of_other_request", "the ticket was used for a request with another method, path or body")
+	case ticket.Invalid:
+		return notRun(http.StatusBadRequest, "bad_ticket", HeaderTicket+": the ticket was not issued by the host that it names")
+	case ticket.Expired:
+		return unknown(http.StatusGone, "ticket_expired", "the ticket has expired and its outcome is not stored any more")
+	default:
+		return unknown(http.StatusGone, "ticket_host_gone", "the host that issued the ticket has been restarted; the request may have run")
+	}
+}
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -170,6 +170,13 @@
 	return portHost(&n)
 }
 
+// successor returns the host that took over this host's tickets.
+func (f *fleet) successor() (member.Node, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.Node(f.members.Self().Successor)
+}
+
 // Live returns the other hosts that answer, leaving ones included.
 func (f *fleet) Live() []port.Host {
 	var live []port.Host
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -40,6 +40,7 @@
 	peers       *peer.Client
 	spread      *spread
 	evidence    *evidence
+	tickets     *tickets
 	follower    *configlog.Follower
 	writer      *configlog.Writer
 	checkpoints *configlog.CheckpointWriter
@@ -66,6 +67,8 @@
 	if err := h.newConfiguration(id, uint64(incarnation)); err != nil {
 		return nil, err
 	}
+	h.tickets = newTickets(settings.TicketTTL, id, incarnation)
+	h.tickets.peers, h.tickets.timeline, h.tickets.log = h.peers, h.timeline, log
 	if err := h.newFleet(incarnation); err != nil {
 		return nil, err
 	}
@@ -76,6 +79,8 @@
 		AddressMaxAge: settings.AddressMaxAge,
 		Transport:     h.transport,
 		Members:       h.fleet,
+		Tickets:       h.tickets,
+		CallerAddress: settings.CallerAdvertise,
 		Recorder:      h.timeline,
 	})
 	h.admin = admin.New(h, &documents{follower: h.follower, writer: h.writer}, settings.AdminToken)
@@ -119,6 +124,7 @@
 	}
 	h.spread = &spread{follower: h.follower, peers: h.peers, fleet: h.fleet, host: self.ID, log: h.log}
 	h.fleet.onHeard = h.spread.heard
+	h.tickets.fleet = h.fleet
 	h.evidence = &evidence{services: h.services, fleet: h.fleet, peers: h.peers, identity: h.identity, log: h.log}
 	return nil
 }
@@ -153,7 +159,7 @@
 	h.timeline.Record(event.HostStarted, event.F("incarnation", h.identity.Caller().Incarnation), event.F("caller_address", h.settings.CallerAdvertise))
 	background, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){h.fleet.run, h.spread.run, h.spread.chooseReaders, h.spread.join, h.evidence.run, h.follower.Run, h.checkpoints.Run, h.activateRevisions, listeners.servePeers} {
+	for _, run := range []func(context.Context){h.fleet.run, h.spread.run, h.spread.chooseReaders, h.spread.join, h.evidence.run, h.tickets.run, h.follower.Run, h.checkpoints.Run, h.activateRevisions, listeners.servePeers} {
 		running.Add(1)
 		go func() {
 			defer running.Done()
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -86,10 +86,12 @@
 	time.Sleep(min(h.settings.AddressMaxAge+departureSpread, h.settings.DrainLimit))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.settings.DrainLimit))
 	defer cancel()
+	h.tickets.handOver(ctx)
 	if err := l.caller.Shutdown(ctx); err != nil {
 		h.log.WithField("in_flight", h.ingress.InFlight()).Warn("the drain limit was reached; requests in flight are cut")
 		_ = l.caller.Close()
 	}
+	h.tickets.sendUpdates(ctx)
 	h.timeline.Record(event.HostStopped, event.F("drained_in", time.Since(started).Round(time.Millisecond)))
 	h.fleet.stop()
 	_ = l.admin.Close()
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -38,11 +37,11 @@
 }
 
 // Relay implements port.PeerHandler.
-func (p *peerHandler) Relay(context.Context, port.Caller, port.RelayedRequest) port.RelayedResponse {
-	return port.RelayedResponse{Status: http.StatusNotImplemented}
+func (p *peerHandler) Relay(ctx context.Context, _ port.Caller, r port.RelayedRequest) port.RelayedResponse {
+	return p.host.ingress.ServeRelayed(ctx, r)
 }
 
 // Handover implements port.PeerHandler.
-func (p *peerHandler) Handover(port.Caller, port.HandoverMessage) (bool, error) {
-	return false, errors.New("this host takes no tickets")
+func (p *peerHandler) Handover(_ port.Caller, m port.HandoverMessage) (complete bool, err error) {
+	return p.host.tickets.take(m)
 }
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/health"
@@ -109,11 +110,22 @@
 	}
 }
 
-// Cancel tells the dispatcher that the caller is gone.
+// notStarted is the end of an attempt whose request was canceled before its
+// goroutine saw the start.
+var notStarted = dispatch.Result{Kind: attempt.Canceled, NotSent: true}
+
+// Cancel tells the dispatcher that the caller is gone. A start that the request
+// has not seen yet is ended, so that its slot is free again.
 func (c *Call) Cancel() {
-	c.service.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+	s := c.service
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
 		actions := d.Cancel(now, c.id)
-		delete(c.service.calls, c.id)
+		delete(s.calls, c.id)
+		for len(c.steps) > 0 {
+			if a, ok := (<-c.steps).(dispatch.Start); ok {
+				actions = append(actions, d.Finish(now, a.Attempt, notStarted)...)
+			}
+		}
 		return actions
 	})
 }
@@ -165,9 +177,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for _, a := range event(now, s.dispatcher) {
-		s.carryOut(a)
-	}
+	s.carryOutAll(now, event(now, s.dispatcher))
 	s.schedule(now)
 }
 
@@ -186,9 +196,19 @@
 	s.timer.Reset(next.Sub(now))
 }
 
-func (s *Service) carryOut(a dispatch.Action) {
+func (s *Service) carryOutAll(now time.Time, actions []dispatch.Action) {
+	for _, a := range actions {
+		s.carryOut(now, a)
+	}
+}
+
+func (s *Service) carryOut(now time.Time, a dispatch.Action) {
 	switch a := a.(type) {
 	case dispatch.Start:
+		if s.calls[a.Request] == nil {
+			s.carryOutAll(now, s.dispatcher.Finish(now, a.Attempt, notStarted))
+			return
+		}
 		s.deliver(a.Request, a, false)
 	case dispatch.Refuse:
 		s.deliver(a.Request, a, true)
