--- a/internal/adapter/target/attempt.go
+++ b/internal/adapter/target/attempt.go
@@ -39,7 +39,9 @@
 	// Config.InlineBodyBytes, or of unknown length) is read by another
 	// goroutine, which has ended when Finish or a failing Do returns.
 	Body io.Reader
-	// InterruptBody makes a blocked Read of Body return. Without it a failing
+	// InterruptBody makes a blocked Read of Body, and later ones, return. It
+	// must not block, and may be called more than once, but not after the
+	// attempt has ended or the body was read whole. Without it a failing
 	// attempt does not wait for a blocked Read.
 	InterruptBody func()
 	// ContentLength is the length of Body, -1 if unknown.
@@ -94,7 +96,8 @@
 
 // validate refuses what would change the framing of the request.
 func (a *Attempt) validate() error {
-	if a.Method == "" || strings.ContainsFunc(a.Method, notToken) {
+	// After a CONNECT the connection carries no HTTP any more.
+	if a.Method == "" || a.Method == http.MethodConnect || strings.ContainsFunc(a.Method, notToken) {
 		return ErrBadRequest
 	}
 	if !strings.HasPrefix(a.URI, "/") && a.URI != "*" {
--- a/internal/adapter/target/exchange.go
+++ b/internal/adapter/target/exchange.go
@@ -115,7 +115,7 @@
 		return outcome.DeadlinePassed
 	case isBadResponse(err):
 		return outcome.ResponseGarbled
-	case !x.responded, errors.As(err, &netErr):
+	case !x.responded, errors.Is(err, ErrPeerClosed), errors.As(err, &netErr):
 		return outcome.ConnectionBroke
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return outcome.ResponseTruncated
--- a/internal/adapter/target/once_test.go
+++ b/internal/adapter/target/once_test.go
@@ -57,6 +57,22 @@
 	}
 }
 
+// TestIdleTimeoutResponse guards against a 408 for an idle connection that is
+// taken for the response to the next request.
+func TestIdleTimeoutResponse(t *testing.T) {
+	address := serve(t, func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		_ = answer(br, c)
+		_, _ = http.ReadRequest(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	})
+	tr := newTransport(t, nil)
+	openIdle(t, tr, address, 1)
+	if resp, _, res := exchangeBody(t, tr, Attempt{Address: address, Method: "POST"}); resp != nil || res.Kind != attempt.ConnectionLost || res.NotSent {
+		t.Fatalf("%v %+v", resp, res)
+	}
+}
+
 // TestStandardTransportRepeats shows the fault that this package exists to
 // avoid. It fails when http.Transport stops to repeat such requests; then the
 // reason in doc.go has to be revised.
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -92,6 +92,11 @@
 	if id := head.Header.Get(headerRequestID); id != "" && id != x.a.RequestID {
 		return nil, ErrRequestIDMismatch
 	}
+	if x.c.reused && head.StatusCode == http.StatusRequestTimeout && head.Close {
+		// The target timed out the idle connection while the request was sent.
+		// This is not the response to it.
+		return nil, ErrPeerClosed
+	}
 	r := &Response{
 		Status: head.StatusCode, Header: head.Header, ContentLength: head.ContentLength,
 		Draining:     strings.EqualFold(head.Header.Get(headerDraining), "true"),
