Let one incarnation count for tickets and membership

Cause: tickets and the membership protocol noticed a pause on their own and would have taken different incarnations, so a hand-over would have been refused. Change: the membership protocol decides; a ticket step after a long gap asks it first. Conclusion: a successor is named by the incarnation that its table has.

--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -35,7 +35,7 @@
 	// onHeard is called when another host reports its configuration.
 	onHeard func(port.Host, member.Digest)
 	// onResumed is called when this host has a new incarnation after a pause.
-	onResumed func(previous, current ident.Incarnation)
+	onResumed func(ident.Incarnation)
 
 	mu      sync.Mutex
 	members *member.List
@@ -51,6 +51,21 @@
 	}
 }
 
+// checkPause lets the protocol notice a pause of this process and returns the
+// incarnation. The actions are carried out later: the caller may hold a lock
+// that they need.
+func (f *fleet) checkPause() ident.Incarnation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	actions := f.members.Tick(time.Now())
+	go func() {
+		for _, a := range actions {
+			f.carryOut(a)
+		}
+	}()
+	return f.members.Self().Version.Incarnation
+}
+
 func (f *fleet) carryOut(a member.Action) {
 	switch a := a.(type) {
 	case member.Send:
@@ -65,7 +80,7 @@
 		}
 	case member.Resumed:
 		f.timeline.Record(event.HostResumed, event.F("paused_ms", a.PausedForMs), event.F("incarnation", a.Current))
-		f.onResumed(a.Previous, a.Current)
+		f.onResumed(a.Current)
 	case member.Superseded:
 		f.log.WithField("other_incarnation", a.Other.Version.Incarnation).WithField("other_address", a.Other.PeerAddress).
 			Error("another process uses this host's -host-id")
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -130,8 +130,9 @@
 }
 
 // resumed stops work under the incarnation before a pause.
-func (h *Host) resumed(_, current ident.Incarnation) {
-	h.identity.incarnation.Store(uint64(current))
+func (h *Host) resumed(incarnation ident.Incarnation) {
+	h.identity.incarnation.Store(uint64(incarnation))
+	h.tickets.resumed(incarnation)
 }
 
 // checkpointRank is this host's place in the order in which hosts write a
--- a/internal/app/tickets.go
+++ b/internal/app/tickets.go
@@ -63,13 +63,23 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	if now.Sub(t.usedAt) >= member.DefaultConfig().PauseLimit {
-		t.resume(now, ident.Incarnation(now.UnixMicro()))
+		t.resume(now, t.fleet.checkPause())
 	}
 	t.usedAt = now
 	step(now, t.table)
 }
 
+// resumed follows the membership protocol to a new incarnation.
+func (t *tickets) resumed(incarnation ident.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resume(time.Now(), incarnation)
+}
+
 func (t *tickets) resume(now time.Time, incarnation ident.Incarnation) {
+	if incarnation <= t.table.Self().Incarnation {
+		return
+	}
 	if err := t.table.Resume(now, incarnation, newTicketKey()); err != nil {
 		t.log.WithError(err).Warn("tickets stay with the incarnation before the pause")
 	}
