revision: decide by log position which proposal is accepted

Change: revision.State applies proposals, withdrawals, checkpoints and chunks in offset order; Bootstrap chooses a starting point; Append and Checkpointer are the writer's and the checkpoint's state machines. All are pure. logcodec frames protobuf messages (logpb) with a version and a checksum, so that damage, which every build ignores alike, differs from a newer record, which stops an older build before it.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 # Regenerates the committed protobuf code; needs protoc (Debian package protobuf-compiler).
 generate:
 	$(GO) build -o bin/tools/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=module=github.com/sapphirehaven/sapphirehaven internal/logpb/record.proto
 	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=module=github.com/sapphirehaven/sapphirehaven \
 		--go-drpc_out=. --go-drpc_opt=module=github.com/sapphirehaven/sapphirehaven internal/peerpb/peer.proto
 
--- /dev/null
+++ b/internal/core/revision/helper_test.go
@@ -0,0 +1,104 @@
+package revision_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/revision"
+	"github.com/sapphirehaven/sapphirehaven/internal/logcodec"
+)
+
+var epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// withRoute returns the sections of a document with the routes of base and one
+// more.
+func withRoute(base document.SectionSet, name, path string) document.SectionSet {
+	doc, err := document.FromSections(base)
+	if err != nil {
+		doc = &document.Document{
+			Format:   document.FormatVersion,
+			Name:     "desk",
+			Services: []document.Service{{Name: "errata-index", Classes: []document.Class{{Name: "lookup"}}}},
+		}
+	}
+	kept := *doc
+	kept.Routes = nil
+	for _, r := range doc.Routes {
+		if r.Name != name {
+			kept.Routes = append(kept.Routes, r)
+		}
+	}
+	kept.Routes = append(kept.Routes, document.Route{Name: name, PathPrefix: path, Service: "errata-index", Class: "lookup"})
+	return must(document.Sections(&kept))
+}
+
+func proposal(id string, at uint64, base, result document.SectionSet) revision.Proposal {
+	return revision.Proposal{ID: id, Base: at, Delta: document.Diff(base, result), ContentHash: result.Hash()}
+}
+
+// largePath does not compress below the size of one record.
+var largePath = func() string {
+	rng := rand.New(rand.NewPCG(1, 2))
+	b := make([]byte, 352<<10)
+	for i := range b {
+		b[i] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"[rng.IntN(64)]
+	}
+	return "/" + string(b)
+}()
+
+// testLog is the log as a list of records, one second apart.
+type testLog struct {
+	first   int64
+	records []revision.Record
+}
+
+func (l *testLog) add(data []byte) revision.Record {
+	n := len(l.records)
+	r := revision.Record{Offset: int64(n), Time: epoch.Add(time.Duration(n) * time.Second), Data: data}
+	l.records = append(l.records, r)
+	return r
+}
+
+func (l *testLog) addEntry(e revision.Entry) revision.Record {
+	return l.add(must(logcodec.Encode(e)))
+}
+
+func (l *testLog) retained() []revision.Record { return l.records[l.first:] }
+
+func largeSections(routes int) document.SectionSet {
+	doc := &document.Document{
+		Format:   document.FormatVersion,
+		Name:     "desk",
+		Services: []document.Service{{Name: "errata-index", Classes: []document.Class{{Name: "lookup"}}}},
+	}
+	for i := range routes {
+		name := fmt.Sprintf("route-%05d", i)
+		doc.Routes = append(doc.Routes, document.Route{Name: name, PathPrefix: "/team/" + name, Methods: []string{"GET"}, Service: "errata-index", Class: "lookup"})
+	}
+	return must(document.Sections(doc))
+}
+
+func largeState(tb testing.TB, routes int) *revision.State {
+	s := revision.New(logcodec.Decode)
+	log := &testLog{}
+	set := largeSections(routes)
+	for _, data := range must(logcodec.Records("set", proposal("p0", 0, document.SectionSet{}, set))) {
+		if out := s.Apply(log.add(data)); out.Ignored != nil {
+			tb.Fatal(out.Ignored)
+		}
+	}
+	if s.Revision() != 1 {
+		tb.Fatal("the first document was not accepted")
+	}
+	return s
+}
