--- /dev/null
+++ b/internal/adapter/logservice/client.go
@@ -0,0 +1,227 @@
+// Package logservice is the HTTP client of the platform's log service.
+package logservice
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/revision"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+// Config holds the settings of the client.
+type Config struct {
+	// URL is the base URL, such as http://10.0.0.5:7000; required.
+	URL string
+	// DialTimeout bounds opening a connection; default 2s.
+	DialTimeout time.Duration
+	// RequestTimeout bounds a request without the time that a read waits for
+	// new records; default 10s.
+	RequestTimeout time.Duration
+	// MaxAppendBytes bounds a record; default 257 KiB.
+	MaxAppendBytes int
+	// MaxResponseBytes bounds a response; default 32 MiB, which holds 64 records
+	// of 256 KiB in base64.
+	MaxResponseBytes int64
+}
+
+// DefaultConfig returns the defaults for a URL.
+func DefaultConfig(url string) Config {
+	return Config{
+		URL:              url,
+		DialTimeout:      2 * time.Second,
+		RequestTimeout:   10 * time.Second,
+		MaxAppendBytes:   revision.RecordBytes + 1<<10,
+		MaxResponseBytes: 32 << 20,
+	}
+}
+
+// Client implements port.Log.
+type Client struct {
+	cfg    Config
+	base   string
+	append *http.Client
+	read   *http.Client
+}
+
+var _ port.Log = (*Client)(nil)
+
+// New returns a client.
+func New(cfg Config) (*Client, error) {
+	u, err := url.Parse(cfg.URL)
+	if err != nil {
+		return nil, errors.Wrap(err, "log service URL")
+	}
+	if (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return nil, errors.Errorf("log service URL: %q is not an http or https URL", cfg.URL)
+	}
+	// Transport repeats some requests by itself when a reused connection fails,
+	// which could append a record twice. Without keep-alive no connection is
+	// reused.
+	return &Client{
+		cfg:    cfg,
+		base:   strings.TrimSuffix(u.String(), "/"),
+		append: newHTTPClient(cfg, true),
+		read:   newHTTPClient(cfg, false),
+	}, nil
+}
+
+func newHTTPClient(cfg Config, disableKeepAlives bool) *http.Client {
+	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			DisableKeepAlives:   disableKeepAlives,
+			MaxIdleConns:        2,
+			IdleConnTimeout:     30 * time.Second,
+			TLSHandshakeTimeout: cfg.DialTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Append implements port.Log.
+func (c *Client) Append(ctx context.Context, data []byte) (int64, error) {
+	if len(data) > c.cfg.MaxAppendBytes {
+		return 0, notAppended(errors.Errorf("record has %d bytes, the limit is %d", len(data), c.cfg.MaxAppendBytes))
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.RequestTimeout)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	// The body has no type that net/http can rewind.
+	body := struct{ io.Reader }{strings.NewReader(string(data))}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, c.base+"/v1/log/append", body)
+	if err != nil {
+		return 0, notAppended(err)
+	}
+	req.ContentLength = int64(len(data))
+	req.Header.Set("Content-Type", "application/octet-stream")
+	resp, err := c.append.Do(req)
+	if err != nil && !connected.Load() {
+		return 0, notAppended(err)
+	}
+	if err != nil {
+		return 0, &port.AppendUnknownError{Cause: err}
+	}
+	defer resp.Body.Close()
+	return c.appendOffset(resp)
+}
+
+func (c *Client) appendOffset(resp *http.Response) (int64, error) {
+	if refused(resp.StatusCode) {
+		return 0, notAppended(errors.Errorf("status %d", resp.StatusCode))
+	}
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		return 0, &port.AppendUnknownError{Cause: errors.Errorf("status %d", resp.StatusCode)}
+	}
+	var answer struct {
+		Offset *int64 `json:"offset"`
+	}
+	if err := c.decode(resp, &answer); err != nil {
+		return 0, &port.AppendUnknownError{Cause: err}
+	}
+	if answer.Offset == nil || *answer.Offset < 0 {
+		return 0, &port.AppendUnknownError{Cause: errors.New("offset: missing or negative")}
+	}
+	return *answer.Offset, nil
+}
+
+// refused reports a status by which the service says that it did not take the
+// record. A request timeout doesn't, and neither do the 5xx statuses, which an
+// intermediary can also return after passing the request on.
+func refused(status int) bool {
+	return status >= 400 && status <= 499 && status != http.StatusRequestTimeout
+}
+
+func notAppended(cause error) error { return &port.LogUnavailableError{Cause: cause} }
+
+type wireBatch struct {
+	First   *int64       `json:"first"`
+	Next    *int64       `json:"next"`
+	Records []wireRecord `json:"records"`
+}
+
+type wireRecord struct {
+	Offset int64  `json:"offset"`
+	TimeMS int64  `json:"time_ms"`
+	Data   []byte `json:"data"`
+}
+
+// Read implements port.Log.
+func (c *Client) Read(ctx context.Context, from int64, limit int, wait time.Duration) (port.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.RequestTimeout+wait)
+	defer cancel()
+	query := url.Values{
+		"from":    {strconv.FormatInt(from, 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/log/records?"+query.Encode(), nil)
+	if err != nil {
+		return port.Batch{}, &port.LogUnavailableError{Cause: err}
+	}
+	resp, err := c.read.Do(req)
+	if err != nil {
+		return port.Batch{}, &port.LogUnavailableError{Cause: err}
+	}
+	defer resp.Body.Close()
+	var wire wireBatch
+	if resp.StatusCode != http.StatusOK {
+		err = errors.Errorf("status %d", resp.StatusCode)
+	} else {
+		err = c.decode(resp, &wire)
+	}
+	if err != nil {
+		return port.Batch{}, &port.LogUnavailableError{Cause: err}
+	}
+	return wire.batch(from, limit)
+}
+
+func (c *Client) decode(resp *http.Response, v any) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxResponseBytes+1))
+	if err != nil {
+		return errors.Wrap(err, "response")
+	}
+	if int64(len(body)) > c.cfg.MaxResponseBytes {
+		return errors.Errorf("response: more than %d bytes", c.cfg.MaxResponseBytes)
+	}
+	return errors.Wrap(json.Unmarshal(body, v), "response")
+}
+
+// batch checks what the state relies on: records without gaps from the
+// requested offset on.
+func (w *wireBatch) batch(from int64, limit int) (port.Batch, error) {
+	bad := func(format string, args ...any) (port.Batch, error) {
+		return port.Batch{}, &port.LogUnavailableError{Cause: fmt.Errorf("response: "+format, args...)}
+	}
+	if w.First == nil || w.Next == nil || *w.First < 0 {
+		return bad("first or next is missing or negative")
+	}
+	if from < *w.First {
+		return port.Batch{}, &port.TruncatedError{Offset: from, First: *w.First}
+	}
+	if len(w.Records) > limit {
+		return bad("%d records, the limit is %d", len(w.Records), limit)
+	}
+	b := port.Batch{First: *w.First, Next: *w.Next}
+	for i, r := range w.Records {
+		if r.Offset != from+int64(i) {
+			return bad("records[%d].offset: %d, want %d", i, r.Offset, from+int64(i))
+		}
+		b.Records = append(b.Records, revision.Record{Offset: r.Offset, Time: time.UnixMilli(r.TimeMS).UTC(), Data: r.Data})
+	}
+	return b, nil
+}
