dispatch: keep a class from filling the queue

Cause: uploads that wait for seconds filled the queue, so that lookups were refused with queue_full although they had free slots to come. The estimate of the wait for uploads counted slots that uploads may not occupy.

Change: when the queue is full, the newest waiting request of the class with the most waiting requests makes room for a class with fewer. The estimate for uploads counts their share of the slots.

--- a/internal/core/dispatch/admit.go
+++ b/internal/core/dispatch/admit.go
@@ -25,7 +25,7 @@
 		d.refuse(now, r, NoTarget)
 	case c.noneWaits() && d.place(now, r):
 		d.accept(now, r)
-	case d.queue.Full():
+	case d.queue.Full() && !d.makeRoom(now, c):
 		d.refuse(now, r, QueueFull)
 	case r.tooShort(now, d.waitEstimate(now, c)):
 		d.refuse(now, r, DeadlineTooShort)
@@ -42,6 +42,23 @@
 	return first == nil
 }
 
+// makeRoom refuses the newest waiting request of the class that has the most of
+// them, if that leaves this class no more than it. A class whose requests wait
+// long thus cannot take the whole queue.
+func (d *Dispatcher) makeRoom(now time.Time, c *class) bool {
+	longest := c
+	for _, other := range d.order {
+		if other.flow.First() > longest.flow.First() {
+			longest = other
+		}
+	}
+	if longest.flow.First() <= c.flow.First()+1 {
+		return false
+	}
+	d.endWait(now, longest.flow.Newest().Value, QueueFull)
+	return true
+}
+
 func (d *Dispatcher) accept(now time.Time, r *request) {
 	d.requests[r.ID] = r
 	d.budget.Request(now)
@@ -74,7 +91,7 @@
 	for _, other := range d.order {
 		ahead += min(own, other.flow.Len())
 	}
-	return limit.Wait(c.service.Mean(now), ahead, c.capacity)
+	return limit.Wait(c.service.Mean(now), ahead, d.slotsFor(c))
 }
 
 // place starts a request if a target has a free slot for it.
@@ -100,11 +117,15 @@
 // uploadsAtCap reports whether uploads hold their share of the slots, so that
 // they cannot starve the other classes.
 func (d *Dispatcher) uploadsAtCap(c *class) bool {
+	return c.Upload && !d.uploadsOnly && d.uploads >= d.slotsFor(c)
+}
+
+// slotsFor returns the slots that a class may occupy.
+func (d *Dispatcher) slotsFor(c *class) int {
 	if !c.Upload || d.uploadsOnly {
-		return false
+		return c.capacity
 	}
-	share := int(d.cfg.UploadShare * float64(c.capacity))
-	return d.uploads >= max(1, share)
+	return max(1, int(d.cfg.UploadShare*float64(c.capacity)))
 }
 
 // exclusions returns the rotation's members that a request must not get: those
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -10,7 +10,9 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/retry"
 )
 
-// Dispatcher decides for one service on one host.
+// Dispatcher decides for one service on one host. The actions that a method
+// returns may concern other requests than the one in the event: a slot that
+// becomes free starts a waiting request, and a full queue refuses one.
 type Dispatcher struct {
 	cfg    Config
 	self   Self
--- a/internal/core/limit/queue.go
+++ b/internal/core/limit/queue.go
@@ -95,6 +95,12 @@
 // Len returns the number of values in the flow.
 func (f *Flow[T]) Len() int { return f.retries.length + f.first.length }
 
+// First returns the number of first attempts in the flow.
+func (f *Flow[T]) First() int { return f.first.length }
+
+// Newest returns the first attempt that was queued last, nil if there is none.
+func (f *Flow[T]) Newest() *Item[T] { return f.first.tail }
+
 // SetCost sets the expected slot time of one value.
 func (f *Flow[T]) SetCost(expected time.Duration) { f.cost = expected.Seconds() }
 
