limit: pause a target that sheds, with a backoff

Cause: a target that sheds at once is idle and thus the least loaded, so it attracted most attempts. Health counts shedding as load, so nothing ended it.

Change: after a shed without Retry-After the target is paused for 20 ms, doubled with each further decrease up to 1 s, until it answers.

--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -187,7 +187,7 @@
 	Limit int
 	// Others is the decayed load that others put on the target, in requests.
 	Others float64
-	// Paused tells that the target shed and asked to wait.
+	// Paused tells that the target shed and gets no attempt for a short time.
 	Paused bool
 }
 
--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -109,6 +109,7 @@
 	switch res.Kind {
 	case attempt.Answered:
 		a.request.class.service.Add(now, now.Sub(a.started))
+		a.target.limit.Answered()
 	case attempt.Shed:
 		a.target.limit.Shed(now, res.RetryAfter)
 	case attempt.Draining:
--- a/internal/core/limit/adaptive.go
+++ b/internal/core/limit/adaptive.go
@@ -18,6 +18,13 @@
 	// maxPause bounds the Retry-After that is respected, so that a wrong value
 	// cannot take a target out of service for long.
 	maxPause = 5 * time.Second
+	// basePause is the pause after a shed without Retry-After. It doubles with
+	// each further shed up to maxBackoff. A target that sheds at once is always
+	// the least loaded and would otherwise attract work.
+	basePause  = 20 * time.Millisecond
+	maxBackoff = time.Second
+	// maxDoublings keeps the shift below from overflowing.
+	maxDoublings = 6
 )
 
 // Adaptive is the in-flight limit of one target. It falls by a factor when the
@@ -28,6 +35,8 @@
 	last        time.Time
 	decreased   time.Time
 	pausedUntil time.Time
+	// sheds counts the decreases since the last answer.
+	sheds int
 }
 
 // NewAdaptive returns a limit that starts at the declared slots.
@@ -48,26 +57,35 @@
 }
 
 // Shed lowers the limit after the target refused an attempt because of load,
-// and pauses the target for the wait that it asked for.
+// and pauses the target for the wait that it asked for or for a short backoff.
 func (a *Adaptive) Shed(now time.Time, retryAfter time.Duration) {
 	a.advance(now)
-	if until := now.Add(min(retryAfter, maxPause)); until.After(a.pausedUntil) {
-		a.pausedUntil = until
-	}
+	a.pause(now, min(retryAfter, maxPause))
 	if now.Sub(a.decreased) < decreaseInterval && !a.decreased.IsZero() {
 		return
 	}
 	a.decreased = now
 	a.value = max(1, a.value*decreaseFactor)
+	a.pause(now, min(maxBackoff, basePause<<min(a.sheds, maxDoublings)))
+	a.sheds++
 }
 
+func (a *Adaptive) pause(now time.Time, wait time.Duration) {
+	if until := now.Add(wait); until.After(a.pausedUntil) {
+		a.pausedUntil = until
+	}
+}
+
+// Answered records that the target served an attempt.
+func (a *Adaptive) Answered() { a.sheds = 0 }
+
 // Limit returns the number of attempts that may be in flight, at least 1.
 func (a *Adaptive) Limit(now time.Time) int {
 	a.advance(now)
 	return int(a.value)
 }
 
-// Paused reports whether the target asked to wait.
+// Paused reports whether the target gets no attempt because it shed.
 func (a *Adaptive) Paused(now time.Time) bool { return now.Before(a.pausedUntil) }
 
 // NextChange returns the time at which Limit or Paused changes by itself, and
--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -8,8 +8,8 @@
 var epoch = time.Unix(1_700_000_000, 0)
 
 // TestAdaptive guards against a limit that falls below 1, falls several times
-// for one overload, recovers above the slots, or ignores or trusts without
-// bound the Retry-After of a target.
+// for one overload, recovers above the slots, ignores or trusts without bound
+// the Retry-After of a target, or lets a target that sheds at once attract work.
 func TestAdaptive(t *testing.T) {
 	a := NewAdaptive(epoch, 6)
 	now := epoch
@@ -30,6 +30,12 @@
 		now = now.Add(decreaseInterval)
 		a.Shed(now, 0)
 	}
+	check(1, true)
+	a.Answered()
+	now = now.Add(maxBackoff)
+	check(1, false)
+	a.Shed(now, 0)
+	now = now.Add(basePause)
 	check(1, false)
 	for range 4 {
 		before := a.Limit(now)
