Replace the consecutive-failure rule by relative sequential tests

Cause: five consecutive failures find neither partial failures nor slow or silent targets, eject a whole service in an error burst, and know no evidence of other hosts, trials, ramps, floor or draining.

Shared error bursts and stalls still eject about 1 to 4 of 100 targets at their onset or end.

--- a/internal/core/health/evidence.go
+++ b/internal/core/health/evidence.go
@@ -1,6 +1,8 @@
 package health
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
@@ -29,8 +31,185 @@
 	Draining bool
 }
 
-// Evidence returns this host's report for the other serving hosts.
-func (t *Tracker) Evidence(time.Time) Evidence { return Evidence{} }
+// Parameters of the evidence of other hosts. Shares are in thresholds.
+const (
+	// claimLifetime is how long a report counts; reports are sent about every
+	// second.
+	claimLifetime = 3 * time.Second
+	// maxReporters bounds the hosts that are remembered.
+	maxReporters = 64
+	// minClaimAttempts is the number of attempts below which a claim is ignored.
+	minClaimAttempts = 3
+	// agreeShare is the score at which another host counts as agreeing, and the
+	// most that it adds to this host's own evidence.
+	agreeShare = 0.5
+	// ownShare is the least evidence of this host for a fused decision.
+	ownShare = 1.0 / 3
+	// othersShare is the score that each of two other hosts needs when this host
+	// has no evidence of its own.
+	othersShare = 0.75
+	// minOthers is the number of other hosts that agree in that case.
+	minOthers = 2
+	// fewAttempts is the number of this host's recent attempts above which it
+	// trusts its own lack of evidence: a target may fail for some callers only.
+	fewAttempts = 10
+	// removedHalfLife makes this host's claim about a removed target fade, so
+	// that hosts do not keep each other's ejections alive.
+	removedHalfLife = 10 * time.Second
+	// undrainQuiet is how long others' draining claims are ignored after the
+	// target told this host that it stopped draining.
+	undrainQuiet = 10 * time.Second
+)
+
+// reporter is another host.
+type reporter struct {
+	host        ident.HostID
+	incarnation ident.Incarnation
+	sequence    uint64
+	received    int64
+	targets     []*target
+}
+
+// claim is what a reporter's newest report says about a target.
+type claim struct {
+	from     *reporter
+	score    float32
+	draining bool
+}
+
+// agreement sums up the claims about a target that have not expired.
+type agreement struct {
+	// hosts is the number of other hosts that agree; fused the sum of their
+	// bounded scores; strong counts the hosts whose evidence is high enough to
+	// do without this host's.
+	hosts, strong, draining int
+	fused                   float64
+}
+
+func (t *Tracker) agreement(target *target, now int64) agreement {
+	var a agreement
+	for _, c := range target.claims {
+		if now-c.from.received > int64(claimLifetime) {
+			continue
+		}
+		if c.draining {
+			a.draining++
+		}
+		score := float64(c.score)
+		if score >= agreeShare*t.threshold {
+			a.hosts++
+			a.fused += agreeShare * t.threshold
+		}
+		if score >= othersShare*t.threshold {
+			a.strong++
+		}
+	}
+	return a
+}
+
+// Evidence returns this host's report for the other serving hosts. It lists
+// the targets that something is known about. The caller sets the incarnation
+// of this host.
+func (t *Tracker) Evidence(now time.Time) Evidence {
+	at := now.UnixNano()
+	t.sequence++
+	e := Evidence{Host: t.self, Sequence: t.sequence}
+	for _, target := range t.order {
+		te := TargetEvidence{Target: target.ID, InFlight: target.open, Draining: target.state == Draining && target.drainSeen}
+		te.Score, te.Attempts = t.ownEvidence(target, at)
+		if te.Score > 0 || te.Attempts > 0 || te.InFlight > 0 || te.Draining {
+			e.Targets = append(e.Targets, te)
+		}
+	}
+	return e
+}
 
-// Merge takes the report of another serving host.
-func (t *Tracker) Merge(time.Time, Evidence) []Change { return nil }
+// ownEvidence returns the statistic on this host's own samples.
+func (t *Tracker) ownEvidence(target *target, now int64) (float64, uint32) {
+	if target.state.removed() {
+		fade := math.Exp2(-float64(now-target.removedAt) / float64(removedHalfLife))
+		return float64(target.removedScore) * fade, target.removedAttempts
+	}
+	if target.state == Draining {
+		return 0, 0
+	}
+	return min(t.corrected(target, now), t.threshold), t.recentAttempts(target, now)
+}
+
+// recentAttempts counts this host's recent attempts, those in flight included.
+func (t *Tracker) recentAttempts(target *target, now int64) uint32 {
+	return uint32(target.sums.n/t.weight(now)+0.5) + target.open
+}
+
+// Merge takes the report of another serving host. Reports that are older than
+// one already taken, and repeated ones, have no effect.
+func (t *Tracker) Merge(now time.Time, e Evidence) []Change {
+	at := now.UnixNano()
+	r := t.accept(at, e)
+	if r == nil {
+		return nil
+	}
+	for _, target := range r.targets {
+		target.claims = slices.DeleteFunc(target.claims, func(c claim) bool { return c.from == r })
+	}
+	r.targets = r.targets[:0]
+	for _, te := range e.Targets {
+		t.claim(r, te)
+	}
+	var changes []Change
+	for _, target := range r.targets {
+		changes = append(changes, t.evaluate(at, target)...)
+	}
+	t.rebuildIfDirty()
+	return changes
+}
+
+// accept returns the reporter of a report that is newer than its last one.
+func (t *Tracker) accept(now int64, e Evidence) *reporter {
+	if e.Host == t.self || e.Host == "" {
+		return nil
+	}
+	r := t.reporters[e.Host]
+	if r == nil {
+		if len(t.reporters) >= maxReporters {
+			t.dropOldestReporter()
+		}
+		r = &reporter{host: e.Host}
+		t.reporters[e.Host] = r
+	} else if e.Incarnation < r.incarnation || e.Incarnation == r.incarnation && e.Sequence <= r.sequence {
+		return nil
+	}
+	r.incarnation, r.sequence, r.received = e.Incarnation, e.Sequence, now
+	return r
+}
+
+func (t *Tracker) dropOldestReporter() {
+	var oldest *reporter
+	for _, r := range t.reporters {
+		if oldest == nil || r.received < oldest.received || r.received == oldest.received && r.host < oldest.host {
+			oldest = r
+		}
+	}
+	for _, target := range oldest.targets {
+		target.claims = slices.DeleteFunc(target.claims, func(c claim) bool { return c.from == oldest })
+	}
+	delete(t.reporters, oldest.host)
+}
+
+// claim stores a report's entry if it speaks against the target.
+func (t *Tracker) claim(r *reporter, te TargetEvidence) {
+	target := t.targets[te.Target]
+	if target == nil || slices.ContainsFunc(target.claims, func(c claim) bool { return c.from == r }) {
+		return
+	}
+	score := te.Score
+	if !(score > 0) || te.Attempts < minClaimAttempts {
+		score = 0
+	}
+	score = min(score, t.threshold)
+	if score < agreeShare*t.threshold && !te.Draining {
+		return
+	}
+	target.claims = append(target.claims, claim{from: r, score: float32(score), draining: te.Draining})
+	r.targets = append(r.targets, target)
+}
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -1,8 +1,9 @@
-// Package health decides which targets of one service are in rotation on one
-// host.
 package health
 
 import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
@@ -88,6 +89,10 @@
 	return [...]string{"healthy", "excluded", "ejected", "ramping", "draining"}[s]
 }
 
+func (s State) inRotation() bool { return s == Healthy || s == Ramping }
+
+func (s State) removed() bool { return s == Excluded || s == Ejected }
+
 // Status is the state of one target.
 type Status struct {
 	Target ident.TargetID
@@ -101,129 +106,265 @@
 // Tracker holds the health of a service's targets on one host. It is not safe
 // for concurrent use.
 type Tracker struct {
-	cfg      Config
-	targets  map[ident.TargetID]*target
-	attempts map[ident.AttemptID]*target
-	version  uint64
-	rotation []Member
+	cfg       Config
+	self      ident.HostID
+	rng       *rand.Rand
+	threshold float64
+
+	targets map[ident.TargetID]*target
+	// order holds the targets in document order.
+	order []*target
+	// unsettled holds the targets that are not Healthy, in document order.
+	unsettled []*target
+	attempts  map[ident.AttemptID]*openAttempt
+	open      openList
+	// overdue holds the targets with pending evidence at the last tick.
+	overdue []*target
+	// late is scratch space of a tick.
+	late []*openAttempt
+
+	groups   map[ident.Location]*group
+	profiles map[ident.ClassName]int
+	total    sums
+	recent   ring
+	starts   startLog
+	// landmark is the time of weight 1 of the forward-decayed sums.
+	landmark int64
+
+	reporters map[ident.HostID]*reporter
+	sequence  uint64
+
+	dirty     bool
+	version   uint64
+	rotation  []Member
+	rotations map[ident.ClassName][]Member
 }
 
+// target is the state of one target. Times are in nanoseconds since the Unix
+// epoch.
 type target struct {
 	Target
-	consecutive int
-	ejectedTill time.Time
-}
+	index int
+	state State
+	// weight is 1 when Healthy, the ramp's weight when Ramping, otherwise 0.
+	weight float64
+	group  *group
+	sums   sums
+	stat   statistic
+	// probeScore is the bounded evidence of failing probes.
+	probeScore float32
+	pending    pending
+	// open is the number of attempts in flight, answered the number of responses.
+	open, answered uint32
+	suspectTill    int64
+	claims         []claim
 
-const (
-	ejectAfter = 5
-	ejectFor   = 10 * time.Second
-)
+	// Removal and return.
+	level           float32
+	removedScore    float32
+	removedAttempts uint32
+	removedAt       int64
+	returnedAt      int64
+	until           int64
+	rampFrom        int64
+	trialAt         int64
+	trialExcess     float32
+	successes       uint16
+	trialOpen       bool
+
+	// Draining. drainDeclared: Drain told so, and only Drain ends it; drainSeen:
+	// this host saw it; drainedRemoved: the target was removed before.
+	drainDeclared, drainSeen, drainedRemoved bool
+	drainTill, undrainedAt                   int64
+}
 
 // New returns a tracker for the targets of cfg. The seed fixes every random
 // choice.
 func New(now time.Time, cfg Config, self ident.HostID, seed uint64) *Tracker {
-	t := &Tracker{targets: map[ident.TargetID]*target{}, attempts: map[ident.AttemptID]*target{}}
+	t := &Tracker{
+		self:      self,
+		rng:       rand.New(rand.NewPCG(seed, 2)),
+		targets:   map[ident.TargetID]*target{},
+		attempts:  map[ident.AttemptID]*openAttempt{},
+		groups:    map[ident.Location]*group{},
+		profiles:  map[ident.ClassName]int{},
+		recent:    newRing(recentOutcomes),
+		landmark:  now.UnixNano(),
+		reporters: map[ident.HostID]*reporter{},
+	}
 	t.Configure(now, cfg)
 	return t
 }
 
 // Configure replaces the policy and the set of targets; state of targets that
-// stay is kept.
+// stay is kept. Targets that are added to a running service start with a ramp.
 func (t *Tracker) Configure(now time.Time, cfg Config) []Change {
+	at := now.UnixNano()
 	t.cfg = cfg
-	current := map[ident.TargetID]*target{}
+	t.threshold = threshold(clampUnit(cfg.Balance))
+	first := t.order == nil
+	previous := t.targets
+	t.targets = make(map[ident.TargetID]*target, len(cfg.Targets))
+	t.order = make([]*target, 0, len(cfg.Targets))
+	t.unsettled = nil
 	for _, c := range cfg.Targets {
-		known := t.targets[c.ID]
+		if t.targets[c.ID] != nil {
+			continue
+		}
+		known := previous[c.ID]
 		if known == nil {
-			known = &target{}
+			known = &target{state: Healthy, weight: 1, returnedAt: at}
+			if !first {
+				known.state = Ramping
+				known.weight = 1.0 / rampSteps
+				known.rampFrom = at
+			}
 		}
 		known.Target = c
-		current[c.ID] = known
+		known.index = len(t.order)
+		t.targets[c.ID] = known
+		t.order = append(t.order, known)
+		if known.state != Healthy {
+			t.unsettled = append(t.unsettled, known)
+		}
 	}
-	t.targets = current
-	t.rebuild(now)
+	t.dropUnknown()
+	t.regroup()
+	t.dirty = true
+	t.rebuildIfDirty()
 	return nil
 }
 
+// dropUnknown forgets the open attempts, results and claims of targets that
+// left the configuration.
+func (t *Tracker) dropUnknown() {
+	gone := func(target *target) bool { return t.targets[target.ID] != target }
+	for a := t.open.first; a != nil; {
+		next := a.next
+		if gone(a.target) {
+			t.open.remove(a)
+			delete(t.attempts, a.id)
+		}
+		a = next
+	}
+	t.overdue = slices.DeleteFunc(t.overdue, gone)
+	for _, r := range t.reporters {
+		r.targets = slices.DeleteFunc(r.targets, gone)
+	}
+	dropSamples(&t.recent, gone)
+	for _, g := range t.groups {
+		dropSamples(&g.recent, gone)
+	}
+}
+
+func dropSamples(r *ring, gone func(*target) bool) {
+	for i := range r.samples {
+		if s := &r.samples[i]; s.target != nil && gone(s.target) {
+			*s = sample{ended: s.ended}
+		}
+	}
+}
+
 // Started records the start of an attempt.
-func (t *Tracker) Started(_ time.Time, a Attempt) {
-	if target := t.targets[a.Target]; target != nil {
-		t.attempts[a.ID] = target
+func (t *Tracker) Started(now time.Time, a Attempt) {
+	target := t.targets[a.Target]
+	if target == nil || t.attempts[a.ID] != nil {
+		return
+	}
+	open := &openAttempt{
+		id: a.ID, target: target, started: now.UnixNano(), answered: target.answered,
+		profile: uint8(t.profile(a.Class, a.Fresh)), fresh: a.Fresh, trial: a.Trial,
+	}
+	t.attempts[a.ID] = open
+	t.open.push(open)
+	target.open++
+	if a.Trial {
+		target.trialOpen = true
+		target.trialAt = open.started
 	}
 }
 
 // Finished records the end of an attempt.
 func (t *Tracker) Finished(now time.Time, id ident.AttemptID, res attempt.Result) []Change {
-	target := t.attempts[id]
-	if target == nil {
+	a := t.attempts[id]
+	if a == nil {
 		return nil
 	}
 	delete(t.attempts, id)
-	switch res.Kind {
-	case attempt.Answered:
-		target.consecutive = 0
-	case attempt.ServerError, attempt.DialFailed, attempt.TimedOut, attempt.ConnectionLost, attempt.BadAnswer:
-		target.consecutive++
+	t.open.remove(a)
+	a.target.open--
+	if res.FreshConnection || res.Kind == attempt.DialFailed {
+		a.fresh = true
+		a.profile |= 1
 	}
-	if target.consecutive < ejectAfter {
-		return nil
-	}
-	target.consecutive = 0
-	target.ejectedTill = now.Add(ejectFor)
-	t.rebuild(now)
-	return []Change{{Kind: event.TargetEjected, Target: target.ID, Fields: []event.Field{event.F("evidence", "consecutive failures")}}}
+	changes := t.finish(now.UnixNano(), a, res)
+	t.rebuildIfDirty()
+	return changes
 }
 
-// Probed records the end of a probe.
-func (t *Tracker) Probed(time.Time, ident.TargetID, bool, time.Duration) []Change { return nil }
-
-// Drain records that a target announced draining, or with draining false that
-// it stopped doing so.
-func (t *Tracker) Drain(time.Time, ident.TargetID, bool) []Change { return nil }
-
 // Tick advances ejections, ramps and the age of attempts in flight.
 func (t *Tracker) Tick(now time.Time) []Change {
+	at := now.UnixNano()
 	var changes []Change
-	for _, target := range t.targets {
-		if !target.ejectedTill.IsZero() && !now.Before(target.ejectedTill) {
-			target.ejectedTill = time.Time{}
-			changes = append(changes, Change{Kind: event.TargetReturned, Target: target.ID})
-		}
+	for _, target := range t.age(at) {
+		changes = append(changes, t.evaluate(at, target)...)
 	}
-	if changes != nil {
-		t.rebuild(now)
+	for _, target := range slices.Clone(t.unsettled) {
+		changes = append(changes, t.advance(at, target)...)
 	}
+	t.rebuildIfDirty()
 	return changes
 }
 
-// Rotation returns the targets that may get requests of a class, and a version
-// that changes whenever a rotation changes. The slice is shared: callers must
-// not modify it.
-func (t *Tracker) Rotation(ident.ClassName) ([]Member, uint64) { return t.rotation, t.version }
+// Intervals of Tick.
+const (
+	tickOpen  = 100 * time.Millisecond
+	tickState = 250 * time.Millisecond
+	tickIdle  = time.Second
+)
 
-// Trials returns the ejected targets that a trial request or probe may test now.
-func (t *Tracker) Trials(time.Time) []ident.TargetID { return nil }
+// NextTick returns the time of the next Tick that can have an effect. With
+// attempts in flight it is soon enough to see a target that stops responding.
+func (t *Tracker) NextTick(now time.Time) time.Time {
+	switch {
+	case t.open.first != nil:
+		return now.Add(tickOpen)
+	case len(t.unsettled) > 0:
+		return now.Add(tickState)
+	default:
+		return now.Add(tickIdle)
+	}
+}
 
 // Status returns the state of every target in document order.
 func (t *Tracker) Status() []Status {
-	var list []Status
-	for _, c := range t.cfg.Targets {
-		target := t.targets[c.ID]
-		s := Status{Target: c.ID, Weight: 1, Score: float64(target.consecutive)}
-		if !target.ejectedTill.IsZero() {
-			s.State, s.Weight = Ejected, 0
+	list := make([]Status, 0, len(t.order))
+	for _, target := range t.order {
+		s := Status{Target: target.ID, State: target.state, Weight: target.weight, Score: t.rawScore(target)}
+		if target.state.removed() {
+			s.Score = max(s.Score, float64(target.removedScore))
 		}
 		list = append(list, s)
 	}
 	return list
 }
 
-func (t *Tracker) rebuild(time.Time) {
-	t.version++
-	t.rotation = make([]Member, 0, len(t.cfg.Targets))
-	for _, c := range t.cfg.Targets {
-		if t.targets[c.ID].ejectedTill.IsZero() {
-			t.rotation = append(t.rotation, Member{Target: c.ID, Weight: 1})
+func byIndex(a, b *target) int { return cmp.Compare(a.index, b.index) }
+
+// setState changes the state of a target and marks the rotations for a rebuild.
+func (t *Tracker) setState(target *target, state State) {
+	if (target.state == Healthy) != (state == Healthy) {
+		i, found := slices.BinarySearchFunc(t.unsettled, target, byIndex)
+		if found {
+			t.unsettled = slices.Delete(t.unsettled, i, i+1)
+		} else {
+			t.unsettled = slices.Insert(t.unsettled, i, target)
 		}
 	}
+	target.state = state
+	target.weight = 0
+	if state == Healthy {
+		target.weight = 1
+	}
+	t.dirty = true
 }
--- /dev/null
+++ b/internal/core/health/measure_test.go
@@ -0,0 +1,271 @@
+package health
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+var balances = []float64{0, 0.5, 1}
+
+// TestHealthyTargetsStay guards against false ejections by long-tailed latency
+// and background errors.
+func TestHealthyTargetsStay(t *testing.T) {
+	limits := []float64{1, 5, 10}
+	for i, balance := range balances {
+		t.Run(fmt.Sprint(balance), func(t *testing.T) {
+			t.Parallel()
+			n, hours := healthyRun(balance, 2*time.Hour)
+			rate := float64(n) / hours * 1000
+			t.Logf("balance %v: %d false ejections in %.0f target-hours, %.2f per 1,000", balance, n, hours, rate)
+			if rate > limits[i] {
+				t.Errorf("false ejections per 1,000 target-hours: %.2f, want at most %v", rate, limits[i])
+			}
+		})
+	}
+}
+
+// healthyRun returns false ejections and target-hours of healthy services with
+// 1 to 5 requests/s per target.
+func healthyRun(balance float64, d time.Duration) (int, float64) {
+	n, hours := 0, 0.0
+	for i, rps := range []float64{1, 2, 5} {
+		s := newSim(simConfig(balance, 40, 4), uint64(i+1))
+		s.rps = rps
+		s.median = []float64{0.02, 0.6, 0.02}[i]
+		s.run(seconds(d.Seconds() * min(1, 2.5/rps)))
+		n += s.ejections()
+		hours += 40 * s.now.Sub(s.start).Hours()
+	}
+	return n, hours
+}
+
+func BenchmarkFalseEjections(b *testing.B) {
+	for _, balance := range balances {
+		b.Run(fmt.Sprint("balance=", balance), func(b *testing.B) {
+			n, hours := 0, 0.0
+			for b.Loop() {
+				n, hours = healthyRun(balance, 24*time.Hour)
+			}
+			b.ReportMetric(float64(n), "ejections")
+			b.ReportMetric(hours, "target-hours")
+		})
+	}
+}
+
+var faults = []struct {
+	name    string
+	fault   behavior
+	regular bool // arrivals are evenly spaced
+	limit   [3]time.Duration
+}{
+	{"blackout", behavior{slow: 1, silent: true}, true, [3]time.Duration{2 * time.Second, time.Second, time.Second}},
+	{"blackout-poisson", behavior{slow: 1, silent: true}, false, [3]time.Duration{2 * time.Second, 1500 * time.Millisecond, 1500 * time.Millisecond}},
+	{"errors30", behavior{slow: 1, errors: 0.3}, false, [3]time.Duration{10 * time.Second, 7 * time.Second, 5 * time.Second}},
+	{"errors5", behavior{slow: 1, errors: 0.05}, false, [3]time.Duration{2 * time.Minute, time.Minute, time.Minute}},
+	{"slow3", behavior{slow: 3}, false, [3]time.Duration{30 * time.Second, 20 * time.Second, 20 * time.Second}},
+	{"slow10", behavior{slow: 10}, false, [3]time.Duration{10 * time.Second, 5 * time.Second, 5 * time.Second}},
+	{"hang30", behavior{slow: 1, hang: 0.3}, false, [3]time.Duration{10 * time.Second, 6 * time.Second, 6 * time.Second}},
+}
+
+// detection returns the sorted times to the ejection of a faulty target out of
+// 10 in 4 zones at 5 requests/s, and the ejections of others.
+func detection(balance float64, fault behavior, regular bool, runs int) (times []time.Duration, others int) {
+	const onset, limit = time.Minute, 10 * time.Minute
+	for seed := range runs {
+		s := newSim(simConfig(balance, 10, 4), uint64(seed+100))
+		s.regular = regular
+		s.run(onset)
+		f := fault
+		s.targets["t3"] = &f
+		d := limit
+		for s.now.Sub(s.start) < onset+limit {
+			s.run(100 * time.Millisecond)
+			if found, ok := s.firstEjection("t3", onset); ok {
+				d = found
+				break
+			}
+		}
+		times = append(times, d)
+		for _, c := range s.changes {
+			if c.Target != "t3" {
+				others++
+			}
+		}
+	}
+	slices.Sort(times)
+	return times, others
+}
+
+// TestDetectionTime guards against slow detection of each kind of fault.
+func TestDetectionTime(t *testing.T) {
+	const runs = 15
+	for _, f := range faults {
+		for i, balance := range balances {
+			times, others := detection(balance, f.fault, f.regular, runs)
+			t.Logf("%s balance %v: median %v, highest %v", f.name, balance, times[runs/2], times[runs-1])
+			if times[runs/2] > f.limit[i] {
+				t.Errorf("%s balance %v: median %v, want at most %v", f.name, balance, times[runs/2], f.limit[i])
+			}
+			if others > 0 {
+				t.Errorf("%s balance %v: %d changes of healthy targets", f.name, balance, others)
+			}
+		}
+	}
+}
+
+// sharedFault is a cause that all targets share, or those of one zone.
+var sharedFaults = []struct {
+	name  string
+	zone  bool
+	fault behavior
+}{
+	{"slow3", false, behavior{slow: 3}},
+	{"slow10", false, behavior{slow: 10}},
+	{"errors20", false, behavior{slow: 1, errors: 0.2}},
+	{"errors50", false, behavior{slow: 1, errors: 0.5}},
+	{"errors100", false, behavior{slow: 1, errors: 1}},
+	{"stall", false, behavior{slow: 1, silent: true}},
+	{"link-slow3", true, behavior{slow: 3}},
+	{"link-slow10", true, behavior{slow: 10}},
+}
+
+// sharedRun returns the ejections in a shared fault of 40 s, which ends
+// and recurs, at 10 targets in 4 zones.
+func sharedRun(balance float64, zone bool, fault behavior, seed uint64) int {
+	s := newSim(simConfig(balance, 10, 4), seed)
+	s.run(time.Minute)
+	for range 2 {
+		for _, target := range s.t.cfg.Targets {
+			if f := fault; !zone || target.Location.Zone == "z1" {
+				*s.targets[target.ID] = f
+			}
+		}
+		s.run(40 * time.Second)
+		for _, b := range s.targets {
+			*b = behavior{slow: 1}
+		}
+		s.run(30 * time.Second)
+	}
+	return s.ejections()
+}
+
+// TestSharedFaults guards against ejections for a cause that the targets share.
+// Some are allowed per 100 targets and onsets: three failures of one target in
+// the first moments of an error burst look like a failure of this target, and
+// attempts left over from a stall that ended may be spread unevenly.
+func TestSharedFaults(t *testing.T) {
+	const seeds, onsets, targets = 5, 2, 10
+	allowed := []int{1, 2, 4}
+	for _, f := range sharedFaults {
+		for i, balance := range balances {
+			n := 0
+			for seed := range uint64(seeds) {
+				n += sharedRun(balance, f.zone, f.fault, seed)
+			}
+			t.Logf("%s balance %v: %d ejections", f.name, balance, n)
+			if n > allowed[i]*seeds*onsets*targets/100 {
+				t.Errorf("%s balance %v: %d ejections", f.name, balance, n)
+			}
+		}
+	}
+}
+
+func BenchmarkSharedFaults(b *testing.B) {
+	for _, f := range sharedFaults {
+		for _, balance := range balances {
+			b.Run(fmt.Sprintf("%s/balance=%v", f.name, balance), func(b *testing.B) {
+				n := 0
+				for b.Loop() {
+					n = 0
+					for seed := range uint64(50) {
+						n += sharedRun(balance, f.zone, f.fault, seed)
+					}
+				}
+				b.ReportMetric(float64(n)/10, "ejections/100-onsets")
+			})
+		}
+	}
+}
+
+func BenchmarkDetection(b *testing.B) {
+	for _, f := range faults {
+		for _, balance := range balances {
+			b.Run(fmt.Sprintf("%s/balance=%v", f.name, balance), func(b *testing.B) {
+				var times []time.Duration
+				others := 0
+				for b.Loop() {
+					times, others = detection(balance, f.fault, f.regular, 101)
+				}
+				b.ReportMetric(times[50].Seconds(), "median-s")
+				b.ReportMetric(times[95].Seconds(), "p95-s")
+				b.ReportMetric(float64(others), "others")
+			})
+		}
+	}
+}
+
+var sizes = []int{10, 100, 1000, 10000}
+
+func BenchmarkFinished(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint("targets=", size), func(b *testing.B) {
+			cfg := simConfig(0.5, size, 4)
+			now := time.Unix(1_000_000, 0)
+			t := New(now, cfg, "self", 1)
+			b.ReportAllocs()
+			id := ident.AttemptID(0)
+			for b.Loop() {
+				id++
+				now = now.Add(time.Millisecond)
+				t.Started(now, Attempt{ID: id, Target: cfg.Targets[int(id)%size].ID, Class: "lookup"})
+				t.Finished(now.Add(time.Duration(20+id%50)*time.Millisecond), id, attempt.Result{})
+			}
+		})
+	}
+}
+
+func BenchmarkRotation(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint("targets=", size), func(b *testing.B) {
+			t := New(time.Unix(1_000_000, 0), simConfig(0.5, size, 4), "self", 1)
+			b.Run("cached", func(b *testing.B) {
+				for b.Loop() {
+					t.Rotation("lookup")
+				}
+			})
+			b.Run("rebuild", func(b *testing.B) {
+				for b.Loop() {
+					t.dirty = true
+					t.rebuildIfDirty()
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkMemory reports the bytes of state per target.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint("targets=", size), func(b *testing.B) {
+			cfg := simConfig(0.5, size, 4)
+			var before, after runtime.MemStats
+			var t *Tracker
+			for b.Loop() {
+				t = nil
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				t = New(time.Unix(1_000_000, 0), cfg, "self", 1)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(size), "B/target")
+			runtime.KeepAlive(t)
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/health/statistic_test.go
@@ -0,0 +1,133 @@
+package health
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// candidate is a sequential test on outcomes that BenchmarkStatistics compares.
+type candidate struct {
+	name string
+	new  func() func(failed bool) float64
+}
+
+// cusum returns the CUSUM test of a failure rate p1 against p0.
+func cusum(p0, p1 float64) func(bool) float64 {
+	score := 0.0
+	return func(failed bool) float64 {
+		if failed {
+			score = max(score+math.Log(p1/p0), 0)
+		} else {
+			score = max(score+math.Log((1-p1)/(1-p0)), 0)
+		}
+		return score
+	}
+}
+
+// shiryaevRoberts returns the log of the Shiryaev-Roberts statistic.
+func shiryaevRoberts(p0, p1 float64) func(bool) float64 {
+	r := 0.0
+	return func(failed bool) float64 {
+		ratio := (1 - p1) / (1 - p0)
+		if failed {
+			ratio = p1 / p0
+		}
+		r = (1 + r) * ratio
+		return math.Log1p(r)
+	}
+}
+
+var candidates = []candidate{
+	{"consecutive", func() func(bool) float64 {
+		n, noise := 0.0, rand.New(rand.NewPCG(1, 1))
+		return func(failed bool) float64 {
+			n++
+			if !failed {
+				n = 0
+			}
+			return n + noise.Float64()/1e3
+		}
+	}},
+	{"window50", func() func(bool) float64 {
+		var window [50]bool
+		i, n := 0, 0
+		return func(failed bool) float64 {
+			if window[i] {
+				n--
+			}
+			if failed {
+				n++
+			}
+			window[i] = failed
+			i = (i + 1) % len(window)
+			return float64(n)
+		}
+	}},
+	{"cusum30", func() func(bool) float64 { return cusum(minFailureRate, burstRate) }},
+	{"cusum3", func() func(bool) float64 { return cusum(minFailureRate, leakRate) }},
+	{"shiryaev-roberts30", func() func(bool) float64 { return shiryaevRoberts(minFailureRate, burstRate) }},
+	{"shiryaev-roberts3", func() func(bool) float64 { return shiryaevRoberts(minFailureRate, leakRate) }},
+	{"burst+leak", func() func(bool) float64 {
+		var s statistic
+		return func(failed bool) float64 {
+			s.outcome(failed, 0, 1, math.Inf(1))
+			return s.score()
+		}
+	}},
+}
+
+// BenchmarkStatistics compares the tests at the same rate of false alarms, one
+// per million healthy attempts with 0.1% errors, by the median number of
+// attempts to the detection of 5%, 30% and 100% errors.
+func BenchmarkStatistics(b *testing.B) {
+	for _, c := range candidates {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				h := falseAlarmThreshold(c)
+				for _, rate := range []float64{0.05, 0.3, 1} {
+					b.ReportMetric(medianDelay(c, h, rate), fmt.Sprintf("attempts@%v", rate))
+				}
+				b.ReportMetric(h, "threshold")
+			}
+		})
+	}
+}
+
+// falseAlarmThreshold returns the threshold that 20 of 2,000 healthy blocks of
+// 10,000 attempts exceed.
+func falseAlarmThreshold(c candidate) float64 {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var peaks []float64
+	for range 2000 {
+		step, peak := c.new(), 0.0
+		for range 10000 {
+			peak = max(peak, step(rng.Float64() < 0.001))
+		}
+		peaks = append(peaks, peak)
+	}
+	slices.Sort(peaks)
+	return peaks[len(peaks)-20]
+}
+
+func medianDelay(c candidate, h, rate float64) float64 {
+	rng := rand.New(rand.NewPCG(3, 4))
+	var delays []float64
+	for range 501 {
+		step, n := c.new(), 0
+		for range 100 {
+			step(rng.Float64() < 0.001)
+		}
+		for n < 10000 {
+			n++
+			if step(rng.Float64() < rate) > h {
+				break
+			}
+		}
+		delays = append(delays, float64(n))
+	}
+	slices.Sort(delays)
+	return delays[len(delays)/2]
+}
--- /dev/null
+++ b/internal/core/health/trial.go
@@ -0,0 +1,322 @@
+package health
+
+import (
+	"math"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+// Parameters of removal, return and ramp.
+const (
+	// basePenalty is the time out of rotation of a first ejection; it doubles
+	// with each further one up to maxPenalty.
+	basePenalty = 5 * time.Second
+	maxPenalty  = 5 * time.Minute
+	// penaltyHalfLife makes earlier ejections count less; it runs only while the
+	// target is in rotation.
+	penaltyHalfLife = 5 * time.Minute
+	// penaltyJitter spreads the returns of targets removed together.
+	penaltyJitter = 0.1
+	// trialFailureLevel is what a failed trial adds to the penalty level.
+	trialFailureLevel = 0.5
+	// trialInterval is the least time between the starts of two trials of a
+	// target; trialExpiry frees the slot of a trial that never finished.
+	trialInterval = 500 * time.Millisecond
+	trialExpiry   = time.Minute
+	// trialsNeeded is the number of successful trials or probes in a row.
+	trialsNeeded = 3
+	// maxTrialExcess is the mean log latency above the baseline (a factor of
+	// 2.5) at which a series of trials fails.
+	maxTrialExcess = 0.92
+	// probeFailureStep, probeSuccessStep and maxProbeShare make failing probes
+	// bounded evidence. The bound is below ownShare, so that probes and other
+	// hosts' claims do not remove a target without an attempt.
+	probeFailureStep = 1.5
+	probeSuccessStep = 1.5
+	maxProbeShare    = 0.3
+	// rampTime is the time from the first weight to full weight; rampSteps is
+	// the number of weights, which bounds the rebuilds of the rotation.
+	rampTime  = 10 * time.Second
+	rampSteps = 10
+	// rampLatencySlack is the extra log latency (a factor of 4) that a cold
+	// target may show at the start of its ramp.
+	rampLatencySlack = 1.39
+	// drainMemory is how long a draining response keeps a target out before a
+	// trial may test whether it still drains.
+	drainMemory = time.Minute
+)
+
+// remove takes a target out of rotation on evidence.
+func (t *Tracker) remove(now int64, target *target, state State, cause string, score float64, a agreement) Change {
+	weight := t.weight(now)
+	failures := math.Round(target.sums.failed / weight)
+	target.removedScore = float32(min(score, t.threshold))
+	target.removedAttempts = t.recentAttempts(target, now)
+	target.removedAt = now
+	idle := float64(now-target.returnedAt) / float64(penaltyHalfLife)
+	target.level = float32(float64(target.level)*math.Exp2(-idle) + 1)
+	t.forget(target)
+	t.setState(target, state)
+	t.penalize(now, target)
+	c := t.ejection(now, target, cause, score, a)
+	c.Fields = append(c.Fields, event.F("failures", failures))
+	return c
+}
+
+// ejection describes a removal for the timeline.
+func (t *Tracker) ejection(now int64, target *target, cause string, score float64, a agreement) Change {
+	return Change{Kind: event.TargetEjected, Target: target.ID, Fields: []event.Field{
+		event.F("scope", scopeOf(target.state)),
+		event.F("cause", cause),
+		event.F("score", rounded(score)),
+		event.F("threshold", rounded(t.threshold)),
+		event.F("attempts", target.removedAttempts),
+		event.F("in_flight", target.open),
+		event.F("in_flight_age", target.pending.oldest),
+		event.F("hosts_agreeing", a.hosts),
+		event.F("out_ms", max(target.until-now, 0)/int64(time.Millisecond)),
+	}}
+}
+
+func scopeOf(state State) string {
+	if state == Ejected {
+		return "service"
+	}
+	return "host"
+}
+
+func rounded(x float64) float64 { return math.Round(x*100) / 100 }
+
+// penalize sets the end of the penalty from the level.
+func (t *Tracker) penalize(now int64, target *target) {
+	d := float64(basePenalty) * math.Exp2(float64(target.level)-1)
+	d = min(d, float64(maxPenalty))
+	d *= 1 + penaltyJitter*(2*t.rng.Float64()-1)
+	target.until = now + int64(d)
+	target.successes = 0
+	target.trialExcess = 0
+}
+
+// prolong extends the removal after a failed trial.
+func (t *Tracker) prolong(now int64, target *target) {
+	target.level = min(target.level+trialFailureLevel, 10)
+	target.removedScore = float32(t.threshold)
+	target.removedAt = now
+	t.penalize(now, target)
+}
+
+// testable reports whether the return of a target may be tested.
+func (t *Tracker) testable(now int64, target *target) bool {
+	switch {
+	case target.state.removed():
+		return now >= target.until
+	case target.state == Draining:
+		return !target.drainDeclared && now >= target.drainTill
+	}
+	return false
+}
+
+// Trials returns the removed targets that a trial request or probe may test now.
+func (t *Tracker) Trials(now time.Time) []ident.TargetID {
+	at := now.UnixNano()
+	var list []ident.TargetID
+	for _, target := range t.unsettled {
+		if !t.testable(at, target) {
+			continue
+		}
+		busy := target.trialOpen && at-target.trialAt < int64(trialExpiry)
+		if !busy && at-target.trialAt >= int64(trialInterval) {
+			list = append(list, target.ID)
+		}
+	}
+	return list
+}
+
+// finishTrial takes the result of a trial request.
+func (t *Tracker) finishTrial(now int64, a *openAttempt, res attempt.Result, excess float64, known bool) []Change {
+	target := a.target
+	if a.started == target.trialAt {
+		target.trialOpen = false
+	}
+	if !t.testable(now, target) {
+		return nil
+	}
+	switch res.Kind {
+	case attempt.Answered:
+		if known {
+			target.trialExcess += float32(excess)
+		}
+		return t.trialSucceeded(now, target)
+	case attempt.Shed, attempt.Draining, attempt.Canceled:
+		return nil
+	case attempt.ConnectionLost, attempt.TimedOut:
+		if !a.fresh {
+			return nil
+		}
+	}
+	t.trialFailed(now, target)
+	return nil
+}
+
+func (t *Tracker) trialFailed(now int64, target *target) {
+	if target.state == Draining {
+		target.drainTill = now + int64(drainMemory)
+		target.successes = 0
+		return
+	}
+	t.prolong(now, target)
+}
+
+func (t *Tracker) trialSucceeded(now int64, target *target) []Change {
+	target.successes++
+	if target.successes < trialsNeeded {
+		return nil
+	}
+	if float64(target.trialExcess)/trialsNeeded > maxTrialExcess {
+		t.trialFailed(now, target)
+		return nil
+	}
+	return []Change{t.restore(now, target)}
+}
+
+// restore puts a target back into rotation at the start of its ramp.
+func (t *Tracker) restore(now int64, target *target) Change {
+	fields := []event.Field{
+		event.F("from", target.state),
+		event.F("successes", target.successes),
+		event.F("out_ms", (now-target.removedAt)/int64(time.Millisecond)),
+		event.F("penalty_level", rounded(float64(target.level))),
+	}
+	t.startRamp(now, target)
+	return Change{Kind: event.TargetReturned, Target: target.ID, Fields: fields}
+}
+
+func (t *Tracker) startRamp(now int64, target *target) {
+	t.setState(target, Ramping)
+	target.stat = statistic{updated: now}
+	target.probeScore = 0
+	target.returnedAt = now
+	target.rampFrom = now
+	target.successes = 0
+	target.trialExcess = 0
+	target.weight = 1.0 / rampSteps
+}
+
+// Probed records the end of a probe.
+func (t *Tracker) Probed(now time.Time, id ident.TargetID, ok bool, _ time.Duration) []Change {
+	target := t.targets[id]
+	if target == nil {
+		return nil
+	}
+	at := now.UnixNano()
+	var changes []Change
+	switch {
+	case target.state.inRotation():
+		step := probeFailureStep
+		if ok {
+			step = -probeSuccessStep
+		}
+		target.probeScore = accumulate(target.probeScore, step, maxProbeShare*t.threshold)
+		if !ok {
+			changes = t.evaluate(at, target)
+		}
+	case t.cfg.IdempotentTrials || !t.testable(at, target):
+	case ok:
+		changes = t.trialSucceeded(at, target)
+	default:
+		t.trialFailed(at, target)
+	}
+	t.rebuildIfDirty()
+	return changes
+}
+
+// Drain records that a target announced draining, or with draining false that
+// it stopped doing so.
+func (t *Tracker) Drain(now time.Time, id ident.TargetID, draining bool) []Change {
+	target := t.targets[id]
+	if target == nil {
+		return nil
+	}
+	at := now.UnixNano()
+	var changes []Change
+	switch {
+	case draining:
+		changes = t.drain(at, target, "announced")
+		target.drainDeclared = true
+		target.drainSeen = true
+	case target.state == Draining:
+		target.undrainedAt = at
+		changes = t.undrain(at, target)
+	default:
+		target.undrainedAt = at
+	}
+	t.rebuildIfDirty()
+	return changes
+}
+
+// drain takes a target out of rotation without counting it as ejected.
+func (t *Tracker) drain(now int64, target *target, source string) []Change {
+	target.drainTill = now + int64(drainMemory)
+	target.successes = 0
+	if target.state == Draining {
+		return nil
+	}
+	from := target.state
+	target.drainedRemoved = from.removed()
+	target.drainDeclared = false
+	target.drainSeen = source != "hosts"
+	t.forget(target)
+	t.setState(target, Draining)
+	fields := []event.Field{event.F("source", source), event.F("from", from), event.F("in_flight", target.open)}
+	return []Change{{Kind: event.TargetDraining, Target: target.ID, Fields: fields}}
+}
+
+// undrain ends draining. A target that was removed before it drained still
+// has to pass trials.
+func (t *Tracker) undrain(now int64, target *target) []Change {
+	if target.drainedRemoved {
+		t.setState(target, Excluded)
+		target.removedAt = now
+		return nil
+	}
+	target.removedAt = now
+	return []Change{t.restore(now, target)}
+}
+
+// advance moves a target that is not settled at a tick.
+func (t *Tracker) advance(now int64, target *target) []Change {
+	switch {
+	case target.state == Ramping:
+		t.ramp(now, target)
+	case target.state == Draining || t.cfg.IdempotentTrials || t.cfg.ProbeInterval > 0:
+	case t.testable(now, target):
+		// Neither trials nor probes exist: the time alone returns the target.
+		return []Change{t.restore(now, target)}
+	}
+	return nil
+}
+
+// ramp sets the weight of a ramping target.
+func (t *Tracker) ramp(now int64, target *target) {
+	step := 1 + (now-target.rampFrom)*(rampSteps-1)/int64(rampTime)
+	if step >= rampSteps {
+		t.setState(target, Healthy)
+		return
+	}
+	weight := float64(max(step, 1)) / rampSteps
+	if weight != target.weight {
+		target.weight = weight
+		t.dirty = true
+	}
+}
+
+// slack is the log latency that a cold target may show above the baseline.
+func (t *target) slack() float64 {
+	if t.state != Ramping {
+		return 0
+	}
+	return rampLatencySlack * (1 - t.weight)
+}
