--- a/internal/adapter/target/attempt.go
+++ b/internal/adapter/target/attempt.go
@@ -42,7 +42,8 @@
 	// InterruptBody makes a blocked Read of Body, and later ones, return. It
 	// must not block, and may be called more than once, but not after the
 	// attempt has ended or the body was read whole. Without it a failing
-	// attempt does not wait for a blocked Read.
+	// attempt leaves the Read of a streamed body behind, and waits for the
+	// Read of a small one.
 	InterruptBody func()
 	// ContentLength is the length of Body, -1 if unknown.
 	ContentLength int64
@@ -54,7 +55,8 @@
 	SilentTimeout time.Duration
 	// Fresh asks for a new connection.
 	Fresh bool
-	// RequestID is sent and compared with the response's.
+	// RequestID, if set, is sent and compared with the one that the response
+	// carries, if any.
 	RequestID string
 	Statuses  Statuses
 	// MinBodyBytesPerSecond is the rate below which the caller is too slow;
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -89,7 +89,7 @@
 
 // respond checks a final head and prepares the body.
 func (x *exchange) respond(head *http.Response) (*Response, error) {
-	if id := head.Header.Get(headerRequestID); id != "" && id != x.a.RequestID {
+	if id := head.Header.Get(headerRequestID); id != "" && x.a.RequestID != "" && id != x.a.RequestID {
 		return nil, ErrRequestIDMismatch
 	}
 	if x.c.reused && head.StatusCode == http.StatusRequestTimeout && head.Close {
