--- /dev/null
+++ b/internal/configlog/notify.go
@@ -0,0 +1,37 @@
+package configlog
+
+import "sync"
+
+// notifier wakes subscribers. Several notifications that a subscriber has not
+// taken yet become one, so a slow subscriber delays nobody and always finds the
+// newest state.
+type notifier struct {
+	mu   sync.Mutex
+	subs map[chan struct{}]bool
+}
+
+func (n *notifier) subscribe() (<-chan struct{}, func()) {
+	ch := make(chan struct{}, 1)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.subs == nil {
+		n.subs = map[chan struct{}]bool{}
+	}
+	n.subs[ch] = true
+	return ch, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.subs, ch)
+	}
+}
+
+func (n *notifier) notify() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for ch := range n.subs {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
--- a/internal/core/revision/checkpointer.go
+++ b/internal/core/revision/checkpointer.go
@@ -1,6 +1,9 @@
 package revision
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // CheckpointConfig holds the settings of checkpoints.
 type CheckpointConfig struct {
@@ -10,8 +13,12 @@
 	// rank; default 2s.
 	RankDelay time.Duration
 	// RetryInterval is the time until a host appends again when its checkpoint
-	// has not appeared in the log; default 60s.
+	// has not appeared in the log, before jitter of up to the same time;
+	// default 60s.
 	RetryInterval time.Duration
+	// Seed fixes the jitter and must differ between hosts. Two hosts of the same
+	// rank would otherwise interleave the chunks of every attempt.
+	Seed uint64
 }
 
 // checkpointsPerRetention leaves two thirds of the retention for an outage of
@@ -27,13 +34,16 @@
 // concurrent use.
 type Checkpointer struct {
 	cfg      CheckpointConfig
+	rng      *rand.Rand
 	mark     Mark
 	dueSince time.Time
 	nextTry  time.Time
 }
 
 // NewCheckpointer returns a checkpointer.
-func NewCheckpointer(cfg CheckpointConfig) *Checkpointer { return &Checkpointer{cfg: cfg} }
+func NewCheckpointer(cfg CheckpointConfig) *Checkpointer {
+	return &Checkpointer{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0))}
+}
 
 // Due reports whether a checkpoint is needed: the log could lose a record that
 // is needed to rebuild the state after two thirds of the retention. The age is
@@ -66,6 +76,6 @@
 	if now.Before(c.dueSince.Add(time.Duration(rank)*c.cfg.RankDelay)) || now.Before(c.nextTry) {
 		return false
 	}
-	c.nextTry = now.Add(c.cfg.RetryInterval)
+	c.nextTry = now.Add(c.cfg.RetryInterval + time.Duration(c.rng.Int64N(int64(c.cfg.RetryInterval))))
 	return true
 }
