Use valid documents in the tests of revisions and the configuration log

Cause: validation now refuses documents without regions and targets, so 15 tests of the two packages proposed documents that are refused. Change: the tests start from a small valid document in YAML; the proposal with an unknown class has a valid path and service, so that the class alone is wrong. Conclusion: the checks are as strict as before.

--- a/internal/configlog/fake_test.go
+++ b/internal/configlog/fake_test.go
@@ -167,13 +167,24 @@
 	return report
 }
 
+// firstDocument is a valid document without routes.
+const firstDocument = `
+format: 1
+name: desk
+regions: [{name: wallonie, zones: [namur-a]}]
+services:
+  - name: order-svc
+    targets: [{name: order-svc-1, address: "192.0.2.1:80", zone: namur-a}]
+    classes: [{name: order}]
+`
+
 func (f *fleet) draft(h *host, route, path string) revision.Proposal {
 	f.t.Helper()
-	doc := document.Document{
-		Format:   document.FormatVersion,
-		Name:     "desk",
-		Services: []document.Service{{Name: "order-svc", Classes: []document.Class{{Name: "order"}}}},
+	first, err := document.Parse([]byte(firstDocument))
+	if err != nil {
+		f.t.Fatal(err)
 	}
+	doc := *first
 	if active := h.Active().Document; active != nil {
 		doc = *active
 	}
--- a/internal/core/revision/helper_test.go
+++ b/internal/core/revision/helper_test.go
@@ -21,16 +21,25 @@
 	return v
 }
 
+// smallDocument returns a valid document without routes.
+func smallDocument() *document.Document {
+	return must(document.Parse([]byte(`
+format: 1
+name: desk
+regions: [{name: cairo, zones: [cairo-maadi]}]
+services:
+  - name: errata-index
+    targets: [{name: errata-index-1, address: "192.0.2.1:80", zone: cairo-maadi}]
+    classes: [{name: lookup}]
+`)))
+}
+
 // withRoute returns the sections of a document with the small routes of base
 // and one more.
 func withRoute(base document.SectionSet, name, path string) document.SectionSet {
 	doc, err := document.FromSections(base)
 	if err != nil {
-		doc = &document.Document{
-			Format:   document.FormatVersion,
-			Name:     "desk",
-			Services: []document.Service{{Name: "errata-index", Classes: []document.Class{{Name: "lookup"}}}},
-		}
+		doc = smallDocument()
 	}
 	kept := *doc
 	kept.Routes = nil
@@ -96,11 +105,7 @@
 func (l *testLog) retained() []revision.Record { return l.records[l.first:] }
 
 func largeSections(routes int) document.SectionSet {
-	doc := &document.Document{
-		Format:   document.FormatVersion,
-		Name:     "desk",
-		Services: []document.Service{{Name: "errata-index", Classes: []document.Class{{Name: "lookup"}}}},
-	}
+	doc := smallDocument()
 	for i := range routes {
 		name := fmt.Sprintf("route-%05d", i)
 		doc.Routes = append(doc.Routes, document.Route{Name: name, PathPrefix: "/team/" + name, Methods: []string{"GET"}, Service: "errata-index", Class: "lookup"})
--- a/internal/core/revision/rule_test.go
+++ b/internal/core/revision/rule_test.go
@@ -80,7 +80,7 @@
 	case "hash":
 		p.ContentHash[0]++
 	case "class":
-		p.Delta.Changed = []document.Section{{Key: "route/x", Data: []byte(`{"Name":"x","Service":"s","Class":"c"}`)}}
+		p.Delta.Changed = []document.Section{{Key: "route/x", Data: []byte(`{"Name":"x","PathPrefix":"/x","Service":"errata-index","Class":"c"}`)}}
 		p.ContentHash = must(document.Apply(from, p.Delta)).Hash()
 	case "field":
 		p.Delta.Changed = []document.Section{{Key: "route/x", Data: []byte(`{"Name":"x","Weight":1}`)}}
