dispatch: charge refused attempts a quarter, leave evidence out of selection

Cause: hosts that share 2-slot targets which shed when full used up the retry budget at half load, so that requests failed next to free slots. The evidence of other hosts, used as reported load, made all hosts select the same targets.

Change: a retry after a refusal, which took no slot, costs a quarter of a token.

Sharing of 2-slot targets by more hosts than slots remains the main cause of refused attempts.

--- a/internal/core/balance/picker.go
+++ b/internal/core/balance/picker.go
@@ -3,7 +3,7 @@
 //
 // The nearest distance with an available candidate is used. At that distance
 // the candidate with the least load relative to its slots is selected; own
-// attempts count fully and the reported load of others with a small weight.
+// attempts count fully and the load that the target reports with a small weight.
 // Candidates with equal load take turns in proportion to their capacity, and
 // ramping candidates get work only in their turn. The
 // figures behind this rule are in docs/decisions/006-selection.md. Selection
--- a/internal/core/balance/reported.go
+++ b/internal/core/balance/reported.go
@@ -15,9 +15,8 @@
 // sets have 4 hosts in each region by default.
 const maxPeers = 64
 
-// Reported is the load that others put on a target: as the target's load
-// endpoint reports it, or as other hosts report their own attempts. The
-// fresher source counts.
+// Reported is the load that others put on a target, as the target's load
+// endpoint reports it and as other hosts report their own attempts.
 type Reported struct {
 	target sample
 	peers  []peerSample
@@ -63,20 +62,23 @@
 	r.peers = kept
 }
 
-// At returns the decayed load of others.
+// ByTarget returns the decayed load of others in the target's own report, for
+// selection. Reports of hosts are left out there: all hosts get nearly the same
+// ones, select the same targets and fill them, see
+// docs/decisions/006-selection.md.
+func (r *Reported) ByTarget(now time.Time) float64 { return r.target.decayed(now) }
+
+// At returns the decayed load of others for limits: from the target's report or,
+// without a recent one, from the reports of hosts.
 func (r *Reported) At(now time.Time) float64 {
+	if now.Sub(r.target.at) < ReportLifetime {
+		return r.target.decayed(now)
+	}
 	peers := 0.0
-	newest := time.Time{}
 	for _, p := range r.peers {
 		peers += p.decayed(now)
-		if p.at.After(newest) {
-			newest = p.at
-		}
-	}
-	if newest.After(r.target.at) {
-		return peers
 	}
-	return r.target.decayed(now)
+	return peers
 }
 
 func (s sample) decayed(now time.Time) float64 {
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -5,6 +5,7 @@
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/balance"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/retry"
 )
 
 const (
@@ -72,7 +73,7 @@
 		if !t.usable(now) || t.trial || t.inFlight >= t.limit.Limit(now) {
 			continue
 		}
-		if !d.budget.Take(now) {
+		if !d.budget.Take(now, retry.FullCost) {
 			return nil
 		}
 		d.trials = append(d.trials[:i], d.trials[i+1:]...)
--- a/internal/core/dispatch/retry.go
+++ b/internal/core/dispatch/retry.go
@@ -25,13 +25,16 @@
 		d.returnToken(now, a)
 		return false
 	}
-	if !a.trial && !d.budget.Take(now) {
+	cost := retry.Cost(res)
+	if a.trial {
+		cost = retry.FullCost
+	} else if !d.budget.Take(now, cost) {
 		return false
 	}
 	if d.again(now, r, delay) {
 		return true
 	}
-	d.budget.Return(now)
+	d.budget.Return(now, cost)
 	return false
 }
 
@@ -65,7 +68,7 @@
 // returnToken gives back the token of a trial that needs no retry.
 func (d *Dispatcher) returnToken(now time.Time, a *openAttempt) {
 	if a.trial {
-		d.budget.Return(now)
+		d.budget.Return(now, retry.FullCost)
 	}
 }
 
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -72,7 +72,7 @@
 	if t.inFlight == 0 && now.Sub(t.lastStart) >= balance.ReportLifetime {
 		return 0
 	}
-	return balance.Load(t.inFlight, t.reported.At(now))
+	return balance.Load(t.inFlight, t.reported.ByTarget(now))
 }
 
 // nextChange returns the next time at which the limit or usability changes by
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -4,6 +4,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 )
 
 const (
@@ -16,8 +18,25 @@
 	recentWindow = 10 * time.Second
 )
 
+// Costs of a retry in tokens.
+const (
+	FullCost = 1.0
+	// RefusedCost applies after a target refused the attempt or did not receive
+	// it, which took no slot. With the full cost, hosts that share 2-slot
+	// targets ran out of budget at half load; docs/decisions/007 has figures.
+	RefusedCost = 0.25
+)
+
+// Cost returns the cost of a retry after a result.
+func Cost(res attempt.Result) float64 {
+	if refused(res) {
+		return RefusedCost
+	}
+	return FullCost
+}
+
 // Budget is a token bucket that bounds retries to a fraction of recent
-// requests. Each retry takes one token.
+// requests. A retry takes its cost in tokens.
 type Budget struct {
 	fraction float64
 	tokens   float64
@@ -40,20 +59,20 @@
 	b.deposit(b.fraction)
 }
 
-// Take uses one token and reports whether there was one.
-func (b *Budget) Take(now time.Time) bool {
+// Take uses the tokens of a retry and reports whether there were enough.
+func (b *Budget) Take(now time.Time, cost float64) bool {
 	b.advance(now)
-	if b.tokens < 1 {
+	if b.tokens < cost {
 		return false
 	}
-	b.tokens--
+	b.tokens -= cost
 	return true
 }
 
-// Return gives back a token that was taken for a retry that is not needed.
-func (b *Budget) Return(now time.Time) {
+// Return gives back the tokens of a retry that is not needed.
+func (b *Budget) Return(now time.Time, cost float64) {
 	b.advance(now)
-	b.deposit(1)
+	b.deposit(cost)
 }
 
 // Left returns the retries that are allowed now.
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -20,7 +20,7 @@
 	for range 100_000 {
 		now = now.Add(100 * time.Microsecond)
 		b.Request(now)
-		if b.Take(now) {
+		if b.Take(now, FullCost) {
 			retries++
 		}
 	}
@@ -33,7 +33,7 @@
 	}
 	for range 100 {
 		now = now.Add(time.Second)
-		if !b.Take(now) {
+		if !b.Take(now, FullCost) {
 			t.Fatal("no retry although there was none for a second")
 		}
 	}
