dispatch: end the pause of a target that is added again

Cause: a review of the code found three faults. A target that was removed with attempts in flight and added again while it was paused had no timer and stayed without work until another event. A full queue refused a waiting request for a new one that was then refused too, because of its deadline. A retry waited for a backoff when the only target left in rotation was not the one that had refused the request.

Change: Configure arms the timer of each target; admission checks the deadline before it makes room; the backoff applies only to the same target. The table configure.txt fails without the first change.

Conclusion: the three faults are fixed.

--- a/internal/core/dispatch/admit.go
+++ b/internal/core/dispatch/admit.go
@@ -25,10 +25,10 @@
 		d.refuse(now, r, NoTarget)
 	case c.noneWaits() && d.place(now, r):
 		d.accept(now, r)
-	case d.queue.Full() && !d.makeRoom(now, c):
-		d.refuse(now, r, QueueFull)
 	case r.tooShort(now, d.waitEstimate(now, c)):
 		d.refuse(now, r, DeadlineTooShort)
+	case d.queue.Full() && !d.makeRoom(now, c):
+		d.refuse(now, r, QueueFull)
 	default:
 		d.accept(now, r)
 		d.enqueue(now, r)
--- a/internal/core/dispatch/configure.go
+++ b/internal/core/dispatch/configure.go
@@ -98,6 +98,7 @@
 		t.limit.SetSlots(now, tc.Slots)
 		t.places = slices.Repeat([]int{notInRotation}, len(d.order))
 		d.targets[tc.ID] = t
+		d.armLimitTimer(now, t)
 		if added || reprobe {
 			d.scheduleFirstProbe(now, t)
 		}
--- a/internal/core/dispatch/retry.go
+++ b/internal/core/dispatch/retry.go
@@ -47,7 +47,7 @@
 		MaxAttempts: c.MaxAttempts,
 		Remaining:   r.Deadline.Sub(now),
 		Needed:      c.service.Fast(now),
-		OnlyTarget:  len(c.members) == 1,
+		OnlyTarget:  len(c.members) == 1 && c.members[0].ID == r.tried[len(r.tried)-1],
 	}
 }
 
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -26,7 +26,8 @@
 	// draining; drained tells that health was told of one.
 	drainUntil time.Time
 	drained    bool
-	// announced tells that an attempt, not a load report, met the draining.
+	// announced tells that the target refused an attempt because of draining,
+	// rather than only reported it.
 	announced bool
 	removed   bool
 	// trial tells that a trial is running.
--- a/internal/core/retry/policy.go
+++ b/internal/core/retry/policy.go
@@ -29,7 +29,7 @@
 	Remaining time.Duration
 	// Needed is the least time that an attempt takes.
 	Needed time.Duration
-	// OnlyTarget tells that no other target can get the attempt.
+	// OnlyTarget tells that only the target of the last attempt is in rotation.
 	OnlyTarget bool
 }
 
