--- a/internal/core/dispatch/table_test.go
+++ b/internal/core/dispatch/table_test.go
@@ -66,6 +66,10 @@
 		tb.print(tb.d.ProbeResult(tb.now, targetArg(t, td), true, time.Millisecond))
 	case "tick":
 		tb.advance(ms("ms"))
+	case "in-flight":
+		for _, s := range tb.d.Status() {
+			fmt.Fprintf(&tb.out, "%s in-flight=%d paused=%v\n", s.Target, s.InFlight, s.Paused)
+		}
 	case "status":
 		tb.status()
 	default:
