--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -26,7 +26,8 @@
 	// draining; drained tells that health was told of one.
 	drainUntil time.Time
 	drained    bool
-	// announced tells that an attempt, not a load report, met the draining.
+	// announced tells that the target refused an attempt because of draining,
+	// rather than only reported it.
 	announced bool
 	removed   bool
 	// trial tells that a trial is running.
@@ -72,7 +73,7 @@
 	if t.inFlight == 0 && now.Sub(t.lastStart) >= balance.ReportLifetime {
 		return 0
 	}
-	return balance.Load(t.inFlight, t.reported.At(now))
+	return balance.Load(t.inFlight, t.reported.ByTarget(now))
 }
 
 // nextChange returns the next time at which the limit or usability changes by
