Judge latency by the observed tail as well as the lognormal one

Change: each group keeps a decaying histogram of latencies above the baseline. Ages in flight use the fatter of the two tails, and an answer counts no more than its rank allows. Answers of targets whose latency score has risen are not taken into it. The healthy run has such a load; a benchmark measures Tick.

--- a/internal/core/health/baseline.go
+++ b/internal/core/health/baseline.go
@@ -121,6 +121,7 @@
 	key    ident.Location
 	size   int
 	total  sums
+	tail   tail
 	recent ring
 	starts startLog
 	// overdue is the number of targets with overdue attempts at the last tick.
@@ -243,6 +244,9 @@
 	for _, target := range t.order {
 		target.sums.scale(f)
 	}
+	for _, g := range t.groups {
+		g.tail.scale(f)
+	}
 	t.sumUp()
 }
 
--- a/internal/core/health/decide.go
+++ b/internal/core/health/decide.go
@@ -53,16 +53,19 @@
 	target.stat.fade(now)
 	switch res.Kind {
 	case attempt.Answered:
-		t.succeeded(now, a, above, baseline)
+		t.succeeded(now, a, above, baseline, weight)
 		t.learn(target, s, true, weight)
 		if target.state.inRotation() {
 			center.add(log)
 		}
+		if baseline.known && target.state == Healthy && float64(target.stat.slow) < maxTailScore*t.threshold {
+			target.group.tail.add(above, weight)
+		}
 	case attempt.Shed:
 	case attempt.Canceled:
 		t.censored(now, a)
 	case attempt.TimedOut:
-		if baseline.known && logTail(above/baseline.sigma) < minTimeoutTail {
+		if baseline.known && target.group.tail.evidence(above, baseline.sigma, weight) < minTimeoutTail {
 			t.censored(now, a)
 			break
 		}
@@ -77,13 +80,14 @@
 	return t.evaluate(now, target)
 }
 
-func (t *Tracker) succeeded(now int64, a *openAttempt, above float64, b latencyBaseline) {
+func (t *Tracker) succeeded(now int64, a *openAttempt, above float64, b latencyBaseline, weight float64) {
 	target := a.target
 	limit := maxScoreFactor * t.threshold
 	p0 := failureBaseline(target, t.total, &t.recent, now)
 	target.stat.outcome(false, p0, 1, limit)
 	if b.known && target.group.size > 1 {
-		target.stat.latency(latencyStep(above, b.sigma), limit)
+		excess := target.group.tail.normalized(above, b.sigma, weight)
+		target.stat.latency(latencyStep(excess, b.sigma), limit)
 	}
 }
 
--- a/internal/core/health/doc.go
+++ b/internal/core/health/doc.go
@@ -10,14 +10,16 @@
 //     3*p0+3%. One test alone either needs minutes for a burst or never finds a
 //     target with 5% errors.
 //   - slow tests the log latency of answers against that of the other targets
-//     in the same group, for a shift by a factor of 2.5. Its step is bounded,
-//     and scaled by the peers' variance, so that long-tailed latency is no
-//     evidence.
+//     in the same group, for a shift by a factor of 2.5. Its step is bounded and
+//     scaled by the peers' variance, and an answer counts no more than its rank
+//     in the observed distribution allows (tail.go), so that long-tailed latency
+//     or cache misses are no evidence.
 //
 // Attempts in flight are censored evidence (inflight.go): at each Tick an
-// attempt counts by -ln P(latency > age) under the peers' latency, bounded to
-// about one failure, and only if peers answered attempts that started later.
-// It lasts while the attempt is open. Its end then counts as an outcome.
+// attempt counts by -ln P(latency > age) under the peers' latency (lognormal or
+// observed, whichever has the fatter tail), bounded to about one failure, and
+// only if peers answered attempts that started with it or up to 0.5 s later. It
+// lasts while the attempt is open. Its end then counts as an outcome.
 // Failing probes add a bounded amount. The score is the highest of the three
 // tests plus these two.
 //
@@ -28,8 +30,9 @@
 // subtracted exactly in O(1). Each comparison uses the higher of the long
 // baseline and one of the newest results, so a service-wide slowdown or burst
 // raises the baseline within a few results. What still raises the scores of
-// several targets at once is subtracted: the mean score of the peers, weighted
-// by traffic, is taken off before the score is compared with the threshold.
+// several targets at once is subtracted: the median score of the peers, weighted
+// by traffic, is taken off before the score is compared with the threshold. If
+// half of the targets or more fail, ejection therefore stops.
 //
 // A group holds the targets of one zone, which are at the same distance from
 // this host and share its links; a zone with a single target is compared
--- a/internal/core/health/inflight.go
+++ b/internal/core/health/inflight.go
@@ -125,7 +125,7 @@
 		return 0
 	}
 	b = b.withRecent(g, a.target, now)
-	step := logTail((x-b.mean)/b.sigma) - ageOffset
+	step := g.tail.evidence(x-b.mean, b.sigma, weight) - ageOffset
 	return min(max(step, 0), maxAgeStep)
 }
 
--- a/internal/core/health/measure_test.go
+++ b/internal/core/health/measure_test.go
@@ -30,15 +30,22 @@
 	}
 }
 
-// healthyRun returns false ejections and target-hours of healthy services with
-// 1 to 5 requests/s per target.
+// healthyLoads are loads with lognormal latency (median in seconds), the last
+// one with a share of answers that miss a cache.
+var healthyLoads = []struct{ rps, median, sigma, misses, share float64 }{
+	{1, 0.02, 1, 0, 1},
+	{2, 0.6, 1, 0, 1},
+	{5, 0.02, 1, 0, 0.5},
+	{5, 0.02, 0.3, 0.1, 0.3},
+}
+
+// healthyRun returns false ejections and target-hours of healthy services.
 func healthyRun(balance float64, d time.Duration) (int, float64) {
 	n, hours := 0, 0.0
-	for i, rps := range []float64{1, 2, 5} {
+	for i, load := range healthyLoads {
 		s := newSim(simConfig(balance, 40, 4), uint64(i+1))
-		s.rps = rps
-		s.median = []float64{0.02, 0.6, 0.02}[i]
-		s.run(seconds(d.Seconds() * min(1, 2.5/rps)))
+		s.rps, s.median, s.sigma, s.misses = load.rps, load.median, load.sigma, load.misses
+		s.run(seconds(d.Seconds() * load.share))
 		n += s.ejections()
 		hours += 40 * s.now.Sub(s.start).Hours()
 	}
@@ -230,6 +237,29 @@
 	}
 }
 
+// BenchmarkTick measures a tick with a tenth of the targets overdue.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint("targets=", size), func(b *testing.B) {
+			cfg := simConfig(0.5, size, 4)
+			now := time.Unix(1_000_000, 0)
+			t := New(now, cfg, "self", 1)
+			for i := range 10 * max(size, 1000) {
+				id := ident.AttemptID(i)
+				t.Started(now, Attempt{ID: id, Target: cfg.Targets[i%size].ID, Class: "lookup"})
+				t.Finished(now.Add(time.Duration(20+i%50)*time.Millisecond), id, attempt.Result{})
+			}
+			for i := range max(size/10, 1) {
+				t.Started(now, Attempt{ID: ident.AttemptID(1<<30 + i), Target: cfg.Targets[i].ID, Class: "lookup"})
+			}
+			now = now.Add(time.Second)
+			for b.Loop() {
+				t.Tick(now)
+			}
+		})
+	}
+}
+
 func BenchmarkRotation(b *testing.B) {
 	for _, size := range sizes {
 		b.Run(fmt.Sprint("targets=", size), func(b *testing.B) {
--- a/internal/core/health/sim_test.go
+++ b/internal/core/health/sim_test.go
@@ -35,6 +35,8 @@
 	median  float64
 	sigma   float64
 	errors  float64
+	// misses is the share of answers that take missFactor times longer.
+	misses float64
 	// regular spaces arrivals evenly.
 	regular bool
 	lastID  ident.AttemptID
@@ -85,7 +87,10 @@
 	return first
 }
 
-const simTimeout = 5 * time.Second
+const (
+	simTimeout = 5 * time.Second
+	missFactor = 25
+)
 
 func simConfig(balance float64, targets, zones int) Config {
 	cfg := Config{Service: "s", Balance: balance, IdempotentTrials: true, Floors: []ClassFloor{{Class: "lookup", Floor: 0.5}}}
@@ -183,6 +188,9 @@
 func (s *sim) result(b *behavior, a Attempt) (attempt.Result, time.Duration) {
 	res := attempt.Result{FreshConnection: a.Fresh || s.rng.Float64() < 0.1}
 	d := seconds(s.median * b.slow * math.Exp(s.sigma*s.rng.NormFloat64()))
+	if s.misses > 0 && s.rng.Float64() < s.misses {
+		d *= missFactor
+	}
 	if b.silent && (!b.reused || !res.FreshConnection) || s.rng.Float64() < b.hang {
 		d = simTimeout
 	}
