Keep returned targets from being ejected again on fading evidence of others

Cause: a target that passed this host's trials could be ejected again at once by claims of two other hosts that had not yet expired; a service whose targets were all replaced started at a tenth of its capacity. Change: evidence of others without any of this host's removes only Healthy targets, not ramping ones; targets ramp only if others stay. Scenarios for both, and a test that the evidence of other hosts shortens detection.

--- a/internal/core/health/decide.go
+++ b/internal/core/health/decide.go
@@ -189,7 +189,9 @@
 }
 
 // evaluate decides whether a target leaves rotation, or whether a target that
-// this host excluded alone counts as ejected by agreement.
+// this host excluded alone counts as ejected by agreement. A ramping target has
+// just passed this host's trials, so other hosts' older evidence alone does not
+// remove it.
 func (t *Tracker) evaluate(now int64, target *target) []Change {
 	switch {
 	case target.state == Draining:
@@ -212,7 +214,7 @@
 		return []Change{t.remove(now, target, Excluded, t.cause(target), own, a)}
 	case own >= ownShare*h && own+a.fused >= h:
 		return []Change{t.remove(now, target, Ejected, t.cause(target), own, a)}
-	case a.strong >= minOthers && (own >= ownShare*h || t.recentAttempts(target, now) < fewAttempts):
+	case a.strong >= minOthers && target.state == Healthy && (own >= ownShare*h || t.recentAttempts(target, now) < fewAttempts):
 		return []Change{t.remove(now, target, Ejected, "agreement", own, a)}
 	}
 	return nil
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -197,13 +197,13 @@
 }
 
 // Configure replaces the policy and the set of targets; state of targets that
-// stay is kept. Targets that are added to a running service start with a ramp.
+// stay is kept. Targets that are added to others start with a ramp.
 func (t *Tracker) Configure(now time.Time, cfg Config) []Change {
 	at := now.UnixNano()
 	t.cfg = cfg
 	t.threshold = threshold(clampUnit(cfg.Balance))
-	first := t.order == nil
 	previous := t.targets
+	first := !slices.ContainsFunc(cfg.Targets, func(c Target) bool { return previous[c.ID] != nil })
 	t.targets = make(map[ident.TargetID]*target, len(cfg.Targets))
 	t.order = make([]*target, 0, len(cfg.Targets))
 	t.unsettled = nil
@@ -293,6 +293,8 @@
 	delete(t.attempts, id)
 	t.open.remove(a)
 	a.target.open--
+	// The result tells more than the request: a reused connection may have been
+	// asked for and none found, and an attempt that could not connect had none.
 	if res.FreshConnection || res.Kind == attempt.DialFailed {
 		a.fresh = true
 		a.profile |= 1
--- a/internal/core/health/measure_test.go
+++ b/internal/core/health/measure_test.go
@@ -126,6 +126,64 @@
 	}
 }
 
+// fleetDetection returns the median over all hosts of the time to the removal
+// of a target with 30% errors, at 1 request/s from each host, and the
+// ejections of others.
+func fleetDetection(hosts, runs int, exchange bool) (time.Duration, int) {
+	const onset, limit = time.Minute, 3 * time.Minute
+	var times []time.Duration
+	others := 0
+	for run := range runs {
+		fleet := make([]*sim, hosts)
+		for i := range fleet {
+			fleet[i] = newSim(simConfig(0.5, 10, 4), uint64(run*hosts+i))
+			fleet[i].rps = 1
+			fleet[i].t.self = ident.HostID(fmt.Sprint("host", i))
+		}
+		for at := time.Duration(0); at < limit; at += time.Second {
+			for _, s := range fleet {
+				if at == onset {
+					s.targets["t3"].errors = 0.3
+				}
+				s.run(time.Second)
+			}
+			for i, s := range fleet {
+				e := s.t.Evidence(s.now)
+				for j, other := range fleet {
+					if exchange && i != j {
+						other.took(other.t.Merge(other.now, e))
+					}
+				}
+			}
+		}
+		for _, s := range fleet {
+			d, ok := s.firstEjection("t3", onset)
+			if !ok {
+				d = limit
+			}
+			times = append(times, d)
+			for _, c := range s.changes {
+				if c.Target != "t3" {
+					others++
+				}
+			}
+		}
+	}
+	slices.Sort(times)
+	return times[len(times)/2], others
+}
+
+// TestFleetDetection guards against evidence of other hosts that does not
+// shorten detection or that removes healthy targets.
+func TestFleetDetection(t *testing.T) {
+	alone, _ := fleetDetection(4, 10, false)
+	fused, others := fleetDetection(4, 10, true)
+	t.Logf("alone %v, with evidence of 3 other hosts %v", alone, fused)
+	if fused >= alone*9/10 || others > 0 {
+		t.Errorf("alone %v, with others %v, changes of healthy targets %d", alone, fused, others)
+	}
+}
+
 // sharedFault is a cause that all targets share, or those of one zone.
 var sharedFaults = []struct {
 	name  string
--- a/internal/core/health/scenario_test.go
+++ b/internal/core/health/scenario_test.go
@@ -54,6 +54,9 @@
 						}
 					}
 				}
+				if d.HasArg("replace") {
+					cfg.Targets = []Target{{ID: "new", Slots: 6}}
+				}
 				if add := arg(d, "add", ""); add != "" {
 					cfg.Targets = append(cfg.Targets, Target{ID: ident.TargetID(add), Location: cfg.Targets[0].Location, Slots: 6})
 					s.targets[ident.TargetID(add)] = &behavior{slow: 1}
