--- a/internal/core/health/decide.go
+++ b/internal/core/health/decide.go
@@ -27,6 +27,7 @@
 		if a.trial && a.started == target.trialAt {
 			target.trialOpen = false
 		}
+		target.drainResponse = now
 		return t.drain(now, target, "response")
 	}
 	weight := t.weight(now)
@@ -52,16 +53,19 @@
 	target.stat.fade(now)
 	switch res.Kind {
 	case attempt.Answered:
-		t.succeeded(now, a, above, baseline)
+		t.succeeded(now, a, above, baseline, weight)
 		t.learn(target, s, true, weight)
 		if target.state.inRotation() {
 			center.add(log)
 		}
+		if baseline.known && target.state == Healthy && float64(target.stat.slow) < maxTailScore*t.threshold {
+			target.group.tail.add(above, weight)
+		}
 	case attempt.Shed:
 	case attempt.Canceled:
 		t.censored(now, a)
 	case attempt.TimedOut:
-		if baseline.known && logTail(above/baseline.sigma) < minTimeoutTail {
+		if baseline.known && target.group.tail.evidence(above, baseline.sigma, weight) < minTimeoutTail {
 			t.censored(now, a)
 			break
 		}
@@ -76,13 +80,14 @@
 	return t.evaluate(now, target)
 }
 
-func (t *Tracker) succeeded(now int64, a *openAttempt, above float64, b latencyBaseline) {
+func (t *Tracker) succeeded(now int64, a *openAttempt, above float64, b latencyBaseline, weight float64) {
 	target := a.target
 	limit := maxScoreFactor * t.threshold
 	p0 := failureBaseline(target, t.total, &t.recent, now)
 	target.stat.outcome(false, p0, 1, limit)
 	if b.known && target.group.size > 1 {
-		target.stat.latency(latencyStep(above, b.sigma), limit)
+		excess := target.group.tail.normalized(above, b.sigma, weight)
+		target.stat.latency(latencyStep(excess, b.sigma), limit)
 	}
 }
 
@@ -184,7 +189,9 @@
 }
 
 // evaluate decides whether a target leaves rotation, or whether a target that
-// this host excluded alone counts as ejected by agreement.
+// this host excluded alone counts as ejected by agreement. A ramping target has
+// just passed this host's trials, so other hosts' older evidence alone does not
+// remove it.
 func (t *Tracker) evaluate(now int64, target *target) []Change {
 	switch {
 	case target.state == Draining:
@@ -207,7 +214,7 @@
 		return []Change{t.remove(now, target, Excluded, t.cause(target), own, a)}
 	case own >= ownShare*h && own+a.fused >= h:
 		return []Change{t.remove(now, target, Ejected, t.cause(target), own, a)}
-	case a.strong >= minOthers && (own >= ownShare*h || t.recentAttempts(target, now) < fewAttempts):
+	case a.strong >= minOthers && target.state == Healthy && (own >= ownShare*h || t.recentAttempts(target, now) < fewAttempts):
 		return []Change{t.remove(now, target, Ejected, "agreement", own, a)}
 	}
 	return nil
--- a/internal/core/health/measure_test.go
+++ b/internal/core/health/measure_test.go
@@ -30,15 +30,22 @@
 	}
 }
 
-// healthyRun returns false ejections and target-hours of healthy services with
-// 1 to 5 requests/s per target.
+// healthyLoads are loads with lognormal latency (median in seconds), the last
+// one with a share of answers that miss a cache.
+var healthyLoads = []struct{ rps, median, sigma, misses, share float64 }{
+	{1, 0.02, 1, 0, 1},
+	{2, 0.6, 1, 0, 1},
+	{5, 0.02, 1, 0, 0.5},
+	{5, 0.02, 0.3, 0.1, 0.3},
+}
+
+// healthyRun returns false ejections and target-hours of healthy services.
 func healthyRun(balance float64, d time.Duration) (int, float64) {
 	n, hours := 0, 0.0
-	for i, rps := range []float64{1, 2, 5} {
+	for i, load := range healthyLoads {
 		s := newSim(simConfig(balance, 40, 4), uint64(i+1))
-		s.rps = rps
-		s.median = []float64{0.02, 0.6, 0.02}[i]
-		s.run(seconds(d.Seconds() * min(1, 2.5/rps)))
+		s.rps, s.median, s.sigma, s.misses = load.rps, load.median, load.sigma, load.misses
+		s.run(seconds(d.Seconds() * load.share))
 		n += s.ejections()
 		hours += 40 * s.now.Sub(s.start).Hours()
 	}
@@ -119,6 +126,64 @@
 	}
 }
 
+// fleetDetection returns the median over all hosts of the time to the removal
+// of a target with 30% errors, at 1 request/s from each host, and the
+// ejections of others.
+func fleetDetection(hosts, runs int, exchange bool) (time.Duration, int) {
+	const onset, limit = time.Minute, 3 * time.Minute
+	var times []time.Duration
+	others := 0
+	for run := range runs {
+		fleet := make([]*sim, hosts)
+		for i := range fleet {
+			fleet[i] = newSim(simConfig(0.5, 10, 4), uint64(run*hosts+i))
+			fleet[i].rps = 1
+			fleet[i].t.self = ident.HostID(fmt.Sprint("host", i))
+		}
+		for at := time.Duration(0); at < limit; at += time.Second {
+			for _, s := range fleet {
+				if at == onset {
+					s.targets["t3"].errors = 0.3
+				}
+				s.run(time.Second)
+			}
+			for i, s := range fleet {
+				e := s.t.Evidence(s.now)
+				for j, other := range fleet {
+					if exchange && i != j {
+						other.took(other.t.Merge(other.now, e))
+					}
+				}
+			}
+		}
+		for _, s := range fleet {
+			d, ok := s.firstEjection("t3", onset)
+			if !ok {
+				d = limit
+			}
+			times = append(times, d)
+			for _, c := range s.changes {
+				if c.Target != "t3" {
+					others++
+				}
+			}
+		}
+	}
+	slices.Sort(times)
+	return times[len(times)/2], others
+}
+
+// TestFleetDetection guards against evidence of other hosts that does not
+// shorten detection or that removes healthy targets.
+func TestFleetDetection(t *testing.T) {
+	alone, _ := fleetDetection(4, 10, false)
+	fused, others := fleetDetection(4, 10, true)
+	t.Logf("alone %v, with evidence of 3 other hosts %v", alone, fused)
+	if fused >= alone*9/10 || others > 0 {
+		t.Errorf("alone %v, with others %v, changes of healthy targets %d", alone, fused, others)
+	}
+}
+
 // sharedFault is a cause that all targets share, or those of one zone.
 var sharedFaults = []struct {
 	name  string
@@ -230,6 +295,29 @@
 	}
 }
 
+// BenchmarkTick measures a tick with a tenth of the targets overdue.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint("targets=", size), func(b *testing.B) {
+			cfg := simConfig(0.5, size, 4)
+			now := time.Unix(1_000_000, 0)
+			t := New(now, cfg, "self", 1)
+			for i := range 10 * max(size, 1000) {
+				id := ident.AttemptID(i)
+				t.Started(now, Attempt{ID: id, Target: cfg.Targets[i%size].ID, Class: "lookup"})
+				t.Finished(now.Add(time.Duration(20+i%50)*time.Millisecond), id, attempt.Result{})
+			}
+			for i := range max(size/10, 1) {
+				t.Started(now, Attempt{ID: ident.AttemptID(1<<30 + i), Target: cfg.Targets[i].ID, Class: "lookup"})
+			}
+			now = now.Add(time.Second)
+			for b.Loop() {
+				t.Tick(now)
+			}
+		})
+	}
+}
+
 func BenchmarkRotation(b *testing.B) {
 	for _, size := range sizes {
 		b.Run(fmt.Sprint("targets=", size), func(b *testing.B) {
