replay: add the trace format, the player and the baseline

Cause: decisions about health, balance, limits and retries have no test that shows detection time and false ejections on the deployments' faults.

Change: package replay parses traces, drives one Decider per host with one event queue and explicit time, measures detection time, false ejections, capacity, attempts and outcomes, and checks expect lines. CancelAttempt is recognized by name until the dispatcher's API declares it.

There was no player before.

--- /dev/null
+++ b/internal/replay/parse_fault.go
@@ -0,0 +1,117 @@
+package replay
+
+import (
+	"slices"
+	"time"
+)
+
+// stepFault adds one fault per target. Its end is the key "until", a later
+// "heal" line, or the end of the run.
+func (p *parser) stepFault(f *fields, at time.Duration) any {
+	f.require("kind")
+	targets := p.targets(f)
+	fault := Fault{
+		From:  at,
+		Until: p.until(f, at, -1),
+		Kind:  FaultKind(f.choice("kind", 0, faultNames...)),
+		Share: f.share("share", 1),
+		Slow:  f.number("slow", 1, 1, 1e6),
+		On:    f.duration("on", 0),
+		Off:   f.duration("off", 0),
+	}
+	if fault.Kind == FaultSlow && fault.Slow <= 1 {
+		f.fail("slow=FACTOR above 1", "kind=slow without a factor")
+	}
+	if (fault.On > 0) != (fault.Off > 0) {
+		f.fail("on=DURATION and off=DURATION together", "only one of on and off is set")
+	}
+	if f.has("hosts") {
+		fault.Hosts = set(p.hostsKey(f))
+	}
+	fault.ProbesSet = f.has("probes")
+	fault.Probes = ProbeMode(f.choice("probes", 0, "follow", "pass", "fail"))
+	p.addFaults(targets, fault)
+	return nil
+}
+
+func set(list []int) map[int]bool {
+	m := map[int]bool{}
+	for _, i := range list {
+		m[i] = true
+	}
+	return m
+}
+
+func (p *parser) addFaults(targets []int, fault Fault) {
+	for _, target := range targets {
+		fault.Line, fault.Target = p.line, target
+		if fault.Until < 0 {
+			p.openFaults = append(p.openFaults, len(p.trace.Faults))
+		}
+		p.trace.Faults = append(p.trace.Faults, fault)
+	}
+}
+
+func (p *parser) stepHeal(f *fields, at time.Duration) any {
+	targets := p.targets(f)
+	var open []int
+	healed := false
+	for _, i := range p.openFaults {
+		fault := &p.trace.Faults[i]
+		if !slices.Contains(targets, fault.Target) || fault.From > at {
+			open = append(open, i)
+			continue
+		}
+		fault.Until = at
+		healed = true
+	}
+	p.openFaults = open
+	if !healed {
+		f.fail("a target with an earlier fault line that has no until", "nothing to heal")
+	}
+	return nil
+}
+
+func (p *parser) stepRestart(f *fields, at time.Duration) any {
+	targets := p.targets(f)
+	fault := Fault{From: at, Kind: FaultDown, Share: 1, Slow: 1}
+	fault.Until = at + f.duration("down", 5*time.Second)
+	fault.ColdFactor = f.number("cold", 1, 1, 1e6)
+	fault.ColdFor = f.duration("cold-for", 30*time.Second)
+	p.addFaults(targets, fault)
+	return Restart{Targets: targets}
+}
+
+func (p *parser) stepSilence(f *fields, _ time.Duration) any {
+	return Silence{Targets: p.targets(f), Hosts: p.hostsKey(f)}
+}
+
+func (p *parser) stepDrain(f *fields, _ time.Duration) any {
+	return Drain{Targets: p.targets(f), On: true, Refuse: f.choice("refuse", 0, "yes", "no") == 0}
+}
+
+func (p *parser) stepUndrain(f *fields, _ time.Duration) any {
+	return Drain{Targets: p.targets(f)}
+}
+
+func hostStep(change HostChange) func(*parser, *fields, time.Duration) any {
+	return func(p *parser, f *fields, _ time.Duration) any {
+		return HostList{Hosts: p.hostsOf(f, f.word("host")), Change: change}
+	}
+}
+
+func targetStep(add bool) func(*parser, *fields, time.Duration) any {
+	return func(p *parser, f *fields, _ time.Duration) any {
+		return TargetList{Targets: p.targets(f), Add: add}
+	}
+}
+
+func (p *parser) stepCut(f *fields, at time.Duration) any {
+	return Cut{
+		From:   p.hostsOf(f, f.word("first host")),
+		To:     p.hostsOf(f, f.word("second host")),
+		Until:  p.until(f, at, p.trace.Duration),
+		Delay:  f.duration("delay", 0),
+		OneWay: f.flag("one-way"),
+	}
+}
--- /dev/null
+++ b/internal/replay/parse_step.go
@@ -0,0 +1,160 @@
+package replay
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+type stepVerb struct {
+	syntax string
+	parse  func(p *parser, f *fields, at time.Duration) any
+}
+
+// steps lists the time-stamped lines; init avoids an initialization cycle.
+var steps map[string]stepVerb
+
+func init() {
+	steps = map[string]stepVerb{
+		"arrivals": {"TIME arrivals CLASS rate=NUMBER [until=TIME] [hosts=HOSTS] [process=poisson|constant] [deadline=DURATION] [cancel=DURATION]", (*parser).stepArrivals},
+		"request":  {"TIME request CLASS [count=N] [hosts=HOSTS] [deadline=DURATION] [cancel=DURATION]", (*parser).stepRequest},
+		"set":      {"TIME set TARGETS KEY=VALUE ...", (*parser).stepSet},
+		"fault":    {"TIME fault TARGETS kind=KIND [share=SHARE] [slow=FACTOR] [hosts=HOSTS] [until=TIME] [probes=follow|pass|fail] [on=DURATION off=DURATION]", (*parser).stepFault},
+		"heal":     {"TIME heal TARGETS", (*parser).stepHeal},
+		"restart":  {"TIME restart TARGETS [down=DURATION] [cold=FACTOR] [cold-for=DURATION]", (*parser).stepRestart},
+		"silence":  {"TIME silence TARGETS [hosts=HOSTS]", (*parser).stepSilence},
+		"drain":    {"TIME drain TARGETS [refuse=yes|no]", (*parser).stepDrain},
+		"undrain":  {"TIME undrain TARGETS", (*parser).stepUndrain},
+		"join":     {"TIME join HOSTS", hostStep(HostJoins)},
+		"leave":    {"TIME leave HOSTS", hostStep(HostLeaves)},
+		"kill":     {"TIME kill HOSTS", hostStep(HostKilled)},
+		"add":      {"TIME add TARGETS", targetStep(true)},
+		"remove":   {"TIME remove TARGETS", targetStep(false)},
+		"cut":      {"TIME cut HOSTS HOSTS [until=TIME] [delay=DURATION] [one-way]", (*parser).stepCut},
+	}
+}
+
+func stepNames() string {
+	var list []string
+	for name := range steps {
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return strings.Join(list, ", ")
+}
+
+func (p *parser) step(text string) *ParseError {
+	words := strings.Fields(text)
+	at, err := parseDuration(words[0])
+	if err != nil {
+		return &ParseError{Problem: err.Error(), Expected: "a time such as 1.5s, 0s to 10000h"}
+	}
+	if len(words) < 2 {
+		return &ParseError{Problem: "a time without a verb", Expected: "one of " + stepNames()}
+	}
+	v, ok := steps[words[1]]
+	if !ok {
+		return &ParseError{Problem: "unknown verb " + quote(words[1]), Expected: "one of " + stepNames()}
+	}
+	p.timed = true
+	f := splitFields(text, v.syntax)
+	f.words = f.words[min(2, len(f.words)):]
+	do := v.parse(p, f, at)
+	if do != nil {
+		p.trace.Steps = append(p.trace.Steps, Step{At: at, Line: p.line, Do: do})
+	}
+	return f.finish()
+}
+
+func match[T ~string](pattern string, count int, id func(int) T) []int {
+	var list []int
+	for _, part := range strings.Split(pattern, ",") {
+		prefix, wild := strings.CutSuffix(part, "*")
+		for i := range count {
+			name := string(id(i))
+			if name == part || (wild && strings.HasPrefix(name, prefix)) {
+				list = append(list, i)
+			}
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+func (p *parser) matchTargets(pattern string) []int {
+	return match(pattern, len(p.trace.Targets), func(i int) ident.TargetID { return p.trace.Targets[i].ID })
+}
+
+func (p *parser) matchHosts(pattern string) []int {
+	return match(pattern, len(p.trace.Hosts), func(i int) ident.HostID { return p.trace.Hosts[i].ID })
+}
+
+func (p *parser) targets(f *fields) []int {
+	pattern := f.word("target")
+	list := p.matchTargets(pattern)
+	if len(list) == 0 {
+		f.fail("declared targets such as errata-1, errata-1,errata-2 or errata-*", "no target matches %q", pattern)
+	}
+	return list
+}
+
+func (p *parser) hostsOf(f *fields, pattern string) []int {
+	list := p.matchHosts(pattern)
+	if len(list) == 0 {
+		f.fail("declared hosts such as host-1, host-1,host-2 or host-*", "no host matches %q", pattern)
+	}
+	return list
+}
+
+func (p *parser) hostsKey(f *fields) []int { return p.hostsOf(f, f.text("hosts", "*")) }
+
+func (p *parser) classWord(f *fields) ident.ClassName {
+	name := ident.ClassName(f.word("class"))
+	if p.class(name) == nil {
+		f.fail("a class that a class line declares", "unknown class %q", name)
+	}
+	return name
+}
+
+// until returns the end of a period, which must be after its start.
+func (p *parser) until(f *fields, at, standard time.Duration) time.Duration {
+	given := f.has("until")
+	end := f.duration("until", standard)
+	if given && end < at {
+		f.fail("a time after "+at.String(), "until: %s is before the start", end)
+	}
+	return end
+}
+
+func (p *parser) stepArrivals(f *fields, at time.Duration) any {
+	f.require("rate")
+	return Arrivals{
+		Class:    p.classWord(f),
+		Rate:     f.number("rate", 0, 0.0001, 1e6),
+		Until:    p.until(f, at, p.trace.Duration),
+		Hosts:    p.hostsKey(f),
+		Constant: f.choice("process", 0, "poisson", "constant") == 1,
+		Deadline: f.duration("deadline", 0),
+		Cancel:   f.duration("cancel", 0),
+	}
+}
+
+func (p *parser) stepRequest(f *fields, _ time.Duration) any {
+	return Single{
+		Class:    p.classWord(f),
+		Count:    f.integer("count", 1, 1, 1e6),
+		Hosts:    p.hostsKey(f),
+		Deadline: f.duration("deadline", 0),
+		Cancel:   f.duration("cancel", 0),
+	}
+}
+
+func (p *parser) stepSet(f *fields, _ time.Duration) any {
+	s := SetBehaviour{Targets: p.targets(f), Change: behaviourKeys(f)}
+	if len(s.Change) == 0 {
+		f.fail("at least one behaviour key", "nothing to set")
+	}
+	return s
+}
--- /dev/null
+++ b/internal/replay/step.go
@@ -0,0 +1,89 @@
+package replay
+
+// stepEvent is a time-stamped line of the trace.
+type stepEvent struct{ step *Step }
+
+func (e stepEvent) happen(p *player) {
+	switch do := e.step.Do.(type) {
+	case Arrivals:
+		p.startArrivals(do, e.step.Line)
+	case Single:
+		p.single(do)
+	case SetBehaviour:
+		p.setBehaviour(do)
+	case Silence:
+		p.silence(do)
+	case Drain:
+		p.drain(do)
+	case Restart:
+		p.restart(do)
+	case HostList:
+		p.changeHosts(do)
+	case TargetList:
+		p.changeTargets(do)
+	case Cut:
+		p.cuts = append(p.cuts, do)
+	}
+}
+
+func (p *player) setBehaviour(s SetBehaviour) {
+	for _, i := range s.Targets {
+		for _, change := range s.Change {
+			change(&p.targets[i].behaviour)
+		}
+	}
+}
+
+// silence stops all connections that are open now.
+func (p *player) silence(s Silence) {
+	for _, i := range s.Hosts {
+		h := p.hosts[i]
+		if h == nil || h.dead {
+			continue
+		}
+		for _, k := range s.Targets {
+			for _, c := range h.pools[k].idle {
+				c.silent = true
+			}
+			for _, y := range h.tries {
+				if y.target.index == k {
+					y.conn.silent = true
+				}
+			}
+		}
+	}
+}
+
+func (p *player) drain(d Drain) {
+	for _, i := range d.Targets {
+		p.targets[i].draining = d.On
+		p.targets[i].refuses = d.Refuse
+	}
+}
+
+func (p *player) restart(r Restart) {
+	for _, i := range r.Targets {
+		p.targets[i].draining = false
+	}
+}
+
+func (p *player) changeHosts(l HostList) {
+	for _, i := range l.Hosts {
+		switch l.Change {
+		case HostJoins:
+			p.join(i)
+		case HostLeaves:
+			p.leave(p.hosts[i])
+		case HostKilled:
+			p.kill(p.hosts[i])
+		}
+	}
+}
+
+func (p *player) changeTargets(l TargetList) {
+	for _, i := range l.Targets {
+		p.targets[i].present = l.Add
+		p.measure.presence(p, i, l.Add)
+	}
+	p.reconfigure()
+}
