--- /dev/null
+++ b/internal/replaycmd/replaycmd_test.go
@@ -0,0 +1,80 @@
+package replaycmd
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const traceText = `duration 10s
+service s
+zone a region=r
+class get idempotent timeout=1s
+targets t count=4 zones=a slots=2
+hosts h count=2 zones=a
+0s arrivals get rate=20
+expect success share=99%
+`
+
+// TestRun guards the exit codes and the places of errors that scripts rely on.
+func TestRun(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := write("good.trace", traceText)
+	failing := write("failing.trace", traceText+"1s fault * kind=status\n")
+	refused := write("refused.trace", traceText+"1s jump\n")
+	policy := write("policy", "policy balance=2\n")
+	for _, c := range []struct {
+		args           []string
+		code           int
+		stdout, stderr string
+	}{
+		{[]string{good}, 0, "PASS sapphirehaven", ""},
+		{[]string{"-decider", "baseline", good}, 0, "PASS baseline", ""},
+		{[]string{"-compare", good}, 0, "PASS baseline", ""},
+		{[]string{failing}, 1, "FAIL sapphirehaven", ""},
+		{[]string{good, failing}, 1, "FAIL sapphirehaven", ""},
+		{[]string{refused}, 2, "", refused + ":9: unknown verb \"jump\"; expected one of add"},
+		{[]string{"-policy", policy, good}, 2, "", policy + ":1: balance: invalid share"},
+		{[]string{dir}, 2, "", "refused.trace:9"},
+		{[]string{}, 2, "", "no trace"},
+		{[]string{"-output", "xml", good}, 2, "", "-output: unknown format"},
+		{[]string{"-decider", "dice", good}, 2, "", "-decider: unknown decider"},
+		{[]string{"-compare", "-decider", "baseline", good}, 2, "", "-compare and -decider"},
+		{[]string{filepath.Join(dir, "missing")}, 2, "", "no such file"},
+	} {
+		var stdout, stderr bytes.Buffer
+		code := Run(c.args, &stdout, &stderr)
+		if code != c.code || !strings.Contains(stdout.String(), c.stdout) || !strings.Contains(stderr.String(), c.stderr) {
+			t.Errorf("%q: code %d, want %d; stdout %q; stderr %q", c.args, code, c.code, stdout.String(), stderr.String())
+		}
+	}
+}
+
+// TestJSON guards against JSON output that cannot be read back.
+func TestJSON(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "x.trace")
+	if err := os.WriteFile(path, []byte(traceText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var stdout, stderr bytes.Buffer
+	if code := Run([]string{"-compare", "-output", "json", path}, &stdout, &stderr); code != 0 {
+		t.Fatalf("code %d: %s", code, stderr.String())
+	}
+	var reports []struct {
+		Decider  string
+		Requests struct{ Arrived int }
+	}
+	if err := json.Unmarshal(stdout.Bytes(), &reports); err != nil || len(reports) != 2 || reports[1].Decider != "baseline" || reports[0].Requests.Arrived == 0 {
+		t.Errorf("error %v, reports %+v", err, reports)
+	}
+}
