--- a/internal/replay/cancel.go
+++ b/internal/replay/cancel.go
@@ -3,31 +3,12 @@
 import (
 	"cmp"
 	"maps"
-	"reflect"
 	"slices"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
-	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 )
 
-// cancelAction is the name of the action that ends an attempt early. The
-// dispatcher's API does not declare it yet, so it is recognized by name and by
-// its field "Attempt".
-const cancelAction = "CancelAttempt"
-
-// actOther carries out actions that the switch in act does not know.
-func (p *player) actOther(h *host, action dispatch.Action) {
-	v := reflect.ValueOf(action)
-	if v.Kind() == reflect.Struct && v.Type().Name() == cancelAction {
-		if id, ok := v.FieldByName("Attempt").Interface().(ident.AttemptID); ok {
-			p.cancelTry(h.tries[id])
-			return
-		}
-	}
-	p.fail("unknown action %T", action)
-}
-
 // cancelTry ends an attempt as canceled after the current event.
 func (p *player) cancelTry(y *try) {
 	if y != nil {
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -168,8 +168,10 @@
 		p.probe(h, a.Target)
 	case dispatch.Record:
 		h.changed = true
+	case dispatch.CancelAttempt:
+		p.cancelTry(h.tries[a.Attempt])
 	default:
-		p.actOther(h, action)
+		p.fail("unknown action %T", action)
 	}
 }
 
--- a/internal/replay/traces_test.go
+++ b/internal/replay/traces_test.go
@@ -1,7 +1,9 @@
 package replay
 
 import (
+	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -57,3 +59,19 @@
 	}
 	return list
 }
+
+// TestDocumentedExample guards against a page whose example is refused.
+func TestDocumentedExample(t *testing.T) {
+	page, err := os.ReadFile("../../docs/replay.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "### Example\n\n```\n")
+	example, _, found := strings.Cut(rest, "```")
+	if !found {
+		t.Fatal("docs/replay.md has no example")
+	}
+	if trace := mustParse(t, example); len(trace.Expects) == 0 {
+		t.Error("the example expects nothing")
+	}
+}
