--- a/internal/replay/parse.go
+++ b/internal/replay/parse.go
@@ -133,6 +133,9 @@
 			return p.located(&ParseError{Problem: "no line " + quote(name), Expected: headers[name].syntax})
 		}
 	}
+	if t.Name == "" {
+		t.Name = t.File
+	}
 	for _, i := range p.openFaults {
 		t.Faults[i].Until = t.Duration
 	}
