--- a/internal/core/serving/answer.go
+++ b/internal/core/serving/answer.go
@@ -21,16 +21,22 @@
 // empty only if hosts is.
 func Answer(service ident.ServiceName, size int, at ident.Location, hosts []Host, rng *rand.Rand) []Host {
 	set := Set(service, at.Region, size, hosts)
-	near, far := splitByZone(set, at.Zone)
-	answer := append(shuffled(near, rng), shuffled(far, rng)...)
-	answer = append(answer, spares(service, at.Region, set, hosts)...)
+	var others [][]Host
 	for _, region := range otherRegions(hosts, at.Region) {
-		answer = append(answer, shuffled(Set(service, region, size, hosts), rng)...)
+		others = append(others, Set(service, region, size, hosts))
 	}
-	if len(answer) > maxAnswer {
-		answer = answer[:maxAnswer]
+	return arrange(at.Zone, set, spares(service, at.Region, set, hosts), others, rng)
+}
+
+// arrange orders an answer from near to far.
+func arrange(zone ident.Zone, set, spare []Host, others [][]Host, rng *rand.Rand) []Host {
+	near, far := splitByZone(set, zone)
+	answer := append(shuffled(near, rng), shuffled(far, rng)...)
+	answer = append(answer, spare...)
+	for _, other := range others {
+		answer = append(answer, shuffled(other, rng)...)
 	}
-	return answer
+	return answer[:min(len(answer), maxAnswer)]
 }
 
 func splitByZone(hosts []Host, zone ident.Zone) (in, out []Host) {
@@ -50,7 +56,7 @@
 		serving[h.ID] = true
 	}
 	var list []Host
-	for _, h := range Rank(string(service)+"\x00spare", inRegion(hosts, region)) {
+	for _, h := range Rank(spareKey(service), inRegion(hosts, region)) {
 		if !serving[h.ID] && len(list) < spareHosts {
 			list = append(list, h)
 		}
--- a/internal/core/serving/serving.go
+++ b/internal/core/serving/serving.go
@@ -3,7 +3,6 @@
 package serving
 
 import (
-	"hash/fnv"
 	"sort"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
@@ -21,9 +20,10 @@
 		host   Host
 		weight uint64
 	}
+	prefix := newKey(key)
 	list := make([]weighted, len(hosts))
 	for i, h := range hosts {
-		list[i] = weighted{h, weight(key, h.ID)}
+		list[i] = weighted{h, prefix.weight(h.ID)}
 	}
 	sort.Slice(list, func(i, j int) bool {
 		if list[i].weight != list[j].weight {
@@ -43,7 +43,7 @@
 func Set(service ident.ServiceName, region ident.Region, size int, hosts []Host) []Host {
 	byZone := map[ident.Zone][]Host{}
 	var zones []ident.Zone
-	for _, h := range Rank(string(service)+"\x00"+string(region), inRegion(hosts, region)) {
+	for _, h := range Rank(setKey(service, region), inRegion(hosts, region)) {
 		if byZone[h.Location.Zone] == nil {
 			zones = append(zones, h.Location.Zone)
 		}
@@ -74,18 +74,3 @@
 	}
 	return in
 }
-
-// weight hashes the key and the host. The final mixing step matters: FNV alone
-// leaves similar host names with correlated high bits.
-func weight(key string, id ident.HostID) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(key))
-	h.Write([]byte{0})
-	h.Write([]byte(id))
-	x := h.Sum64()
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
