app: take address answers and evidence partners from the serving index

It also made a report for every service, shared or not.

Change: a directory keeps the index over the live hosts and the services in force. The fleet counts changes, and the directory takes them at the next lookup. Partners come from the services that the host serves, and reports are made for these only. ingress asks for the ordered answer and no longer for all hosts; the order of an answer and that it is never empty stay as they were.

--- a/internal/adapter/ingress/addresses.go
+++ b/internal/adapter/ingress/addresses.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
-	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
@@ -42,13 +41,12 @@
 		notRun(http.StatusNotFound, "unknown_service", "service: the document has no service \""+string(name)+"\"").write(w)
 		return
 	}
-	members := s.cfg.Members.Serving()
-	at := s.location(ident.Zone(r.URL.Query().Get("zone")), members)
+	at := s.location(ident.Zone(r.URL.Query().Get("zone")))
 	a := Addresses{
 		Service:  string(name),
 		Revision: active.Revision,
 		MaxAgeMs: s.cfg.AddressMaxAge.Milliseconds(),
-		Hosts:    s.order(name, backend.Service.ServingHosts, at, members),
+		Hosts:    addresses(s.cfg.Members.Answer(name, backend.Service.ServingHosts, at)),
 	}
 	if count := r.URL.Query().Get("tickets"); count != "" {
 		if problem := s.addTickets(&a, count); problem != nil {
@@ -80,27 +78,18 @@
 
 // location returns the caller's location; without a known zone it is the
 // host's own.
-func (s *Server) location(zone ident.Zone, members []port.Host) ident.Location {
-	for _, m := range members {
-		if zone != "" && m.Location.Zone == zone {
-			return m.Location
-		}
+func (s *Server) location(zone ident.Zone) ident.Location {
+	if at, ok := s.cfg.Members.Location(zone); ok {
+		return at
 	}
 	return s.cfg.Location
 }
 
-func (s *Server) order(service ident.ServiceName, size int, at ident.Location, members []port.Host) []Address {
-	byID := make(map[ident.HostID]port.Host, len(members))
-	for _, m := range members {
-		byID[m.ID] = m
-	}
-	s.mu.Lock()
-	ordered := serving.Answer(service, size, at, ServingHosts(members), s.rng)
-	s.mu.Unlock()
-	list := make([]Address, 0, len(ordered))
-	for _, h := range ordered {
+func addresses(hosts []port.Host) []Address {
+	list := make([]Address, 0, len(hosts))
+	for _, h := range hosts {
 		list = append(list, Address{
-			Address: byID[h.ID].CallerAddress,
+			Address: h.CallerAddress,
 			Region:  string(h.Location.Region),
 			Zone:    string(h.Location.Zone),
 		})
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -1,10 +1,8 @@
 package ingress
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +15,12 @@
 
 // Members tells which hosts can serve callers.
 type Members interface {
-	// Serving returns the live hosts that are not leaving.
-	Serving() []port.Host
+	// Answer returns the hosts that a caller at a location should use for a
+	// service with serving sets of a size, in order of preference. It is never
+	// empty.
+	Answer(service ident.ServiceName, size int, at ident.Location) []port.Host
+	// Location returns the location of a zone that has serving hosts.
+	Location(zone ident.Zone) (ident.Location, bool)
 }
 
 // Config holds what a Server needs.
@@ -47,15 +49,12 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	lastID   atomic.Uint64
-
-	mu  sync.Mutex
-	rng *rand.Rand
 }
 
 // New returns a server without a configuration; it refuses requests until
 // Activate is called.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, rng: rand.New(rand.NewPCG(uint64(cfg.Incarnation), 3))}
+	return &Server{cfg: cfg}
 }
 
 // Activate puts a configuration in force for requests that arrive from now on.
--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
-	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
@@ -21,7 +20,7 @@
 // service.
 type evidence struct {
 	services *services
-	fleet    *fleet
+	hosts    *directory
 	peers    port.Peers
 	identity *identity
 	log      logrus.FieldLogger
@@ -36,15 +35,17 @@
 }
 
 // exchangeAll calls every host that shares a service, at the same time, so that
-// a silent host does not delay the others.
+// a silent host does not delay the others. Of two hosts the one with the lower
+// ID calls; the reply carries the other's evidence.
 func (e *evidence) exchangeAll(ctx context.Context) {
-	own := e.own()
+	partners := e.hosts.partners(e.identity.host)
+	own := e.own(allNames(partners))
 	var calls sync.WaitGroup
-	for address, names := range e.partners() {
+	for partner, names := range partners {
 		calls.Add(1)
 		go func() {
 			defer calls.Done()
-			replies, err := e.peers.Exchange(ctx, address, choose(own, names))
+			replies, err := e.peers.Exchange(ctx, partner.PeerAddress, choose(own, names))
 			if err != nil {
 				e.log.WithError(err).Debug("evidence was not exchanged")
 				return
@@ -55,16 +56,20 @@
 	calls.Wait()
 }
 
-// own returns this host's report for every service. Each report has its own
+// own returns this host's reports for services. Each report has its own
 // sequence number, so it is made once for all partners.
-func (e *evidence) own() map[ident.ServiceName]port.ServiceEvidence {
+func (e *evidence) own(names []ident.ServiceName) map[ident.ServiceName]port.ServiceEvidence {
 	reports := map[ident.ServiceName]port.ServiceEvidence{}
 	active := e.services.current()
 	if active == nil {
 		return reports
 	}
 	caller := e.identity.Caller()
-	for name, backend := range active.Backends {
+	for _, name := range names {
+		backend := active.Backends[name]
+		if backend == nil {
+			continue
+		}
 		report := backend.Engine.Evidence()
 		report.Host, report.Incarnation = caller.Host, caller.Incarnation
 		reports[name] = port.ServiceEvidence{Service: name, Evidence: report}
@@ -72,55 +77,13 @@
 	return reports
 }
 
-// partners returns the services that this host shares with each other serving
-// host, by peer address. Of two hosts the one with the lower ID calls; the
-// reply carries the other's evidence.
-func (e *evidence) partners() map[string][]ident.ServiceName {
-	shared := map[string][]ident.ServiceName{}
-	active := e.services.current()
-	if active == nil {
-		return shared
-	}
-	hosts := e.fleet.Serving()
-	byID := map[ident.HostID]port.Host{}
-	for _, h := range hosts {
-		byID[h.ID] = h
-	}
-	for name, backend := range active.Backends {
-		set := servingEverywhere(name, backend.Service.ServingHosts, ingress.ServingHosts(hosts))
-		if !contains(set, e.identity.host) {
-			continue
-		}
-		for _, h := range set {
-			if e.identity.host < h.ID {
-				address := byID[h.ID].PeerAddress
-				shared[address] = append(shared[address], name)
-			}
-		}
-	}
-	return shared
-}
-
-// servingEverywhere returns the serving hosts of a service in all regions.
-func servingEverywhere(name ident.ServiceName, size int, hosts []serving.Host) []serving.Host {
-	seen := map[ident.Region]bool{}
-	var all []serving.Host
-	for _, h := range hosts {
-		if !seen[h.Location.Region] {
-			seen[h.Location.Region] = true
-			all = append(all, serving.Set(name, h.Location.Region, size, hosts)...)
-		}
-	}
-	return all
-}
-
-func contains(hosts []serving.Host, id ident.HostID) bool {
-	for _, h := range hosts {
-		if h.ID == id {
-			return true
-		}
+func allNames(partners map[port.Host][]ident.ServiceName) []ident.ServiceName {
+	var all []ident.ServiceName
+	for _, names := range partners {
+		all = append(all, names...)
 	}
-	return false
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
 func choose(own map[ident.ServiceName]port.ServiceEvidence, names []ident.ServiceName) []port.ServiceEvidence {
@@ -153,5 +116,5 @@
 	for _, r := range reports {
 		names = append(names, r.Service)
 	}
-	return choose(e.own(), names)
+	return choose(e.own(names), names)
 }
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -39,12 +39,15 @@
 
 	mu      sync.Mutex
 	members *member.List
+	// changes counts what may change the result of Serving.
+	changes uint64
 }
 
 // update runs one event under the lock and carries its actions out after it.
 func (f *fleet) update(step func(now time.Time, l *member.List) []member.Action) {
 	f.mu.Lock()
 	actions := step(time.Now(), f.members)
+	f.count(actions)
 	f.mu.Unlock()
 	for _, a := range actions {
 		f.carryOut(a)
@@ -58,6 +61,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	actions := f.members.Tick(time.Now())
+	f.count(actions)
 	go func() {
 		for _, a := range actions {
 			f.carryOut(a)
@@ -66,6 +70,22 @@
 	return f.members.Self().Version.Incarnation
 }
 
+// count notes changes of hosts. The caller holds the lock.
+func (f *fleet) count(actions []member.Action) {
+	for _, a := range actions {
+		if _, ok := a.(member.Changed); ok {
+			f.changes++
+		}
+	}
+}
+
+// Changes implements liveHosts.
+func (f *fleet) Changes() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changes
+}
+
 func (f *fleet) carryOut(a member.Action) {
 	switch a := a.(type) {
 	case member.Send:
@@ -203,7 +223,7 @@
 	return live
 }
 
-// Serving implements ingress.Members: this host and all others that answer and
+// Serving implements liveHosts: this host and all others that answer and
 // are not leaving. When that is nobody, it falls back to hosts that are
 // leaving, then to suspected ones, so that it is never empty.
 func (f *fleet) Serving() []port.Host {
@@ -231,7 +251,10 @@
 
 // leave announces that this host takes no new callers.
 func (f *fleet) leave() {
-	f.update(func(_ time.Time, l *member.List) []member.Action { return l.Leave() })
+	f.update(func(_ time.Time, l *member.List) []member.Action {
+		f.changes++
+		return l.Leave()
+	})
 }
 
 // stop announces that this host has stopped.
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -39,6 +39,7 @@
 	fleet       *fleet
 	peers       *peer.Client
 	spread      *spread
+	directory   *directory
 	evidence    *evidence
 	tickets     *tickets
 	follower    *configlog.Follower
@@ -78,7 +79,7 @@
 		Location:      h.location,
 		AddressMaxAge: settings.AddressMaxAge,
 		Transport:     h.transport,
-		Members:       h.fleet,
+		Members:       h.directory,
 		Tickets:       h.tickets,
 		CallerAddress: settings.CallerAdvertise,
 		Recorder:      h.timeline,
@@ -125,7 +126,8 @@
 	h.spread = &spread{follower: h.follower, peers: h.peers, fleet: h.fleet, host: self.ID, log: h.log}
 	h.fleet.onHeard = h.spread.heard
 	h.tickets.fleet = h.fleet
-	h.evidence = &evidence{services: h.services, fleet: h.fleet, peers: h.peers, identity: h.identity, log: h.log}
+	h.directory = newDirectory(h.fleet, uint64(incarnation))
+	h.evidence = &evidence{services: h.services, hosts: h.directory, peers: h.peers, identity: h.identity, log: h.log}
 	return nil
 }
 
@@ -202,7 +204,9 @@
 	if current != nil && current.Revision >= active.Revision {
 		return
 	}
-	h.ingress.Activate(h.services.activate(active.Revision, active.Document))
+	next := h.services.activate(active.Revision, active.Document)
+	h.directory.configure(next)
+	h.ingress.Activate(next)
 	h.inForceAt.Store(time.Now().UnixMicro())
 	h.timeline.Record(event.ConfigurationInForce, event.F("revision", active.Revision), event.F("hash", active.Chain), event.F("offset", active.AsOf))
 }
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -8,7 +8,6 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/member"
-	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
@@ -34,19 +33,15 @@
 	}
 	status.Revision = active.Revision
 	status.InForceAt = time.UnixMicro(h.inForceAt.Load()).UTC()
-	hosts := ingress.ServingHosts(h.fleet.Serving())
+	served := h.directory.serves(ident.HostID(h.settings.HostID))
 	for name, backend := range active.Backends {
-		set := serving.Set(name, h.location.Region, backend.Service.ServingHosts, hosts)
-		status.Services = append(status.Services, h.serviceStatus(name, backend, set))
+		status.Services = append(status.Services, serviceStatus(name, backend, served[name]))
 	}
 	return status
 }
 
-func (h *Host) serviceStatus(name ident.ServiceName, backend *ingress.Backend, set []serving.Host) adminapi.Service {
-	svc := adminapi.Service{Name: string(name), Targets: []adminapi.Target{}}
-	for _, host := range set {
-		svc.Serving = svc.Serving || host.ID == ident.HostID(h.settings.HostID)
-	}
+func serviceStatus(name ident.ServiceName, backend *ingress.Backend, serves bool) adminapi.Service {
+	svc := adminapi.Service{Name: string(name), Serving: serves, Targets: []adminapi.Target{}}
 	service, targets := backend.Engine.Status()
 	svc.Queued = service.Waiting
 	for _, t := range targets {
