--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: demo test build lint generate bench
+.PHONY: demo test build lint generate bench capacity
 
 # Starts stand-ins and four hosts on loopback and sends requests through them.
 demo: build
@@ -27,3 +27,7 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+
+# Measures the slopes on two cores and makes the tables of the page again.
+capacity:
+	GOMAXPROCS=2 $(GO) run ./cmd/capacity -write docs/CAPACITY.md
--- /dev/null
+++ b/cmd/capacity/main_test.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"io"
+	"strings"
+	"testing"
+)
+
+// TestBadFlags guards against a wrong flag that is accepted or whose error does
+// not name it.
+func TestBadFlags(t *testing.T) {
+	for _, c := range []struct{ args, want string }{
+		{"-time 1ms", "-time is 1ms, want 10ms to 1m0s"},
+		{"-time soon", "-time"},
+		{"-write /does/not/exist", "-write"},
+		{"page", `unexpected argument "page"`},
+	} {
+		err := run(strings.Fields(c.args), io.Discard, io.Discard)
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want %q", c.args, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/measure_serving.go
@@ -0,0 +1,59 @@
+package capacity
+
+import (
+	"math/rand/v2"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
+)
+
+func (s Size) index() *serving.Index {
+	x := serving.NewIndex()
+	for i := range s.Services {
+		x.SetService(serviceName(i), servingHosts)
+	}
+	for _, h := range s.hosts() {
+		x.AddHost(h)
+	}
+	return x
+}
+
+func measureServing(cfg Config, s *Slopes) error {
+	size := cfg.Size
+	hosts := size.hosts()
+	s.add("state.set", heldBytes(func() any { return size.index() })/float64(size.Services*size.Regions), "bytes", "one serving set of the index, its share of the hosts included (live heap of `serving.Index`)")
+	x := size.index()
+	i := 0
+	s.add("set.update", perCall(cfg, func() {
+		i++
+		h := hosts[i%len(hosts)]
+		x.RemoveHost(h.ID)
+		x.AddHost(h)
+	})/2, "ns", "the join or departure of one host in the index of all services, mean of both")
+	rng := rand.New(rand.NewPCG(1, 2))
+	at := ident.Location(hosts[0].Location)
+	s.add("set.answer", perCall(cfg, func() { x.Answer(serviceName(1), at, rng) }), "ns", "an address answer from the index")
+	s.add("set.scratch", perCall(cfg, func() { serving.Answer(serviceName(1), servingHosts, at, hosts, rng) }), "ns", "the same from a list of all hosts, as before the index")
+	s.add("rank.host", perCall(cfg, func() { serving.Rank("checkpoint", hosts) })/float64(len(hosts)), "ns", "one host of a rendezvous order (`serving.Rank`); hosts order a zone and the fleet each second")
+	s.add("moved", movedShare(hosts, size.Services), "%", "serving sets that change when one host goes, mean over 50 hosts")
+	return nil
+}
+
+// movedShare returns the percentage of sets that change when a host goes.
+func movedShare(hosts []serving.Host, services int) float64 {
+	x := serving.NewIndex()
+	for i := range services {
+		x.SetService(serviceName(i), servingHosts)
+	}
+	regions := map[ident.Region]bool{}
+	for _, h := range hosts {
+		x.AddHost(h)
+		regions[h.Location.Region] = true
+	}
+	gone := min(50, len(hosts))
+	served := 0
+	for _, h := range hosts[:gone] {
+		served += len(x.Services(h.ID))
+	}
+	return 100 * float64(served) / float64(gone) / float64(services*len(regions))
+}
