--- a/internal/core/document/sections.go
+++ b/internal/core/document/sections.go
@@ -58,6 +58,9 @@
 // HeaderKey is the key of the header section. It sorts before all other keys.
 const HeaderKey = "header"
 
+// routePrefix begins the key of each route section.
+const routePrefix = "route/"
+
 // NewerFormatError reports a document of a format that this build can't read.
 type NewerFormatError struct{ Format int }
 
--- /dev/null
+++ b/internal/core/document/validate_change_test.go
@@ -0,0 +1,82 @@
+package document
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const changeBase = `
+format: 1
+name: desk
+regions: [{name: cairo, zones: [cairo-maadi]}]
+services:
+  - {name: errata-index, targets: [{name: t1, address: "192.0.2.1:80", zone: cairo-maadi}], classes: [{name: lookup}, {name: search}]}
+  - {name: notice-press, targets: [{name: t1, address: "192.0.2.2:80", zone: cairo-maadi}], classes: [{name: issue}]}
+routes:
+  - {name: r0, path_prefix: /a, service: errata-index, class: lookup}
+  - {name: r1, path_prefix: /b/, methods: [GET], service: notice-press, class: issue}
+  - {name: r2, path_prefix: /c, methods: [GET, POST], service: errata-index, class: search}
+`
+
+var anyRoute = rapid.Custom(func(t *rapid.T) Route {
+	return Route{
+		Name:       fmt.Sprint("r", rapid.IntRange(0, 4).Draw(t, "name")),
+		PathPrefix: rapid.SampledFrom([]string{"/a", "/a/", "/b", "/c", "/d", "/c/d", "", "x", "/.sapphirehaven/v1"}).Draw(t, "prefix"),
+		Methods:    rapid.SampledFrom([][]string{nil, {"GET"}, {"POST"}, {"GET", "POST"}, {"GET", "GET"}, {"get"}, {"*"}, {""}}).Draw(t, "methods"),
+		Service:    rapid.SampledFrom([]Service{{Name: "errata-index"}, {Name: "notice-press"}, {Name: "none"}}).Draw(t, "service").Name,
+		Class:      rapid.SampledFrom([]Class{{Name: "lookup"}, {Name: "issue"}, {Name: "none"}}).Draw(t, "class").Name,
+	}
+})
+
+// TestValidateChangeEqualsValidate guards against a change that is accepted
+// although the whole document is invalid, or the reverse: hosts would then
+// disagree about a revision.
+func TestValidateChangeEqualsValidate(t *testing.T) {
+	base, err := Parse([]byte(changeBase))
+	if err != nil {
+		t.Fatal(err)
+	}
+	verdicts := map[bool]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		before, err := Sections(base)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next := *base
+		routes := map[string]Route{}
+		for _, r := range base.Routes {
+			routes[r.Name] = r
+		}
+		for _, r := range rapid.SliceOfN(anyRoute, 0, 3).Draw(t, "routes") {
+			routes[r.Name] = r
+		}
+		for _, r := range rapid.SliceOfN(anyRoute, 0, 1).Draw(t, "removed") {
+			delete(routes, r.Name)
+		}
+		if rapid.IntRange(0, 9).Draw(t, "service change") == 0 {
+			next.Services = append([]Service(nil), base.Services[:1]...)
+		}
+		next.Routes = nil
+		for _, r := range routes {
+			next.Routes = append(next.Routes, r)
+		}
+		after, err := Sections(&next)
+		if err != nil {
+			t.Fatal(err)
+		}
+		doc, err := FromSections(after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole, change := doc.Validate(), doc.ValidateChange(Diff(before, after))
+		if fmt.Sprint(whole) != fmt.Sprint(change) {
+			t.Fatalf("the change is %v, the whole document %v", change, whole)
+		}
+		verdicts[whole == nil]++
+	})
+	if verdicts[true] == 0 || verdicts[false] == 0 {
+		t.Errorf("%d valid and %d invalid documents, want some of both", verdicts[true], verdicts[false])
+	}
+}
--- a/internal/core/revision/rule.go
+++ b/internal/core/revision/rule.go
@@ -41,7 +41,11 @@
 	if set.Hash() != p.ContentHash {
 		return set, nil, WrongContentHash, nil
 	}
-	doc, err := build(set)
+	doc, err := document.FromSections(set)
+	if err == nil {
+		// The base is valid, because only valid documents become active.
+		err = doc.ValidateChange(p.Delta)
+	}
 	if err != nil {
 		return set, nil, InvalidDocument, err
 	}
