document: check changes of targets by their service

Change: ValidateChange also takes deltas of targets; it validates the services of the changed targets and leaves every change of a service, region or header to Validate.

--- a/internal/capacity/measure_document.go
+++ b/internal/capacity/measure_document.go
@@ -119,7 +119,8 @@
 	s.add("record.change", float64(len(data)), "bytes", "log record of a change of one route (`logcodec.Encode`)")
 	s.add("apply.delta", perCall(cfg, func() { _, _ = document.Apply(full, p.Delta) }), "ns", "delta of one section and content hash at the full size (`document.Apply`)")
 	s.add("apply.assemble", perCall(cfg, func() { _, _ = document.FromSections(full) }), "ns", "document from all sections (`document.FromSections`)")
-	s.add("apply.validate", perCall(cfg, func() { _ = state.Document().Validate() }), "ns", "validation of the whole document (`Document.Validate`)")
+	s.add("apply.check", perCall(cfg, func() { _ = doc.ValidateChange(p.Delta) }), "ns", "check of the changed document, when only routes or targets changed (`Document.ValidateChange`)")
+	s.add("apply.validate", perCall(cfg, func() { _ = state.Document().Validate() }), "ns", "validation of the whole document, when something else changed (`Document.Validate`)")
 	s.add("apply.compile", perCall(cfg, func() { route.New(doc.Routes) }), "ns", "route table from all routes (`route.New`)")
 	return nil
 }
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -161,7 +161,7 @@
 }
 
 func (m *model) applyTime() float64 {
-	return m.sections() * (m.slope("apply.delta") + m.slope("apply.assemble") + m.slope("apply.validate"))
+	return m.sections() * (m.slope("apply.delta") + m.slope("apply.assemble") + m.slope("apply.check"))
 }
 
 func (m *model) activateTime() float64 {
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -48,8 +48,11 @@
 		{"heap at a collection, served services only", "2 * (live heap - unused dispatch state)", "bytes", func(m *model) float64 {
 			return garbageFactor * (m.heapBytes() - m.dispatchBytes()*(1-m.sets()/float64(m.Hosts)))
 		}, fixed(memoryBudget)},
-		{"processor for one change until it is in force", "`apply.*` + targets * `configure.target`", "ns", func(m *model) float64 { return m.applyTime() + m.activateTime() }, nil},
-		{"processor", "changes/s * the above", "%", (*model).configCPU, fixed(coreBudget)},
+		{"processor for a change of a route or target until it is in force", "`apply.delta` + `apply.assemble` + `apply.check` + `apply.compile` + targets * `configure.target`", "ns", func(m *model) float64 { return m.applyTime() + m.activateTime() }, nil},
+		{"the same for any other change", "`apply.validate` in place of `apply.check`", "ns", func(m *model) float64 {
+			return m.applyTime() + m.activateTime() + m.sections()*(m.slope("apply.validate")-m.slope("apply.check"))
+		}, nil},
+		{"processor, all changes concern routes and targets", "changes/s * the first", "%", (*model).configCPU, fixed(coreBudget)},
 		{"time until in force everywhere", "6 rounds * (30 ms + apply) + activation", "ns", func(m *model) float64 { return pushRounds*(oneWayBetween+m.applyTime()) + m.activateTime() }, fixed(effectBudget)},
 		{"traffic of changes", "8 pushes * changes/s * (`push` + headers)", "bytes/s", (*model).pushBytes, fixed(trafficLimit)},
 		{"traffic of checkpoints, mean", "8 pushes * 3 a day * `snapshot`", "bytes/s", (*model).checkpointBytes, fixed(trafficLimit)},
--- a/internal/core/document/sections.go
+++ b/internal/core/document/sections.go
@@ -58,8 +58,11 @@
 // HeaderKey is the key of the header section. It sorts before all other keys.
 const HeaderKey = "header"
 
-// routePrefix begins the key of each route section.
-const routePrefix = "route/"
+// Beginnings of the keys of sections.
+const (
+	routePrefix  = "route/"
+	targetPrefix = "target/"
+)
 
 // NewerFormatError reports a document of a format that this build can't read.
 type NewerFormatError struct{ Format int }
@@ -239,7 +242,7 @@
 		if v.Service == "" || strings.Contains(string(v.Service), "/") {
 			return "", errors.Errorf("target %q: %q is not a service name", v.Target.Name, v.Service)
 		}
-		return key("target/"+string(v.Service), string(v.Target.Name))
+		return key(targetPrefix+string(v.Service), string(v.Target.Name))
 	case Route:
 		return key("route", v.Name)
 	}
--- a/internal/core/document/validate_change.go
+++ b/internal/core/document/validate_change.go
@@ -7,42 +7,70 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 )
 
-// maxRouteChanges bounds the changed routes that are checked by themselves.
-const maxRouteChanges = 256
+// maxChanges bounds the sections of a delta that are checked by themselves.
+const maxChanges = 256
 
 // ValidateChange checks a document that a delta turned a valid one into. The
-// result is that of Validate. A few changed routes are checked by themselves and
-// against the others, since validating 70,000 routes takes about 100 ms; any
-// other change, and any doubt, leads to Validate.
+// result is that of Validate. A few changed routes and targets are checked by
+// themselves and against the others, since validating 70,000 routes and 51,000
+// targets takes about 100 ms; any other change, and any doubt, leads to Validate.
 func (d *Document) ValidateChange(delta Delta) error {
-	names := delta.changedRoutes()
-	if names != nil && d.routesValid(names) {
+	if c, ok := delta.parts(); ok && d.servicesValid(c.services) && d.routesValid(c.routes) {
 		return nil
 	}
 	return d.Validate()
 }
 
-// changedRoutes returns the names of the added and changed routes, nil when the
-// delta concerns anything else or too many routes. Removing a route cannot make
-// a document invalid.
-func (d Delta) changedRoutes() map[string]bool {
-	if len(d.Changed) > maxRouteChanges {
-		return nil
+// changedParts names what a delta changes in routes and targets.
+type changedParts struct {
+	// routes holds added and changed routes. Removing one cannot make a document
+	// invalid.
+	routes map[string]bool
+	// services holds the services of added, changed and removed targets.
+	services map[ident.ServiceName]bool
+}
+
+// parts reports false when the delta concerns anything else than routes and
+// targets, or too many of them.
+func (d Delta) parts() (c changedParts, ok bool) {
+	c = changedParts{routes: map[string]bool{}, services: map[ident.ServiceName]bool{}}
+	if len(d.Changed)+len(d.Deleted) > maxChanges {
+		return c, false
 	}
-	names := make(map[string]bool, len(d.Changed))
 	for _, s := range d.Changed {
-		name, isRoute := strings.CutPrefix(s.Key, routePrefix)
-		if !isRoute {
-			return nil
+		if name, isRoute := strings.CutPrefix(s.Key, routePrefix); isRoute {
+			c.routes[name] = true
+		} else if !c.addTarget(s.Key) {
+			return c, false
+		}
+	}
+	for _, key := range d.Deleted {
+		if !strings.HasPrefix(key, routePrefix) && !c.addTarget(key) {
+			return c, false
 		}
-		names[name] = true
 	}
-	for _, k := range d.Deleted {
-		if !strings.HasPrefix(k, routePrefix) {
-			return nil
+	return c, true
+}
+
+func (c changedParts) addTarget(key string) bool {
+	rest, isTarget := strings.CutPrefix(key, targetPrefix)
+	service, _, _ := strings.Cut(rest, "/")
+	c.services[ident.ServiceName(service)] = true
+	return isTarget
+}
+
+// servicesValid reports whether the named services and their targets are valid.
+func (d *Document) servicesValid(names map[ident.ServiceName]bool) bool {
+	v := &validator{zones: map[ident.Zone]bool{}, classes: map[ident.ServiceName]map[ident.ClassName]bool{}}
+	v.regions(d.Regions)
+	found := 0
+	for i := range d.Services {
+		if s := &d.Services[i]; names[s.Name] {
+			v.service("", s)
+			found++
 		}
 	}
-	return names
+	return found == len(names) && len(v.errs) == 0
 }
 
 // routesValid reports whether the named routes are valid and match no request of
--- a/internal/core/document/validate_change_test.go
+++ b/internal/core/document/validate_change_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 )
 
 const changeBase = `
@@ -30,6 +32,41 @@
 	}
 })
 
+var anyTarget = rapid.Custom(func(t *rapid.T) Target {
+	return Target{
+		Name:        ident.TargetID(rapid.SampledFrom([]string{"t1", "t2", "t/3"}).Draw(t, "target")),
+		Address:     rapid.SampledFrom([]string{"192.0.2.1:80", "192.0.2.2:80", "localhost:80"}).Draw(t, "address"),
+		Zone:        rapid.SampledFrom([]ident.Zone{"cairo-maadi", "cairo-maadi", "none"}).Draw(t, "zone"),
+		Slots:       rapid.SampledFrom([]int{1, 6, 0}).Draw(t, "slots"),
+		Connections: 330,
+	}
+})
+
+// anyServices replaces, adds and removes targets, and changes a service at times.
+func anyServices(t *rapid.T, base []Service) []Service {
+	services := append([]Service(nil), base...)
+	for i := range services {
+		kind := rapid.IntRange(0, 19).Draw(t, "service change")
+		targets := append([]Target(nil), services[i].Targets...)
+		switch {
+		case kind < 3:
+			targets = append(targets[:0], anyTarget.Draw(t, "replaced"))
+		case kind < 6:
+			if added := anyTarget.Draw(t, "added"); added.Name != targets[0].Name {
+				targets = append(targets, added)
+			}
+		case kind < 7:
+			targets = nil
+		case kind < 8:
+			services[i].ServingHosts = rapid.IntRange(0, 2).Draw(t, "serving hosts")
+		case kind < 9:
+			return services[:i]
+		}
+		services[i].Targets = targets
+	}
+	return services
+}
+
 // TestValidateChangeEqualsValidate guards against a change that is accepted
 // although the whole document is invalid, or the reverse: hosts would then
 // disagree about a revision.
@@ -55,9 +92,7 @@
 		for _, r := range rapid.SliceOfN(anyRoute, 0, 1).Draw(t, "removed") {
 			delete(routes, r.Name)
 		}
-		if rapid.IntRange(0, 9).Draw(t, "service change") == 0 {
-			next.Services = append([]Service(nil), base.Services[:1]...)
-		}
+		next.Services = anyServices(t, base.Services)
 		next.Routes = nil
 		for _, r := range routes {
 			next.Routes = append(next.Routes, r)
