docs: update the capacity page after the faster changes

Cause: the page showed the cost of a change and of the route table from before ValidateChange and the map of prefixes.

Change: the tables are made again, with a row for the heap with teams; the text names both changes and what would bring the traffic of a host to its budget.

--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -48,6 +48,10 @@
 		{"heap at a collection, served services only", "2 * (live heap - unused dispatch state)", "bytes", func(m *model) float64 {
 			return garbageFactor * (m.heapBytes() - m.dispatchBytes()*(1-m.sets()/float64(m.Hosts)))
 		}, fixed(memoryBudget)},
+		{"the same with teams", "2 * (the above without the factor + teams)", "bytes", func(m *model) float64 {
+			served := m.heapBytes() - m.dispatchBytes()*(1-m.sets()/float64(m.Hosts))
+			return garbageFactor * (served + float64(m.Teams)*m.slope("sections.route"))
+		}, fixed(memoryBudget)},
 		{"processor for a change of a route or target until it is in force", "`apply.delta` + `apply.assemble` + `apply.check` + `apply.compile` + targets * `configure.target`", "ns", func(m *model) float64 { return m.applyTime() + m.activateTime() }, nil},
 		{"the same for any other change", "`apply.validate` in place of `apply.check`", "ns", func(m *model) float64 {
 			return m.applyTime() + m.activateTime() + m.sections()*(m.slope("apply.validate")-m.slope("apply.check"))
