configlog: bound replies to peers and avoid due timers in tests

Cause: a reply of 64 large records would have 16 MB. Also, one of ten runs of the tests with the race detector crashed inside the Go 1.26 runtime (SIGSEGV below timer.maybeRunChan, called from the fake log's wait of zero length): in a synctest bubble several goroutines that receive from due timer channels share one race context.

Change: RecordsAfter stops at 1 MiB of data. A writer whose next tick is due takes it without a timer. The fake log waits with contexts and never on a due timer. Preview shows an operator what a document changes; a contradicting checkpoint in the log is reported as a conflict. A test covers the bound of the history.

Conclusion: the crash is in the toolchain's race detector; the tests no longer take the path that the crash showed.

--- a/internal/configlog/config.go
+++ b/internal/configlog/config.go
@@ -26,6 +26,9 @@
 	// default 1024 records and 8 MiB.
 	WindowRecords int
 	WindowBytes   int
+	// PeerBytes bounds the data of the records in one reply to a peer, which
+	// holds at least one record; default 1 MiB.
+	PeerBytes int
 	// Seed fixes the jitter.
 	Seed uint64
 	// OnEvent is called for every event, in order and while the follower is
@@ -44,6 +47,7 @@
 		BackoffMax:    10 * time.Second,
 		WindowRecords: 1024,
 		WindowBytes:   8 << 20,
+		PeerBytes:     1 << 20,
 		OnEvent:       func(Event) {},
 	}
 }
@@ -71,7 +75,7 @@
 	NeedsSnapshot
 	// Stopped: a record is from a newer version.
 	Stopped
-	// Conflict: a peer's snapshot contradicts the own state.
+	// Conflict: a snapshot of a peer or in the log contradicts the own state.
 	Conflict
 	// RecordIgnored: Err tells why a record had no effect.
 	RecordIgnored
--- a/internal/configlog/configlog_test.go
+++ b/internal/configlog/configlog_test.go
@@ -219,6 +219,10 @@
 		}
 		time.Sleep(time.Second)
 		f.want(b, 1, a)
+		f.propose(a, "rb", largePath(2))
+		if records, err := a.RecordsAfter(revision.NoOffset, 100); err != nil || len(records) != 8 {
+			t.Errorf("%d records, %v, want the 8 of 10 that fit into a reply", len(records), err)
+		}
 	})
 }
 
@@ -240,6 +244,9 @@
 			t.Errorf("got %v, want a NotKeptError", err)
 		}
 		f.want(other, 0, nil)
+		if few, err := reader.RecordsAfter(revision.NoOffset, 1); err != nil || len(few) != 1 {
+			t.Errorf("%d records, %v, want 1", len(few), err)
+		}
 		if err := other.ApplyFromPeer(append(records, records...)); err != nil {
 			t.Error(err)
 		}
--- a/internal/configlog/fake_test.go
+++ b/internal/configlog/fake_test.go
@@ -56,7 +56,13 @@
 	return l.write(data), nil
 }
 
+// sleep waits for d. Receiving from a timer channel that is already due can
+// crash the race detector of Go 1.26 in a synctest bubble, because several
+// goroutines then share one race context; so the fake uses no such timer.
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
@@ -75,7 +81,8 @@
 
 func (l *fakeLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) (port.Batch, error) {
 	sleep(ctx, l.delay)
-	deadline := time.After(wait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	for {
 		var written chan struct{}
 		l.set(func() { written = l.written })
@@ -85,10 +92,8 @@
 		}
 		select {
 		case <-written:
-		case <-deadline:
-			return batch, nil
 		case <-ctx.Done():
-			return batch, ctx.Err()
+			return batch, nil
 		}
 	}
 }
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -132,15 +132,16 @@
 	return f.state.AsOf(), res
 }
 
-// RecordsAfter returns up to limit records after an offset for a peer. The
-// error is a NotKeptError when the peer needs a snapshot.
+// RecordsAfter returns up to limit records after an offset for a peer, and
+// fewer when they are large; none when the peer has all. The error is a
+// NotKeptError when the peer needs a snapshot.
 func (f *Follower) RecordsAfter(offset int64, limit int) ([]revision.Record, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if offset >= f.state.AsOf() {
 		return nil, nil
 	}
-	records, ok := f.window.after(offset, limit)
+	records, ok := f.window.after(offset, limit, f.cfg.PeerBytes)
 	if !ok {
 		return nil, &NotKeptError{After: offset}
 	}
@@ -165,8 +166,7 @@
 func (f *Follower) adopt(snap revision.Snapshot) (bool, error) {
 	before := f.state.Revision()
 	adopted, err := f.state.Adopt(snap)
-	var conflict *revision.ConflictError
-	if errors.As(err, &conflict) {
+	if isConflict(err) {
 		f.emit(Event{Kind: Conflict, Err: err})
 	}
 	if !adopted {
@@ -232,11 +232,18 @@
 		f.emit(Event{Kind: Refused, Result: out.Result})
 	case out.Checkpoint:
 		f.emit(Event{Kind: CheckpointSeen})
+	case isConflict(out.Ignored):
+		f.emit(Event{Kind: Conflict, Err: out.Ignored})
 	case out.Ignored != nil:
 		f.emit(Event{Kind: RecordIgnored, Err: out.Ignored})
 	}
 }
 
+func isConflict(err error) bool {
+	var conflict *revision.ConflictError
+	return errors.As(err, &conflict)
+}
+
 func (f *Follower) emit(e Event) {
 	e.AsOf, e.Revision = f.state.AsOf(), f.state.Revision()
 	f.cfg.OnEvent(e)
--- a/internal/configlog/window.go
+++ b/internal/configlog/window.go
@@ -25,13 +25,22 @@
 	w.bytes = 0
 }
 
-// after returns up to limit records after an offset, and false when the first
-// one of them is not kept.
-func (w *window) after(offset int64, limit int) ([]revision.Record, bool) {
+// after returns records after an offset, up to limit records and maxBytes of
+// data but at least one. It returns false when the first one is not kept.
+func (w *window) after(offset int64, limit, maxBytes int) ([]revision.Record, bool) {
 	if len(w.records) == 0 || offset+1 < w.records[0].Offset {
 		return nil, false
 	}
 	skip := min(offset+1-w.records[0].Offset, int64(len(w.records)))
 	rest := w.records[skip:]
-	return append([]revision.Record(nil), rest[:min(limit, len(rest))]...), true
+	rest = rest[:min(limit, len(rest))]
+	bytes := 0
+	for i, r := range rest {
+		bytes += len(r.Data)
+		if bytes > maxBytes && i > 0 {
+			rest = rest[:i]
+			break
+		}
+	}
+	return append([]revision.Record(nil), rest...), true
 }
--- a/internal/configlog/writer.go
+++ b/internal/configlog/writer.go
@@ -43,6 +43,17 @@
 	}, nil
 }
 
+// Preview describes what a document would change in the active configuration.
+// After a refusal it shows the operator how their document differs from the one
+// that won.
+func (f *Follower) Preview(doc *document.Document) (string, error) {
+	set, err := document.Sections(doc)
+	if err != nil {
+		return "", err
+	}
+	return document.DiffText(f.Active().Sections, set), nil
+}
+
 // Writer appends proposals. The follower has to get the log's records, from
 // the log or from peers, for a verdict other than unknown.
 type Writer struct {
@@ -102,6 +113,10 @@
 			return report
 		}
 		next, _ := p.machine.NextTick()
+		if now := time.Now(); !next.After(now) {
+			actions = p.machine.Tick(now)
+			continue
+		}
 		timer := time.NewTimer(time.Until(next))
 		select {
 		case s := <-p.results:
--- a/internal/core/revision/append_test.go
+++ b/internal/core/revision/append_test.go
@@ -100,3 +100,26 @@
 		t.Error("the checkpoint is not renewed in a quiet log")
 	}
 }
+
+// TestHistoryIsBounded guards against a state that grows with every refusal,
+// and against a proposal that is accepted twice after it has left the history.
+func TestHistoryIsBounded(t *testing.T) {
+	s := revision.New(logcodec.Decode)
+	log := &testLog{}
+	first := proposal("p", 0, s.Sections(), withRoute(s.Sections(), "r", "/r"))
+	s.Apply(log.addEntry(first))
+	for i := range revision.MaxResults {
+		s.Apply(log.addEntry(revision.Withdrawal{ID: fmt.Sprint(i), Base: 1}))
+	}
+	if _, ok := s.Result("p"); ok || len(s.Results()) != revision.MaxResults {
+		t.Errorf("%d results are kept", len(s.Results()))
+	}
+	for _, e := range []revision.Entry{first, revision.Withdrawal{ID: "p"}} {
+		if out := s.Apply(log.addEntry(e)); out.Status != revision.Applied || out.Result != nil {
+			t.Errorf("repeated %T: %+v", e, out)
+		}
+	}
+	if s.Revision() != 1 {
+		t.Errorf("revision %d, want 1", s.Revision())
+	}
+}
