revision: fix the seed of the property tests

Change: the seed is 1 unless -rapid.seed is given.

Conclusion: the verdict is repeatable; a longer search needs the flags.

--- a/internal/core/document/sections_test.go
+++ b/internal/core/document/sections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"reflect"
 	"testing"
@@ -12,6 +13,13 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 )
 
+// With a fixed seed CI reaches the same verdict on every run.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func sample(routes int) *Document {
 	doc := &Document{
 		Format:  FormatVersion,
