--- a/internal/adapter/peer/convert.go
+++ b/internal/adapter/peer/convert.go
@@ -75,7 +75,7 @@
 	who := caller(from)
 	out := make([]port.ServiceEvidence, 0, len(list))
 	for _, pb := range list {
-		e := health.Evidence{Host: who.Host, Incarnation: who.Incarnation, Sequence: pb.GetSequence()}
+		e := health.Evidence{Host: who.Host, Incarnation: who.Incarnation, Sequence: pb.GetSequence(), SentMicros: from.GetWallUs()}
 		for _, t := range pb.GetTargets() {
 			e.Targets = append(e.Targets, health.TargetEvidence{
 				Target:   ident.TargetID(t.GetTarget()),
