--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
@@ -125,18 +124,3 @@
 	}
 	return append(append([]Event(nil), r.events[r.next:]...), r.events[:r.next]...)
 }
-
-// Merge orders the events of several hosts by stamp, then host.
-func Merge(lists ...[]Event) []Event {
-	var all []Event
-	for _, l := range lists {
-		all = append(all, l...)
-	}
-	sort.SliceStable(all, func(i, j int) bool {
-		if all[i].Stamp != all[j].Stamp {
-			return all[i].Stamp.Before(all[j].Stamp)
-		}
-		return all[i].Host < all[j].Host
-	})
-	return all
-}
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/adminapi"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 )
 
 // answer is what one host said, or why it said nothing.
@@ -148,18 +149,19 @@
 		}
 	}
 	sort.SliceStable(events, func(i, j int) bool {
-		a, b := events[i], events[j]
-		if a.WallMicros != b.WallMicros {
-			return a.WallMicros < b.WallMicros
+		a, b := stampOf(events[i]), stampOf(events[j])
+		if a != b {
+			return a.Before(b)
 		}
-		if a.Logical != b.Logical {
-			return a.Logical < b.Logical
-		}
-		return a.Host < b.Host
+		return events[i].Host < events[j].Host
 	})
 	return events
 }
 
+func stampOf(e adminapi.Event) event.Stamp {
+	return event.Stamp{WallMicros: e.WallMicros, Logical: e.Logical}
+}
+
 // addressAnswer is the part of an address answer that is shown.
 type addressAnswer struct {
 	Service  string `json:"service"`
