--- a/internal/core/revision/helper_test.go
+++ b/internal/core/revision/helper_test.go
@@ -29,8 +29,8 @@
 	return v
 }
 
-// emptyDocument returns a valid document without routes.
-func emptyDocument() *document.Document {
+// smallDocument returns a valid document without routes.
+func smallDocument() *document.Document {
 	return must(document.Parse([]byte(`
 format: 1
 name: desk
@@ -47,7 +47,7 @@
 func withRoute(base document.SectionSet, name, path string) document.SectionSet {
 	doc, err := document.FromSections(base)
 	if err != nil {
-		doc = emptyDocument()
+		doc = smallDocument()
 	}
 	kept := *doc
 	kept.Routes = nil
@@ -113,7 +113,7 @@
 func (l *testLog) retained() []revision.Record { return l.records[l.first:] }
 
 func largeSections(routes int) document.SectionSet {
-	doc := emptyDocument()
+	doc := smallDocument()
 	for i := range routes {
 		name := fmt.Sprintf("route-%05d", i)
 		doc.Routes = append(doc.Routes, document.Route{Name: name, PathPrefix: "/team/" + name, Methods: []string{"GET"}, Service: "errata-index", Class: "lookup"})
