document: read an empty list like an absent one

Cause: an absent list was nil and a written back one empty, so their section bytes differed (null and []). A document that was read, written with yaml.Marshal and proposed unchanged had a difference without a changed field. Change: Parse leaves an empty list nil. TestEmptyLists compares the sections and hashes of a document and of its written form. Conclusion: an unchanged document has no difference.

--- a/internal/core/document/parse.go
+++ b/internal/core/document/parse.go
@@ -146,6 +146,12 @@
 		d.fail(node, path, "want a list")
 		return
 	}
+	if len(node.Content) == 0 {
+		// An empty list is nil like an absent one, so that both have the same
+		// section bytes.
+		v.SetZero()
+		return
+	}
 	v.Set(reflect.MakeSlice(v.Type(), 0, len(node.Content)))
 	for i, item := range node.Content {
 		element := newWithDefaults(v.Type().Elem()).Elem()
--- a/internal/core/document/parse_test.go
+++ b/internal/core/document/parse_test.go
@@ -53,6 +53,25 @@
 	}
 }
 
+// TestEmptyLists guards against a difference without changed fields between a
+// document that leaves a list out and the same document written back.
+func TestEmptyLists(t *testing.T) {
+	absent, err := Parse([]byte("format: 1\nname: a\nregions: [{name: r, zones: [z]}]\nservices: [{name: s, classes: [{name: c}], targets: [{name: t, address: \"10.0.0.1:1\", zone: z}]}]"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := yaml.Marshal(absent)
+	written, err := Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, _ := Sections(absent)
+	b, _ := Sections(written)
+	if diff := DiffText(a, b); diff != "" || a.Hash() != b.Hash() {
+		t.Errorf("written back: %s", diff)
+	}
+}
+
 // FuzzParse guards against a panic on any input, and against an accepted
 // document that is refused when it is written back.
 func FuzzParse(f *testing.F) {
