document: describe fields to operators

Cause: forms need a label, a unit and a range for each field, and a second list of ranges would drift away from the validation. Change: fields.go holds one description for each field, with ranges built from the constants of the validation. Conclusion: forms can be generated from the document types.

--- /dev/null
+++ b/internal/core/document/fields.go
@@ -0,0 +1,117 @@
+package document
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+)
+
+// FieldInfo describes a field to operators.
+type FieldInfo struct {
+	Label string
+	Unit  string
+	// Range states the accepted values in the words of the validation errors.
+	Range string
+	Help  string
+	// Entry names one entry of a list.
+	Entry string
+}
+
+// Fields returns the descriptions of the fields of a document type by their
+// yaml names; nil if t is not a document type.
+func Fields(t reflect.Type) map[string]FieldInfo { return fieldInfos[t] }
+
+// NewDefault returns a pointer to a new value of t with the defaults that Parse
+// fills in for absent fields.
+func NewDefault(t reflect.Type) reflect.Value { return newWithDefaults(t) }
+
+// YAMLName returns the name of a struct field in the YAML form.
+func YAMLName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
+
+var (
+	rangeName     = fmt.Sprintf("1 to %d letters, digits, '-', '_' or '.'", maxNameLength)
+	rangePath     = "a path that starts with '/', without space, '?' or '#'"
+	rangeFraction = "0 to 1"
+	rangeStatus   = "400 to 599"
+	rangeBuffered = fmt.Sprintf("%s to %s", Size(0), Size(maxBuffered))
+	rangeBody     = fmt.Sprintf("%s to %s", Size(0), Size(maxBody))
+)
+
+func intRange(low, high int) string { return fmt.Sprintf("%d to %d", low, high) }
+
+func timeRange(low, high time.Duration) string { return fmt.Sprintf("%s to %s", low, high) }
+
+var fieldInfos = map[reflect.Type]map[string]FieldInfo{
+	reflect.TypeFor[Document](): {
+		"format":   {Label: "Format", Range: fmt.Sprint(FormatVersion), Help: "version of the document format"},
+		"name":     {Label: "Name", Range: rangeName},
+		"regions":  {Label: "Regions", Entry: "region"},
+		"services": {Label: "Services", Entry: "service"},
+		"routes":   {Label: "Routes", Entry: "route"},
+	},
+	reflect.TypeFor[Region](): {
+		"name":  {Label: "Region", Range: rangeName},
+		"zones": {Label: "Availability zones", Range: rangeName, Help: "each zone belongs to one region"},
+	},
+	reflect.TypeFor[Service](): {
+		"name":          {Label: "Name", Range: rangeName},
+		"targets":       {Label: "Targets", Entry: "target"},
+		"classes":       {Label: "Request classes", Entry: "request class"},
+		"health":        {Label: "Health"},
+		"limits":        {Label: "Limits"},
+		"retry":         {Label: "Retries"},
+		"serving_hosts": {Label: "Serving hosts", Unit: "hosts in each region", Range: intRange(1, maxServingHosts)},
+	},
+	reflect.TypeFor[Target](): {
+		"name":        {Label: "Name", Range: rangeName},
+		"address":     {Label: "Address", Range: "IP:port"},
+		"zone":        {Label: "Zone", Help: "one of the regions' zones"},
+		"slots":       {Label: "Slots", Unit: "requests at once", Range: intRange(1, maxSlots)},
+		"connections": {Label: "Connections", Unit: "connections from all hosts", Range: intRange(1, maxConnections)},
+	},
+	reflect.TypeFor[Class]():  classInfos,
+	reflect.TypeFor[Health](): healthInfos,
+	reflect.TypeFor[Upload](): {
+		"min_bytes_per_second":                {Label: "Minimum rate", Unit: "bytes per second", Range: rangeBody, Help: "a caller below this rate loses its slot"},
+		"max_bytes_per_second_across_regions": {Label: "Maximum rate between regions", Unit: "bytes per second", Range: fmt.Sprintf("%s to %s", Size(1), Size(maxBody))},
+	},
+	reflect.TypeFor[Limits](): {
+		"queue_length": {Label: "Queue length", Unit: "waiting requests on one host", Range: intRange(0, maxQueueLength)},
+	},
+	reflect.TypeFor[Retry](): {
+		"budget":       {Label: "Budget", Unit: "fraction of recent requests", Range: rangeFraction},
+		"max_attempts": {Label: "Maximum attempts", Unit: "attempts of an idempotent request", Range: intRange(1, maxAttempts)},
+	},
+	reflect.TypeFor[Route](): {
+		"name":        {Label: "Name", Range: rangeName},
+		"path_prefix": {Label: "Path prefix", Range: rangePath, Help: "matches whole path segments"},
+		"methods":     {Label: "Methods", Range: "a method in capitals such as GET", Help: "empty matches all"},
+		"service":     {Label: "Service", Help: "one of the services"},
+		"class":       {Label: "Class", Help: "a class of the service"},
+	},
+}
+
+var classInfos = map[string]FieldInfo{
+	"name":                      {Label: "Name", Range: rangeName},
+	"idempotent":                {Label: "Idempotent", Range: "true or false", Help: "only idempotent requests are repeated after they may have run"},
+	"floor":                     {Label: "Floor", Unit: "fraction of slots", Range: rangeFraction, Help: "ejection never goes below"},
+	"deadline":                  {Label: "Deadline", Unit: "time such as 1.5s", Range: timeRange(time.Millisecond, maxDeadline), Help: "applies when the caller states none"},
+	"attempt_timeout":           {Label: "Attempt timeout", Unit: "time such as 1.5s", Range: "1ms to the deadline", Help: "default: the deadline"},
+	"not_run_statuses":          {Label: "\"Not run\" statuses", Unit: "HTTP statuses", Range: rangeStatus, Help: "by which a target says that it did not run the request"},
+	"max_request_bytes":         {Label: "Largest request body", Unit: "size such as 64KiB", Range: rangeBuffered, Help: "with upload rules up to " + Size(maxBody).String()},
+	"max_buffered_answer_bytes": {Label: "Largest buffered response", Unit: "size such as 64KiB", Range: rangeBuffered, Help: "responses up to this size are held back until they are whole"},
+	"upload":                    {Label: "Upload rules", Help: "for large request bodies that stream"},
+}
+
+var healthInfos = map[string]FieldInfo{
+	"balance":          {Label: "Balance", Range: rangeFraction, Help: "0 avoids false ejections, 1 detects soonest"},
+	"failure_statuses": {Label: "Failure statuses", Unit: "HTTP statuses", Range: rangeStatus, Help: "count as failures"},
+	"shed_statuses":    {Label: "Shed statuses", Unit: "HTTP statuses", Range: rangeStatus, Help: "mean load, not failure"},
+	"probe_path":       {Label: "Probe path", Range: rangePath, Help: "empty turns probes off"},
+	"probe_interval":   {Label: "Probe interval", Unit: "time such as 2s", Range: timeRange(minProbe, maxDeadline)},
+	"load_path":        {Label: "Load report path", Range: rangePath, Help: "empty turns load reports off; needs a probe path"},
+}
