console: add the operators' console

Cause: operators need forms that end in the same validated document as the YAML path. Change: /console/ on the administration listener serves forms generated from the document types. The draft is a YAML tree that travels in the page with its base revision and the document it was started from, so any host continues a session. The only validation is document.Parse on the draft's text. A stale draft is moved to the active revision section by section, which keeps the changes of others. Proposal is now a type of adminapi, because admin mounts the console. Handler tests of POST /v1/document cover 401, 403, 413 and 400.

--- a/internal/adapter/admin/admin.go
+++ b/internal/adapter/admin/admin.go
@@ -3,8 +3,6 @@
 package admin
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -12,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/console"
 	"github.com/sapphirehaven/sapphirehaven/internal/adminapi"
 )
 
@@ -26,13 +25,13 @@
 type Server struct {
 	host      Host
 	documents Documents
-	token     string
+	token     adminToken
 	mux       *mux.Router
 }
 
 // New returns a server. An empty token turns writing off.
 func New(host Host, documents Documents, token string) *Server {
-	s := &Server{host: host, documents: documents, token: token, mux: mux.NewRouter()}
+	s := &Server{host: host, documents: documents, token: adminToken(token), mux: mux.NewRouter()}
 	get := func(path string, value func() any) {
 		s.mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, value()) }).Methods(http.MethodGet)
 	}
@@ -42,6 +41,7 @@
 	s.mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }).Methods(http.MethodGet)
 	s.mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }).Methods(http.MethodGet)
 	s.handleDocuments()
+	s.mux.PathPrefix(console.Prefix).Handler(console.New(documents, s.token))
 	return s
 }
 
@@ -55,13 +55,12 @@
 
 // authorized checks the token in constant time and answers when it is wrong.
 func (s *Server) authorized(w http.ResponseWriter, r *http.Request) bool {
-	if s.token == "" {
+	if !s.token.Enabled() {
 		writeJSON(w, http.StatusForbidden, errorBody{"writing is off: the host has no -admin-token"})
 		return false
 	}
 	given, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	want, got := sha256.Sum256([]byte(s.token)), sha256.Sum256([]byte(given))
-	if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+	if !s.token.Valid(given) {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		writeJSON(w, http.StatusUnauthorized, errorBody{"the Authorization header has no valid token"})
 		return false
--- a/internal/adapter/admin/documents.go
+++ b/internal/adapter/admin/documents.go
@@ -13,13 +13,7 @@
 )
 
 // Proposal is a document that an operator hands in.
-type Proposal struct {
-	YAML []byte
-	// Base is the revision that the document was written against.
-	Base   uint64
-	Author string
-	Note   string
-}
+type Proposal = adminapi.Proposal
 
 // Documents reads and proposes documents.
 type Documents interface {
--- /dev/null
+++ b/internal/adapter/console/draft.go
@@ -0,0 +1,257 @@
+package console
+
+import (
+	"bytes"
+	"fmt"
+	"net/url"
+	"reflect"
+	"strings"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
+)
+
+// emptyDraft is the text of a draft that starts from nothing.
+const emptyDraft = "format: 1\n"
+
+// fieldPrefix marks the form values that are fields of the document.
+const fieldPrefix = "f:"
+
+var documentType = reflect.TypeFor[document.Document]()
+
+// draft is a document that is being written. It may hold invalid values.
+type draft struct{ root *yaml.Node }
+
+// parseDraft reads a YAML text. A text that forms cannot show is refused with
+// the errors of document.Parse.
+func parseDraft(text []byte) (*draft, error) {
+	if len(text) > maxTextBytes {
+		return nil, tooLargeError{"the document", maxTextBytes}
+	}
+	var top yaml.Node
+	if err := yaml.Unmarshal(text, &top); err == nil && len(top.Content) == 1 && fits(top.Content[0], documentType) {
+		stripComments(top.Content[0])
+		return &draft{root: top.Content[0]}, nil
+	}
+	if _, err := document.Parse(text); err != nil {
+		return nil, err
+	}
+	return nil, errors.New("the document has a structure that forms cannot show")
+}
+
+// stripComments removes comments and anchors. The log does not keep them, and
+// the YAML library can move comments when it writes a changed tree.
+func stripComments(n *yaml.Node) {
+	n.HeadComment, n.LineComment, n.FootComment, n.Anchor = "", "", "", ""
+	for _, c := range n.Content {
+		stripComments(c)
+	}
+}
+
+// text returns the draft in its YAML form.
+func (d *draft) text() ([]byte, error) {
+	var out bytes.Buffer
+	enc := yaml.NewEncoder(&out)
+	enc.SetIndent(2)
+	if err := enc.Encode(d.root); err != nil {
+		return nil, errors.Wrap(err, "draft")
+	}
+	if out.Len() > maxTextBytes {
+		return nil, tooLargeError{"the draft", maxTextBytes}
+	}
+	return out.Bytes(), nil
+}
+
+// node returns the node at a path, nil if it is absent.
+func (d *draft) node(path string) *yaml.Node {
+	steps, ok := splitPath(path)
+	if !ok {
+		return nil
+	}
+	n := d.root
+	for _, s := range steps {
+		n = child(n, s)
+	}
+	return n
+}
+
+// ensure returns the node at a path and creates absent fields on the way, but
+// no list items.
+func (d *draft) ensure(path string) (*yaml.Node, error) {
+	steps, ok := splitPath(path)
+	if !ok {
+		return nil, errors.Errorf("%q is not a field", path)
+	}
+	n, t := d.root, documentType
+	for _, s := range steps {
+		next := child(n, s)
+		inner, known := elementType(t, s)
+		if !known {
+			return nil, errors.Errorf("%q is not a field", path)
+		}
+		if next == nil && s.name == "" {
+			return nil, errors.Errorf("%s is no longer in the draft", path)
+		}
+		if next == nil || isNull(next) && inner.Kind() == reflect.Struct {
+			next = newNode(inner)
+			setField(n, t, s.name, next)
+		}
+		n, t = next, inner
+	}
+	return n, nil
+}
+
+// elementType returns the type of a field or item of t.
+func elementType(t reflect.Type, s step) (reflect.Type, bool) {
+	switch {
+	case s.name == "" && t.Kind() == reflect.Slice:
+		t = t.Elem()
+	case s.name != "" && t.Kind() == reflect.Struct && fieldIndex(t, s.name) >= 0:
+		t = t.Field(fieldIndex(t, s.name)).Type
+	default:
+		return nil, false
+	}
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	return t, true
+}
+
+// apply takes over the fields of a submitted form.
+func (d *draft) apply(form url.Values) error {
+	for key, values := range form {
+		path, ok := strings.CutPrefix(key, fieldPrefix)
+		if !ok {
+			continue
+		}
+		if err := d.set(path, strings.TrimSpace(strings.ToValidUTF8(values[0], "\uFFFD"))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// set writes the text of one field. Unchanged fields keep their notation, and
+// an absent field that shows its default stays absent.
+func (d *draft) set(path, text string) error {
+	t, ok := typeAt(path)
+	if !ok || t.Kind() == reflect.Struct || isStructList(t) {
+		return errors.Errorf("%q is not a field", path)
+	}
+	parent, name := cutField(path)
+	owner, _ := typeAt(parent)
+	if owner == nil || owner.Kind() != reflect.Struct {
+		return errors.Errorf("%q is not a field", path)
+	}
+	if d.shown(path) == text {
+		return nil
+	}
+	n, err := d.ensure(parent)
+	if err != nil {
+		return err
+	}
+	switch {
+	case t.Kind() == reflect.Slice:
+		setField(n, owner, name, listNode(t, text))
+	case text == "":
+		deleteField(n, name)
+	default:
+		setField(n, owner, name, scalarNode(t, text))
+	}
+	return nil
+}
+
+func cutField(path string) (parent, name string) {
+	dot := strings.LastIndexByte(path, '.')
+	if dot < 0 {
+		return "", path
+	}
+	return path[:dot], path[dot+1:]
+}
+
+// listNode returns the list in a text with commas or spaces between the items.
+func listNode(t reflect.Type, text string) *yaml.Node {
+	n := newNode(t)
+	n.Style = yaml.FlowStyle
+	for _, item := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' }) {
+		n.Content = append(n.Content, scalarNode(t.Elem(), item))
+	}
+	return n
+}
+
+// shown returns the text that a form shows for a field: the value if there is
+// one. Absent lists and truth values show their default, other absent fields
+// are empty, which also means the default.
+func (d *draft) shown(path string) string {
+	n := d.node(path)
+	standard, _ := defaultAt(path)
+	switch {
+	case n != nil && n.Kind == yaml.SequenceNode:
+		items := make([]string, len(n.Content))
+		for i, item := range n.Content {
+			items[i] = item.Value
+		}
+		return strings.Join(items, ", ")
+	case n != nil && !isNull(n):
+		return n.Value
+	case standard.Kind() == reflect.Slice || standard.Kind() == reflect.Bool:
+		return defaultText(standard)
+	}
+	return ""
+}
+
+// defaultText returns a default as an operator writes it.
+func defaultText(v reflect.Value) string {
+	if v.Kind() == reflect.Slice {
+		return strings.Join(strings.Fields(strings.Trim(fmt.Sprint(v.Interface()), "[]")), ", ")
+	}
+	if v.IsZero() && v.Kind() != reflect.Bool {
+		return ""
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// add appends an entry to a list of entries, or creates an optional part.
+func (d *draft) add(path string) error {
+	t, ok := typeAt(path)
+	if !ok || t.Kind() != reflect.Struct && !isStructList(t) {
+		return errors.Errorf("%q cannot be added", path)
+	}
+	n, err := d.ensure(path)
+	if err != nil {
+		return err
+	}
+	if isStructList(t) {
+		n.Style &^= yaml.FlowStyle
+		n.Content = append(n.Content, newNode(t.Elem()))
+	}
+	return nil
+}
+
+// remove deletes an entry of a list or an optional part.
+func (d *draft) remove(path string) error {
+	list, index, ok := splitIndex(path)
+	if !ok {
+		parent, name := cutField(path)
+		if n := d.node(parent); n != nil {
+			deleteField(n, name)
+		}
+		return nil
+	}
+	n := d.node(list)
+	if n == nil || n.Kind != yaml.SequenceNode || index >= len(n.Content) {
+		return errors.Errorf("%s is no longer in the draft", path)
+	}
+	n.Content = append(n.Content[:index:index], n.Content[index+1:]...)
+	return nil
+}
+
+// count returns the number of entries of a list.
+func (d *draft) count(list string) int {
+	if n := d.node(list); n != nil && n.Kind == yaml.SequenceNode {
+		return len(n.Content)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/adapter/console/tree.go
@@ -0,0 +1,112 @@
+package console
+
+import (
+	"reflect"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// fits reports whether forms for t can show a node: known fields once each,
+// lists where lists belong, no aliases. It does not look at values.
+func fits(n *yaml.Node, t reflect.Type) bool {
+	switch {
+	case t.Kind() == reflect.Pointer:
+		return isNull(n) || fits(n, t.Elem())
+	case t.Kind() == reflect.Struct:
+		return n.Kind == yaml.MappingNode && fieldsFit(n, t)
+	case t.Kind() == reflect.Slice:
+		for _, item := range n.Content {
+			if !fits(item, t.Elem()) {
+				return false
+			}
+		}
+		return n.Kind == yaml.SequenceNode
+	default:
+		return n.Kind == yaml.ScalarNode
+	}
+}
+
+func fieldsFit(n *yaml.Node, t reflect.Type) bool {
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		name := n.Content[i].Value
+		index := fieldIndex(t, name)
+		if index < 0 || seen[name] || !fits(n.Content[i+1], t.Field(index).Type) {
+			return false
+		}
+		seen[name] = true
+	}
+	return true
+}
+
+func isNull(n *yaml.Node) bool { return n.Kind == yaml.ScalarNode && n.Tag == "!!null" }
+
+// child returns the value of a field or an item, nil if it is absent.
+func child(n *yaml.Node, s step) *yaml.Node {
+	if n == nil {
+		return nil
+	}
+	if s.name == "" {
+		if n.Kind == yaml.SequenceNode && s.index < len(n.Content) {
+			return n.Content[s.index]
+		}
+		return nil
+	}
+	if i := keyIndex(n, s.name); i >= 0 {
+		return n.Content[i+1]
+	}
+	return nil
+}
+
+func keyIndex(n *yaml.Node, name string) int {
+	if n.Kind != yaml.MappingNode {
+		return -1
+	}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		if n.Content[i].Value == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// setField sets a field of a mapping of type t. A new field goes to its place
+// in the order of the type's fields.
+func setField(n *yaml.Node, t reflect.Type, name string, value *yaml.Node) {
+	if i := keyIndex(n, name); i >= 0 {
+		n.Content[i+1] = value
+		return
+	}
+	at := 0
+	for at < len(n.Content) && fieldIndex(t, n.Content[at].Value) < fieldIndex(t, name) {
+		at += 2
+	}
+	key := &yaml.Node{Kind: yaml.ScalarNode, Value: name}
+	rest := append([]*yaml.Node{key, value}, n.Content[at:]...)
+	n.Content = append(n.Content[:at:at], rest...)
+}
+
+func deleteField(n *yaml.Node, name string) {
+	if i := keyIndex(n, name); i >= 0 {
+		n.Content = append(n.Content[:i:i], n.Content[i+2:]...)
+	}
+}
+
+// newNode returns an empty node for a type.
+func newNode(t reflect.Type) *yaml.Node {
+	if t.Kind() == reflect.Slice {
+		return &yaml.Node{Kind: yaml.SequenceNode}
+	}
+	return &yaml.Node{Kind: yaml.MappingNode}
+}
+
+// scalarNode returns a node for the text of a value. Texts get a tag so that
+// a name such as "null" or "1" is quoted; other values stay as written and
+// document.Parse judges them.
+func scalarNode(t reflect.Type, text string) *yaml.Node {
+	n := &yaml.Node{Kind: yaml.ScalarNode, Value: text}
+	if t.Kind() == reflect.String {
+		n.Tag = "!!str"
+	}
+	return n
+}
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -70,6 +70,15 @@
 	Fields     []string `json:"fields"`
 }
 
+// Proposal is a document that an operator hands in.
+type Proposal struct {
+	YAML []byte
+	// Base is the revision that the document was written against.
+	Base   uint64
+	Author string
+	Note   string
+}
+
 // Results of a proposal.
 const (
 	ResultAccepted = "accepted"
