Build paths of document fields only for errors

Change: routes are checked first and the path is formatted when a check fails. Ruled out: validating only changed sections; it needs an index of names and routes that is kept between revisions.

--- a/internal/core/document/validate.go
+++ b/internal/core/document/validate.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// item is a place in a list. Its path is only built for an error: with 70,000
+// routes, building all paths took most of the time of a check.
+type item struct {
+	list  string
+	index int
+}
+
+// field returns the path of a field of the item, or of the item itself.
+func (e item) field(name string) string {
+	path := fmt.Sprintf("%s[%d]", e.list, e.index)
+	if name == "" {
+		return path
+	}
+	return path + "." + name
+}
+
 func (v *validator) between(path string, value, low, high int64) {
 	v.check(path, value >= low && value <= high, "is %d, want %d to %d", value, low, high)
 }
@@ -75,12 +91,16 @@
 	v.check(path, value >= low && value <= high, "is %s, want %s to %s", value, low, high)
 }
 
-func (v *validator) name(path, value string) {
+func validName(value string) bool {
 	ok := value != "" && len(value) <= maxNameLength
 	for _, r := range value {
-		ok = ok && (r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_.", r))
+		ok = ok && (r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.')
 	}
-	v.check(path, ok, "is %q, want 1 to %d letters, digits, '-', '_' or '.'", value, maxNameLength)
+	return ok
+}
+
+func (v *validator) name(path, value string) {
+	v.check(path, validName(value), "is %q, want 1 to %d letters, digits, '-', '_' or '.'", value, maxNameLength)
 }
 
 func (v *validator) unique(path string, seen map[string]bool, value string) {
@@ -89,9 +109,12 @@
 	seen[value] = true
 }
 
+func validPath(value string) bool {
+	return strings.HasPrefix(value, "/") && !strings.ContainsAny(value, " ?#")
+}
+
 func (v *validator) urlPath(path, value string) {
-	ok := strings.HasPrefix(value, "/") && !strings.ContainsAny(value, " ?#")
-	v.check(path, ok, "is %q, want a path that starts with '/', without space, '?' or '#'", value)
+	v.check(path, validPath(value), "is %q, want a path that starts with '/', without space, '?' or '#'", value)
 }
 
 func (v *validator) statuses(path string, list []int) {
@@ -186,29 +209,53 @@
 }
 
 func (v *validator) routes(routes []Route) {
-	names, taken := map[string]bool{}, map[string]string{}
-	for i, r := range routes {
-		at := fmt.Sprintf("routes[%d]", i)
-		v.unique(at+".name", names, r.Name)
-		v.urlPath(at+".path_prefix", r.PathPrefix)
-		v.check(at+".path_prefix", !strings.HasPrefix(r.PathPrefix, "/.sapphirehaven"), "paths below /.sapphirehaven belong to the hosts")
+	names := make(map[string]bool, len(routes))
+	taken := make(map[request]string, len(routes))
+	for i := range routes {
+		r, at := &routes[i], item{"routes", i}
+		if !validName(r.Name) || names[r.Name] {
+			v.unique(at.field("name"), names, r.Name)
+		}
+		names[r.Name] = true
+		if !validPath(r.PathPrefix) {
+			v.urlPath(at.field("path_prefix"), r.PathPrefix)
+		}
+		if strings.HasPrefix(r.PathPrefix, ownPaths) {
+			v.errs.add(at.field("path_prefix"), "paths below %s belong to the hosts", ownPaths)
+		}
 		known, ok := v.classes[r.Service]
-		v.check(at+".service", ok, "there is no service %q", r.Service)
-		v.check(at+".class", !ok || known[r.Class], "service %q has no class %q", r.Service, r.Class)
+		if !ok {
+			v.errs.add(at.field("service"), "there is no service %q", r.Service)
+		} else if !known[r.Class] {
+			v.errs.add(at.field("class"), "service %q has no class %q", r.Service, r.Class)
+		}
 		v.methods(at, r, taken)
 	}
 }
 
-func (v *validator) methods(at string, r Route, taken map[string]string) {
-	methods := r.Methods
-	if len(methods) == 0 {
-		methods = []string{"*"}
+// ownPaths is the prefix of the paths that hosts answer themselves.
+const ownPaths = "/.sapphirehaven"
+
+// request is what one route matches: a method, empty for all, and a prefix.
+type request struct{ method, prefix string }
+
+func (v *validator) methods(at item, r *Route, taken map[request]string) {
+	prefix := strings.TrimRight(r.PathPrefix, "/")
+	if len(r.Methods) == 0 {
+		v.take(at, r, request{"", prefix}, taken)
+	}
+	for j, m := range r.Methods {
+		if m == "" || m != strings.ToUpper(m) || strings.ContainsAny(m, " *") {
+			v.errs.add(at.field(fmt.Sprintf("methods[%d]", j)), "is %q, want a method in capitals such as GET", m)
+		}
+		v.take(at, r, request{m, prefix}, taken)
 	}
-	for j, m := range methods {
-		path := fmt.Sprintf("%s.methods[%d]", at, j)
-		v.check(path, m == "*" && len(r.Methods) == 0 || m != "" && m == strings.ToUpper(m) && !strings.ContainsAny(m, " *"), "is %q, want a method in capitals such as GET", m)
-		key := m + " " + strings.TrimRight(r.PathPrefix, "/")
-		v.check(at, taken[key] == "", "matches the same requests as route %q", taken[key])
-		taken[key] = r.Name
+}
+
+// take reserves what a route matches for it.
+func (v *validator) take(at item, r *Route, key request, taken map[request]string) {
+	if other := taken[key]; other != "" {
+		v.errs.add(at.field(""), "matches the same requests as route %q", other)
 	}
+	taken[key] = r.Name
 }
