--- a/internal/core/document/validate.go
+++ b/internal/core/document/validate.go
@@ -25,6 +25,10 @@
 
 // Validate checks the ranges and references of a document. The error is of
 // type Errors and has no lines.
+//
+// Every host decides with it which proposals of the log are accepted, so hosts
+// of two builds disagree when it accepts different documents: once a build is
+// released, a change of what is accepted needs a higher FormatVersion.
 func (d *Document) Validate() error {
 	if errs := d.validate(); len(errs) > 0 {
 		return errs
