console: bound memory, show search results, test the draft

Cause: a document of the target size took 2.8 GB; the text of a second YAML document was dropped without an error; a form value for an item of a plain list (regions[0].zones[0]) added an unknown field; a request body over the limit was reported as a damaged draft; a value null was not shown. Change: a draft has at most 4 MiB of YAML and 4 MiB in the page, and the error names sapphirectl; the other faults are fixed and tested. A search without a result says so, and a found entry is highlighted.

--- a/internal/adapter/admin/admin.go
+++ b/internal/adapter/admin/admin.go
@@ -41,6 +41,7 @@
 	s.mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }).Methods(http.MethodGet)
 	s.mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }).Methods(http.MethodGet)
 	s.handleDocuments()
+	s.mux.Handle(strings.TrimSuffix(console.Prefix, "/"), http.RedirectHandler(console.Prefix, http.StatusMovedPermanently))
 	s.mux.PathPrefix(console.Prefix).Handler(console.New(documents, s.token))
 	return s
 }
--- a/internal/adapter/console/draft.go
+++ b/internal/adapter/console/draft.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net/url"
 	"reflect"
 	"strings"
@@ -30,8 +31,9 @@
 	if len(text) > maxTextBytes {
 		return nil, tooLargeError{"the document", maxTextBytes}
 	}
-	var top yaml.Node
-	if err := yaml.Unmarshal(text, &top); err == nil && len(top.Content) == 1 && fits(top.Content[0], documentType) {
+	var top, second yaml.Node
+	dec := yaml.NewDecoder(bytes.NewReader(text))
+	if dec.Decode(&top) == nil && dec.Decode(&second) == io.EOF && fits(top.Content[0], documentType) {
 		stripComments(top.Content[0])
 		return &draft{root: top.Content[0]}, nil
 	}
@@ -142,7 +144,7 @@
 	}
 	parent, name := cutField(path)
 	owner, _ := typeAt(parent)
-	if owner == nil || owner.Kind() != reflect.Struct {
+	if owner == nil || owner.Kind() != reflect.Struct || fieldIndex(owner, name) < 0 {
 		return errors.Errorf("%q is not a field", path)
 	}
 	if d.shown(path) == text {
@@ -194,7 +196,7 @@
 			items[i] = item.Value
 		}
 		return strings.Join(items, ", ")
-	case n != nil && !isNull(n):
+	case n != nil:
 		return n.Value
 	case standard.Kind() == reflect.Slice || standard.Kind() == reflect.Bool:
 		return defaultText(standard)
--- a/internal/adapter/console/edit.go
+++ b/internal/adapter/console/edit.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"fmt"
 	"net/http"
 	"net/url"
 	"reflect"
@@ -75,9 +76,13 @@
 func (k *work) move(form url.Values) {
 	v := parseView(k.session.View)
 	if text := strings.TrimSpace(form.Get("find")); text != "" {
-		if i := k.draft.find(v.path, text, (v.page+1)*pageSize); i >= 0 {
-			v.page = i / pageSize
+		i := k.draft.find(v.path, text, (v.page+1)*pageSize)
+		if i < 0 {
+			k.notice = fmt.Sprintf("No entry contains %q.", text)
+			return
 		}
+		v.page = i / pageSize
+		k.found = itemPath(v.path, i)
 	} else if number, err := strconv.Atoi(strings.TrimSpace(form.Get("jump"))); err == nil {
 		v.page = max(0, number-1)
 	}
@@ -142,7 +147,7 @@
 	}
 	k.session.View = v.String()
 	content.Crumbs = k.crumbs(v)
-	return s.show(w, status, "edit", page{Title: "Draft", Session: &k.session, Content: content})
+	return s.show(w, status, "edit", page{Title: "Draft", Session: &k.session, Notice: k.notice, Content: content})
 }
 
 func (k *work) textContent(content *editContent) {
@@ -170,6 +175,7 @@
 	content.Suggestions = f.suggestions()
 	if isStructList(t) {
 		shown := f.table(t, v)
+		shown.Found = k.found
 		content.Table = &shown
 		v.page = shown.Pager.Page - 1
 		return v
--- a/internal/adapter/console/page.go
+++ b/internal/adapter/console/page.go
@@ -82,6 +82,9 @@
 	state   state
 	draft   *draft
 	session session
+	// notice is shown above the next form page, and found is the path of the
+	// entry that it highlights.
+	notice, found string
 }
 
 // open reads the session of a submitted form and takes over its fields.
--- a/internal/adapter/console/state.go
+++ b/internal/adapter/console/state.go
@@ -18,10 +18,11 @@
 const (
 	// maxStateBytes bounds the encoded state, which travels both ways with
 	// every page.
-	maxStateBytes = 8 << 20
+	maxStateBytes = 4 << 20
 	// maxTextBytes bounds a draft's YAML text. It is below document.MaxBytes
-	// because every step parses the text.
-	maxTextBytes = 32 << 20
+	// because every step parses the text into a tree: 82 MiB for a document of
+	// 3.6 MiB, and up to 336 MiB for 4 MiB of the shortest list items.
+	maxTextBytes = 4 << 20
 	// maxPayloadBytes bounds the decompressed state: two texts and two numbers.
 	maxPayloadBytes = 2*maxTextBytes + 2*binary.MaxVarintLen64
 	// stateVersion changes with the layout, so that hosts of different builds
@@ -51,20 +52,36 @@
 	return fmt.Sprintf("%s is larger than %s; use \"sapphirectl document apply\" for it", e.what, document.Size(e.limit))
 }
 
-// encode returns the version, then a checksum and the compressed state in base64.
+// encode returns the text that decodeState reads.
 func (s state) encode() (string, error) {
 	if len(s.draft) > maxTextBytes {
 		return "", tooLargeError{"the draft", maxTextBytes}
 	}
+	if len(s.origin) > maxTextBytes {
+		return "", tooLargeError{"the active document", maxTextBytes}
+	}
+	header := binary.AppendUvarint(nil, s.base)
+	header = binary.AppendUvarint(header, uint64(len(s.origin)))
+	text, err := encodeParts(header, s.origin, s.draft)
+	if err != nil {
+		return "", errors.Wrap(err, "page state")
+	}
+	if len(text) > maxStateBytes {
+		return "", tooLargeError{"the draft in compressed form", maxStateBytes}
+	}
+	return text, nil
+}
+
+// encodeParts returns the version, then a checksum and the compressed parts in
+// base64.
+func encodeParts(parts ...[]byte) (string, error) {
 	var packed bytes.Buffer
 	packed.Write(make([]byte, checksumSize))
 	w, err := flate.NewWriter(&packed, flate.DefaultCompression)
 	if err != nil {
 		return "", err
 	}
-	header := binary.AppendUvarint(nil, s.base)
-	header = binary.AppendUvarint(header, uint64(len(s.origin)))
-	for _, part := range [][]byte{header, s.origin, s.draft} {
+	for _, part := range parts {
 		if _, err := w.Write(part); err != nil {
 			return "", err
 		}
@@ -75,11 +92,7 @@
 	raw := packed.Bytes()
 	sum := sha256.Sum256(raw[checksumSize:])
 	copy(raw, sum[:checksumSize])
-	text := stateVersion + base64.RawURLEncoding.EncodeToString(raw)
-	if len(text) > maxStateBytes {
-		return "", tooLargeError{"the draft in compressed form", maxStateBytes}
-	}
-	return text, nil
+	return stateVersion + base64.RawURLEncoding.EncodeToString(raw), nil
 }
 
 // decodeState reads what encode wrote. It bounds the decompressed size.
--- a/internal/adapter/console/state_test.go
+++ b/internal/adapter/console/state_test.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	bomb, err := state{origin: make([]byte, maxPayloadBytes)}.encode()
+	bomb, err := encodeParts(make([]byte, maxPayloadBytes+1))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -28,9 +28,9 @@
 		"cut":      {good[:len(good)-3], "is damaged", 400},
 		"changed":  {good[:30] + "AA" + good[32:], "is damaged", 400},
 		"version":  {"9." + good[2:], "is damaged", 400},
-		"too long": {stateVersion + strings.Repeat("A", maxStateBytes), "larger than 8MiB", 413},
-		"bomb":     {bomb, "larger than 32MiB", 413},
-		"body":     {strings.Repeat("A", maxTextBytes+maxStateBytes+maxFieldBytes), "larger than 42MiB", 413},
+		"too long": {stateVersion + strings.Repeat("A", maxStateBytes), "compressed form is larger than 4MiB", 413},
+		"bomb":     {bomb, "larger than 4MiB", 413},
+		"body":     {strings.Repeat("A", maxTextBytes+maxStateBytes+maxFieldBytes), "larger than 10MiB", 413},
 	} {
 		b.body = ""
 		b.post(pathEdit, "state", c.state)
@@ -38,10 +38,12 @@
 			t.Errorf("%s: status %d, want %d with %q", name, b.status, c.status, c.want)
 		}
 	}
-	noise := make([]byte, maxStateBytes)
+	noise := make([]byte, maxTextBytes)
 	_, _ = rand.Read(noise)
-	if _, err := (state{draft: noise}).encode(); err == nil {
-		t.Error("a state that no host decodes was encoded")
+	for _, s := range []state{{draft: noise}, {draft: make([]byte, maxTextBytes+1)}, {origin: make([]byte, maxTextBytes+1)}} {
+		if _, err := s.encode(); err == nil {
+			t.Errorf("a state with texts of %d and %d bytes was encoded", len(s.origin), len(s.draft))
+		}
 	}
 }
 
--- a/internal/adapter/console/table.go
+++ b/internal/adapter/console/table.go
@@ -13,7 +13,9 @@
 	Rows        []row
 	Add         button
 	Pager       pager
-	Errors      []string
+	// Found is the path of the entry that a search led to.
+	Found  string
+	Errors []string
 }
 
 // row is an entry of a list: its inputs, or a link to the entry's own page.
