console: lead to a found entry, test a waiting proposal

Cause: a found entry could be outside the window, and no test covered that a slow log leaves the console usable. Change: the found row is highlighted and its first input has the focus. TestWaitingProposal starts a session while a proposal waits. Conclusion: a search leads to its entry without a script.

--- a/internal/adapter/console/edit.go
+++ b/internal/adapter/console/edit.go
@@ -175,7 +175,7 @@
 	content.Suggestions = f.suggestions()
 	if isStructList(t) {
 		shown := f.table(t, v)
-		shown.Found = k.found
+		shown.mark(k.found)
 		content.Table = &shown
 		v.page = shown.Pager.Page - 1
 		return v
--- a/internal/adapter/console/form.go
+++ b/internal/adapter/console/form.go
@@ -18,7 +18,9 @@
 	// Suggestions is the ID of a list of suggested values.
 	Suggestions string
 	IsBool      bool
-	Errors      []string
+	// Focus puts the cursor into the input and scrolls to it.
+	Focus  bool
+	Errors []string
 }
 
 // group is a part of a form: the fields of a struct and its inner parts.
--- a/internal/adapter/console/session_test.go
+++ b/internal/adapter/console/session_test.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -201,9 +202,43 @@
 		t.Errorf("%d rows", n)
 	}
 	b.post(pathEdit, "find", "LAST")
-	b.want(200, "page 41 of 41", `id="routes[2005].name" name="f:routes[2005].name" value="last"`)
+	b.want(200, "page 41 of 41", `<tr id="routes[2005]" class="found">`, `name="f:routes[2005].name" value="last"`, " autofocus")
+	b.post(pathEdit, "find", "nowhere")
+	b.want(200, "page 41 of 41", "No entry contains")
 	b.post(pathEdit, "jump", "3")
 	b.want(200, "page 3 of 41")
 	b.post(pathEdit, "do", "go:routes@9999")
 	b.want(200, "page 41 of 41")
 }
+
+// waitingDocuments holds a proposal until release is closed.
+type waitingDocuments struct {
+	*fakeDocuments
+	entered, release chan struct{}
+}
+
+func (f *waitingDocuments) Propose(ctx context.Context, p adminapi.Proposal) adminapi.ProposalResult {
+	close(f.entered)
+	<-f.release
+	return f.fakeDocuments.Propose(ctx, p)
+}
+
+// TestWaitingProposal guards against a slow log that blocks the console.
+func TestWaitingProposal(t *testing.T) {
+	documents := &waitingDocuments{newFake(t), make(chan struct{}), make(chan struct{})}
+	documents.result = adminapi.ProposalResult{Result: adminapi.ResultAccepted, Revision: 8}
+	b := newBrowser(t, documents)
+	b.post(pathStart, "source", "active")
+	other := &browser{t: t, server: b.server}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.post(pathPropose, "author", "a", "token", testToken)
+	}()
+	<-documents.entered
+	other.post(pathStart, "source", "empty")
+	other.want(200, "draft against revision 7")
+	close(documents.release)
+	<-done
+	b.want(200, "accepted as revision 8")
+}
--- a/internal/adapter/console/table.go
+++ b/internal/adapter/console/table.go
@@ -13,9 +13,7 @@
 	Rows        []row
 	Add         button
 	Pager       pager
-	// Found is the path of the entry that a search led to.
-	Found  string
-	Errors []string
+	Errors      []string
 }
 
 // row is an entry of a list: its inputs, or a link to the entry's own page.
@@ -27,6 +25,8 @@
 	Counts []link
 	Remove button
 	Errors []string
+	// Found marks the entry that a search led to.
+	Found bool
 }
 
 // pager leads to the other pages of a list.
@@ -73,6 +73,17 @@
 	return out
 }
 
+// mark highlights the row of an entry.
+func (t *table) mark(path string) {
+	for i := range t.Rows {
+		r := &t.Rows[i]
+		r.Found = r.Path == path
+		if r.Found && len(r.Fields) > 0 {
+			r.Fields[0].Focus = true
+		}
+	}
+}
+
 // columns returns the fields that head a list's columns. Entries with their
 // own page show only their name and the size of their lists.
 func (f *formBuilder) columns(t reflect.Type, list string) []field {
