engine: return a decided step although the caller has left

Cause: Next chose at random between a step that was ready and an ended context. A request that was answered in its last moment could be reported as "deadline, may have run".

Change: Next returns a step that is there first.

Conclusion: no leak was found in Cancel.

--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -100,8 +100,14 @@
 // Next waits for the next step: dispatch.Start, or one that ends the request:
 // dispatch.Refuse, dispatch.Complete, dispatch.Fail. A dispatch.CancelAttempt is
 // not passed on: a request has one attempt at a time, and the context that
-// cancels the request cancels its attempt.
+// cancels the request cancels its attempt. A step that is there is returned also
+// when ctx has ended, so that a decided outcome is not replaced by a timeout.
 func (c *Call) Next(ctx context.Context) (dispatch.Action, error) {
+	select {
+	case a := <-c.steps:
+		return a, nil
+	default:
+	}
 	select {
 	case a := <-c.steps:
 		return a, nil
