app: follow successors at once, send late outcomes, end lost requests

Causes and changes in the tickets of a host: * A relay went to the issuer while it was draining, although it had handed its tickets over; the issuer may not relay again, so the caller got "unknown" until the issuer had left. The relay follows an announced successor at once. * Outcomes of relayed requests that ended after the shutdown of the callers' server were not sent to the successor. sendUpdates waits while requests run, until the drain limit. * Table.Lost was called by nobody: after a leaver was gone, repeats got "in_progress" until the ticket expired. Hosts that left end them as unknown.

Not changed: after a host restarts under its ID, other hosts do not know the successor of its earlier incarnation; such repeats get "unknown", which is safe.

--- a/internal/app/tickets.go
+++ b/internal/app/tickets.go
@@ -24,6 +24,9 @@
 	ticketTick = time.Second
 	// handoverRetry is the time between two tries of a hand-over.
 	handoverRetry = 200 * time.Millisecond
+	// updateInterval is the time between two looks for outcomes of requests that
+	// run on after a hand-over.
+	updateInterval = 50 * time.Millisecond
 )
 
 // tickets is this host's ticket table with its connection to other hosts. It
@@ -89,10 +92,22 @@
 func (t *tickets) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		t.use(func(now time.Time, table *ticket.Table) { table.Tick(now) })
+		t.endLost()
 		sleep(ctx, ticketTick)
 	}
 }
 
+// endLost ends the requests that ran at hosts which have stopped: they have sent
+// every outcome that they had.
+func (t *tickets) endLost() {
+	for _, n := range t.fleet.nodes() {
+		if n.State == member.Left {
+			leaver := ticket.Issuer{Host: n.ID, Incarnation: n.Version.Incarnation}
+			t.use(func(now time.Time, table *ticket.Table) { table.Lost(now, leaver) })
+		}
+	}
+}
+
 // Issue implements ingress.Tickets.
 func (t *tickets) Issue(n int) (list []ticket.Ticket, err error) {
 	t.use(func(now time.Time, table *ticket.Table) { list, err = table.Issue(now, n) })
@@ -111,10 +126,11 @@
 }
 
 // Relay implements ingress.Tickets. It asks the host that the admission names,
-// or its successor when that host has left.
+// or its successor once that host has handed its tickets over. A host announces
+// its successor after that one has confirmed, so it has nothing more to admit.
 func (t *tickets) Relay(ctx context.Context, _ ticket.Ticket, to ticket.Admission, r port.RelayedRequest) (port.RelayedResponse, error) {
 	n, ok := t.fleet.node(to.Host)
-	for hops := 0; ok && n.Successor != "" && n.State != member.Alive && hops < maxSuccessors; hops++ {
+	for hops := 0; ok && n.Successor != "" && hops < maxSuccessors; hops++ {
 		n, ok = t.fleet.node(n.Successor)
 	}
 	if !ok {
@@ -216,16 +232,25 @@
 	}
 }
 
-// sendUpdates passes on the outcomes of requests that ended after the hand-over.
+// sendUpdates passes on the outcomes of requests that end after the hand-over,
+// until none runs any more. Relayed requests are among them, for which the
+// shutdown of the callers' server does not wait.
 func (t *tickets) sendUpdates(ctx context.Context) {
 	n, ok := t.fleet.successor()
 	for ok && ctx.Err() == nil {
 		var update ticket.Update
-		more := false
-		t.use(func(_ time.Time, table *ticket.Table) { update, more = table.Updates() })
-		if !more {
+		more, running := false, 0
+		t.use(func(_ time.Time, table *ticket.Table) {
+			update, more = table.Updates()
+			running = table.Running()
+		})
+		if !more && running == 0 {
 			return
 		}
+		if !more {
+			sleep(ctx, updateInterval)
+			continue
+		}
 		data, err := update.Encode()
 		if err == nil {
 			_, err = t.send(ctx, portHost(&n), port.HandoverMessage{Update: data})
