--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -27,7 +27,12 @@
 	ctx, cancel := context.WithTimeout(ctx, start.Timeout)
 	defer cancel()
 	var trace target.Trace
-	response, result := q.server.cfg.Transport.Do(ctx, q.newAttempt(start, &trace))
+	endpoint, ok := q.endpoint(start.Target)
+	if !ok {
+		q.finish(start, &trace, attempt.Result{Kind: attempt.Canceled, NotSent: true})
+		return false
+	}
+	response, result := q.server.cfg.Transport.Do(ctx, q.newAttempt(start, endpoint, &trace))
 	if response == nil {
 		q.finish(start, &trace, result)
 		return false
@@ -35,8 +40,22 @@
 	return q.receive(start, &trace, response)
 }
 
-func (q *request) newAttempt(start dispatch.Start, trace *target.Trace) target.Attempt {
-	endpoint := q.backend.Targets[start.Target]
+// endpoint returns where a target is. The dispatcher follows new revisions at
+// once, so it may pick a target that only the revision in force has.
+func (q *request) endpoint(id ident.TargetID) (Endpoint, bool) {
+	if e, ok := q.backend.Targets[id]; ok {
+		return e, true
+	}
+	if active := q.server.active.Load(); active != nil {
+		if backend := active.Backends[q.backend.Service.Name]; backend != nil {
+			e, ok := backend.Targets[id]
+			return e, ok
+		}
+	}
+	return Endpoint{}, false
+}
+
+func (q *request) newAttempt(start dispatch.Start, endpoint Endpoint, trace *target.Trace) target.Attempt {
 	a := target.Attempt{
 		Address:       endpoint.Address,
 		Method:        q.r.Method,
@@ -80,6 +99,15 @@
 	if q.class.Upload != nil && trace.BodyBytesRead > 0 {
 		q.backend.Engine.Commit(start.Attempt)
 	}
+	q.end(start, trace, result)
+}
+
+// end reports the result, and that the target announced draining before it: the
+// dispatcher then starts nothing more there.
+func (q *request) end(start dispatch.Start, trace *target.Trace, result attempt.Result) {
+	if trace.Draining {
+		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, Draining: true})
+	}
 	q.backend.Engine.Finish(start.Attempt, result)
 }
 
@@ -89,13 +117,14 @@
 	limit := int64(q.class.MaxBufferedAnswerBytes)
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err == nil && int64(len(body)) > limit && !response.Unverifiable {
-		q.stream(start, response, body)
+		q.stream(start, trace, response, body)
 		return true
 	}
 	result := response.Finish()
 	if response.Unverifiable {
-		// Without a length a truncated response looks complete.
-		result.Kind = attempt.BadAnswer
+		// Without a length a truncated response looks complete, and an
+		// incomplete one proves nothing about the run.
+		result.Kind, result.NotRun = attempt.BadAnswer, false
 	}
 	if result.Kind == attempt.Answered || result.Kind == attempt.ServerError || result.NotRun || result.Kind == attempt.Shed {
 		q.held = &heldResponse{attempt: start.Attempt, status: response.Status, header: response.Header, body: body}
@@ -106,12 +135,12 @@
 
 // stream passes a large response on while it arrives. When it breaks off, the
 // caller's connection is aborted.
-func (q *request) stream(start dispatch.Start, response *target.Response, first []byte) {
+func (q *request) stream(start dispatch.Start, trace *target.Trace, response *target.Response, first []byte) {
 	q.backend.Engine.Commit(start.Attempt)
 	q.copyHeader(response.Header)
 	q.w.WriteHeader(response.Status)
 	_, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(first), response.Body))
-	q.backend.Engine.Finish(start.Attempt, response.Finish())
+	q.end(start, trace, response.Finish())
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -51,7 +51,15 @@
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) *Problem {
 	decided := false
 	problem := s.route(w, r, &decided)
-	if problem == nil || decided || r.Header.Get(HeaderTicket) == "" {
+	if problem == nil || decided {
+		return problem
+	}
+	return undecided(problem, r)
+}
+
+// undecided makes a refusal unknown if the request carries a ticket.
+func undecided(problem *Problem, r *http.Request) *Problem {
+	if _, ok := ticketOf(r); !ok {
 		return problem
 	}
 	problem.Outcome = OutcomeUnknown
@@ -96,7 +104,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
-	if text := r.Header.Get(HeaderTicket); text != "" && !req.class.Idempotent {
+	if text, ok := ticketOf(r); ok && !req.class.Idempotent {
 		tk, err := ticket.Parse(text)
 		*decided = true
 		if err != nil {
@@ -104,7 +112,17 @@
 		}
 		return req.runTicketed(ctx, tk)
 	}
-	return req.run(ctx)
+	return req.run(ctx, ctx)
+}
+
+// ticketOf returns the ticket of a request. An empty header counts as a
+// malformed ticket: its caller wants the protection that a ticket gives.
+func ticketOf(r *http.Request) (text string, ok bool) {
+	values, ok := r.Header[HeaderTicket]
+	if !ok || len(values) == 0 {
+		return "", false
+	}
+	return values[0], true
 }
 
 func (s *Server) noConfiguration() *Problem {
@@ -158,8 +176,9 @@
 	return notRun(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body is larger than max_request_bytes of class %q: %d", q.class.Name, q.class.MaxRequestBytes))
 }
 
-// run follows the dispatcher's steps until the request has ended.
-func (q *request) run(ctx context.Context) *Problem {
+// run follows the dispatcher's steps until the request has ended. It waits for
+// them until ctx ends; attempts run under work.
+func (q *request) run(ctx, work context.Context) *Problem {
 	q.call = q.backend.Engine.Arrive(dispatch.Request{
 		ID:        q.id,
 		Class:     q.class.Name,
@@ -173,7 +192,7 @@
 		}
 		switch a := action.(type) {
 		case dispatch.Start:
-			if q.attempt(ctx, a) {
+			if q.attempt(work, a) {
 				return nil
 			}
 		case dispatch.Refuse:
@@ -196,7 +215,12 @@
 	return notRun(http.StatusGatewayTimeout, "deadline", "the deadline passed before an attempt was started")
 }
 
+// refused ends a request that the dispatcher refused. The dispatcher refuses
+// none that had an attempt; the check keeps "not run" true if it ever does.
 func (q *request) refused(a dispatch.Refuse) *Problem {
+	if q.mayHaveRun {
+		return unknown(http.StatusBadGateway, string(a.Reason), "no further attempt was made; an earlier one may have run")
+	}
 	return unavailable(string(a.Reason), "the request was not sent to a target", a.RetryAfter)
 }
 
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -80,7 +80,7 @@
 	if r.ProtoMajor == 1 && r.ProtoMinor == 0 {
 		// An HTTP/1.0 caller could not tell a truncated response from a
 		// complete one.
-		notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required").write(w)
+		undecided(notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required"), r).write(w)
 		return
 	}
 	if name, ok := strings.CutPrefix(r.URL.Path, pathPrefix); ok {
--- a/internal/adapter/ingress/tickets.go
+++ b/internal/adapter/ingress/tickets.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -82,7 +83,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	w := &memoryWriter{header: http.Header{}}
-	req, err := http.NewRequestWithContext(context.WithValue(ctx, relayedKey{}, true), r.Method, r.URI, bytes.NewReader(r.Body))
+	req, err := relayedRequest(ctx, r)
 	if err != nil {
 		unknown(http.StatusBadRequest, "bad_request", "the relayed request is malformed").write(w)
 		return w.response()
@@ -91,16 +92,47 @@
 	req.Host = r.Host
 	req.Header.Set(HeaderTicket, r.Ticket)
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(r.TimeLeft.Milliseconds(), 1), 10))
-	if problem := s.serveRequest(w, req); problem != nil {
-		problem.write(w)
+	if !s.serveRecovering(w, req) {
+		w = &memoryWriter{header: http.Header{}}
+		unknown(http.StatusBadGateway, "response_broke_off", "the response broke off; the request may have run").write(w)
 	}
 	return w.response()
 }
 
+// relayedRequest restores the request. The target of a request is parsed as
+// net/http does it for a caller's: url.Parse would take "//a/b" for a host.
+func relayedRequest(ctx context.Context, r port.RelayedRequest) (*http.Request, error) {
+	target, err := url.ParseRequestURI(r.URI)
+	if err != nil {
+		return nil, err
+	}
+	ctx = context.WithValue(ctx, relayedKey{}, true)
+	req, err := http.NewRequestWithContext(ctx, r.Method, "/", bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.URL = target
+	return req, nil
+}
+
+// serveRecovering serves a request outside of http.Server, which would recover
+// the panic that aborts a response. It returns false when there was one.
+func (s *Server) serveRecovering(w http.ResponseWriter, r *http.Request) (ok bool) {
+	defer func() {
+		if !ok {
+			_ = recover()
+		}
+	}()
+	if problem := s.serveRequest(w, r); problem != nil {
+		problem.write(w)
+	}
+	return true
+}
+
 // runTicketed asks the ticket's table whether the request may run.
 func (q *request) runTicketed(ctx context.Context, tk ticket.Ticket) *Problem {
 	target := q.r.URL.RequestURI()
-	admission := q.server.cfg.Tickets.Admit(tk, ticket.NewFingerprint(q.r.Method, target, sha256.Sum256(q.body)))
+	admission := q.server.cfg.Tickets.Admit(tk, ticket.NewFingerprint(q.r.Method, target, q.bodyHash()))
 	switch admission.Verdict {
 	case ticket.Run:
 		return q.runAdmitted(ctx, tk, admission.Run)
@@ -113,7 +145,28 @@
 	return verdictProblem(admission.Verdict)
 }
 
-// runAdmitted runs a request and stores its outcome for repeats.
+// digestHeaders declare a hash of the body.
+var digestHeaders = []string{"Content-Digest", "Repr-Digest", "Digest", "Content-Md5"}
+
+// bodyHash identifies the body. The body of an upload streams and has no hash
+// before the request is admitted; its declared length and digests stand for it.
+func (q *request) bodyHash() [sha256.Size]byte {
+	if q.class.Upload == nil {
+		return sha256.Sum256(q.body)
+	}
+	declared := []byte(strconv.FormatInt(q.r.ContentLength, 10))
+	for _, name := range digestHeaders {
+		for _, value := range q.r.Header[name] {
+			// Neither a name nor a value can hold a line feed.
+			declared = append(declared, "\n"+name+":"+value...)
+		}
+	}
+	return sha256.Sum256(declared)
+}
+
+// runAdmitted runs a request and stores its outcome for repeats. An attempt goes
+// on until the deadline when the caller leaves, so that its repeat gets the
+// response instead of "unknown".
 func (q *request) runAdmitted(ctx context.Context, tk ticket.Ticket, run uint32) *Problem {
 	// Until the run ends otherwise, its outcome is unknown, also when the
 	// response to the caller is aborted.
@@ -121,7 +174,9 @@
 	defer func() { q.server.cfg.Tickets.End(tk.ID, run, end) }()
 	recorder := &recordingWriter{ResponseWriter: q.w}
 	q.w = recorder
-	problem := q.run(ctx)
+	work, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
+	defer cancel()
+	problem := q.run(ctx, work)
 	if problem != nil {
 		end.Outcome = coreOutcome(problem.Outcome)
 		return problem
