Follow the new interface of members in the ingress tests

Cause: address answers come from the serving index now. Change: the fake of the ingress tests implements Answer and Location.

--- a/internal/adapter/ingress/helper_test.go
+++ b/internal/adapter/ingress/helper_test.go
@@ -35,9 +35,10 @@
 	return false, 0
 }
 func (nothing) Record(event.Kind, ...event.Field) {}
-func (nothing) Serving() []port.Host {
+func (nothing) Answer(ident.ServiceName, int, ident.Location) []port.Host {
 	return []port.Host{{ID: "h", CallerAddress: "h:1", Location: ident.Location{Region: "r", Zone: "z"}}}
 }
+func (nothing) Location(ident.Zone) (ident.Location, bool) { return ident.Location{}, false }
 
 // tableTickets is a ticket table with a replaceable relay.
 type tableTickets struct {
