--- a/internal/adapter/console/session_test.go
+++ b/internal/adapter/console/session_test.go
@@ -66,7 +66,7 @@
 		"f:services[0].targets[0].name", "1", "f:services[0].targets[0].address", "10.0.0.1:80", "f:services[0].targets[0].zone", "z2",
 		"f:routes[0].name", "r", "f:routes[0].path_prefix", "/", "f:routes[0].service", "s", "f:routes[0].class", "c")
 	b.post(pathPropose, "author", "a", "token", testToken)
-	b.want(200)
+	b.want(200, "<th>Log offset</th><td>0</td>")
 	doc, err := document.Parse(documents.proposed[0].YAML)
 	if err != nil {
 		t.Fatal(err)
