Let the serving hosts of a region share probes and load reports

Cause: every host probed every target in every interval. With 36 hosts, an interval of 2 s and 25 ms a probe, a target spent 45% of one slot on probes. Change: only serving hosts send regular probes, each at the interval times the number of serving hosts; load reports are read every second by serving hosts, and only of targets in their own region. Trials are sent by every host. Figures: worked out, not measured: 1 probe a second at a target with two regions of four serving hosts, 2.5% of a slot. Ruled out: no trials on hosts that do not serve, since a target that such a host left out would never return there without idempotent requests. Conclusion: the cost of probes no longer grows with the hosts.

--- a/internal/adapter/ingress/helper_test.go
+++ b/internal/adapter/ingress/helper_test.go
@@ -34,6 +34,7 @@
 func (nothing) Probe(context.Context, ident.ServiceName, ident.TargetID) (bool, time.Duration) {
 	return false, 0
 }
+func (nothing) Probes(ident.ServiceName) bool     { return true }
 func (nothing) Record(event.Kind, ...event.Field) {}
 func (nothing) Answer(ident.ServiceName, int, ident.Location) []port.Host {
 	return []port.Host{{ID: "h", CallerAddress: "h:1", Location: ident.Location{Region: "r", Zone: "z"}}}
--- a/internal/app/compile.go
+++ b/internal/app/compile.go
@@ -18,7 +18,8 @@
 		RetryBudget: orNone(s.Retry.Budget),
 	}
 	if s.Health.ProbePath != "" {
-		cfg.ProbeInterval = time.Duration(s.Health.ProbeInterval)
+		// The serving hosts of a region share the probes of a target.
+		cfg.ProbeInterval = time.Duration(s.Health.ProbeInterval) * time.Duration(s.ServingHosts)
 	}
 	regions := zoneRegions(doc)
 	for _, t := range s.Targets {
--- a/internal/app/directory.go
+++ b/internal/app/directory.go
@@ -158,6 +158,19 @@
 	return names
 }
 
+// servesService reports whether a host is a serving host of a service.
+func (d *directory) servesService(id ident.HostID, service ident.ServiceName) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow()
+	for _, h := range d.index.Everywhere(service) {
+		if h.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *directory) list() []serving.Host {
 	list := make([]serving.Host, 0, len(d.hosts))
 	for _, h := range d.hosts {
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -127,6 +127,9 @@
 	h.fleet.onHeard = h.spread.heard
 	h.tickets.fleet = h.fleet
 	h.directory = newDirectory(h.fleet, uint64(incarnation))
+	h.services.serves = func(name ident.ServiceName) bool {
+		return h.directory.servesService(ident.HostID(h.settings.HostID), name)
+	}
 	h.evidence = &evidence{services: h.services, hosts: h.directory, peers: h.peers, identity: h.identity, log: h.log}
 	return nil
 }
@@ -162,7 +165,7 @@
 	h.timeline.Record(event.HostStarted, event.F("incarnation", h.identity.Caller().Incarnation), event.F("caller_address", h.settings.CallerAdvertise))
 	background, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){h.fleet.run, h.spread.run, h.spread.chooseReaders, h.spread.join, h.evidence.run, h.tickets.run, h.follower.Run, h.checkpoints.Run, h.activateRevisions, listeners.servePeers} {
+	for _, run := range []func(context.Context){h.fleet.run, h.spread.run, h.spread.chooseReaders, h.spread.join, h.evidence.run, h.services.readLoads, h.tickets.run, h.follower.Run, h.checkpoints.Run, h.activateRevisions, listeners.servePeers} {
 		running.Add(1)
 		go func() {
 			defer running.Done()
--- /dev/null
+++ b/internal/app/load.go
@@ -0,0 +1,64 @@
+package app
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+// Parameters of load reports.
+const (
+	// loadInterval is the time between two reads of a target's load report. A
+	// report loses its weight within 3 s.
+	loadInterval = time.Second
+	// maxLoadReads bounds the reads that run at once.
+	maxLoadReads = 32
+)
+
+// readLoads reads the load reports of the targets in this host's region that
+// its services use, until ctx ends. Targets of the other region get work only
+// for lack of capacity, so their reports are not worth the link's volume.
+func (s *services) readLoads(ctx context.Context) {
+	for ctx.Err() == nil {
+		if active := s.current(); active != nil {
+			s.readLoadsOf(ctx, active)
+		}
+		sleep(ctx, loadInterval)
+	}
+}
+
+func (s *services) readLoadsOf(ctx context.Context, active *ingress.Active) {
+	slots := make(chan struct{}, maxLoadReads)
+	var reads sync.WaitGroup
+	for name, backend := range active.Backends {
+		if backend.Service.Health.LoadPath == "" || !s.serves(name) {
+			continue
+		}
+		for id, endpoint := range backend.Targets {
+			if endpoint.Region != s.self.Location.Region {
+				continue
+			}
+			slots <- struct{}{}
+			reads.Add(1)
+			go func() {
+				defer reads.Done()
+				s.readLoad(ctx, backend, id, endpoint)
+				<-slots
+			}()
+		}
+	}
+	reads.Wait()
+}
+
+func (s *services) readLoad(ctx context.Context, backend *ingress.Backend, id ident.TargetID, endpoint ingress.Endpoint) {
+	load, err := s.transport.LoadReport(ctx, target.Query{Address: endpoint.Address, Path: backend.Service.Health.LoadPath})
+	if err != nil {
+		return
+	}
+	backend.Engine.LoadReport(dispatch.LoadReport{Target: id, InFlight: load.InFlight, Slots: load.Slots, Draining: load.Draining})
+}
--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -20,6 +20,8 @@
 	self      dispatch.Self
 	transport *target.Transport
 	recorder  engine.Recorder
+	// serves tells whether this host is a serving host of a service.
+	serves func(ident.ServiceName) bool
 
 	mu      sync.Mutex
 	engines map[ident.ServiceName]*engine.Service
@@ -94,7 +96,12 @@
 	return s.active
 }
 
-// Probe implements engine.Prober. It also reads the target's load report.
+// Probes implements engine.Prober: only the serving hosts of a service probe its
+// targets. A probe costs a target about 25 ms, so probes by every host would
+// take most of its capacity.
+func (s *services) Probes(service ident.ServiceName) bool { return s.serves(service) }
+
+// Probe implements engine.Prober.
 func (s *services) Probe(ctx context.Context, service ident.ServiceName, id ident.TargetID) (bool, time.Duration) {
 	active := s.current()
 	if active == nil || active.Backends[service] == nil {
@@ -105,22 +112,10 @@
 	if !ok {
 		return false, 0
 	}
-	s.readLoad(ctx, backend, id, endpoint)
 	result := s.transport.Probe(ctx, target.Query{Address: endpoint.Address, Path: backend.Service.Health.ProbePath, Fresh: true})
 	return result.OK, result.Latency
 }
 
-func (s *services) readLoad(ctx context.Context, backend *ingress.Backend, id ident.TargetID, endpoint ingress.Endpoint) {
-	if backend.Service.Health.LoadPath == "" {
-		return
-	}
-	load, err := s.transport.LoadReport(ctx, target.Query{Address: endpoint.Address, Path: backend.Service.Health.LoadPath})
-	if err != nil {
-		return
-	}
-	backend.Engine.LoadReport(dispatch.LoadReport{Target: id, InFlight: load.InFlight, Slots: load.Slots, Draining: load.Draining})
-}
-
 func (s *services) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -162,7 +162,12 @@
 type CancelAttempt struct{ Attempt ident.AttemptID }
 
 // Probe asks the driver to probe a target and call ProbeResult.
-type Probe struct{ Target ident.TargetID }
+type Probe struct {
+	Target ident.TargetID
+	// Trial marks a probe that tests the return of a target; others are
+	// regular and may be left to another host.
+	Trial bool
+}
 
 // Record asks the driver to add an event to the time line.
 type Record struct {
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -47,7 +47,7 @@
 	}
 	t.testableRound = d.trialRound
 	if !byRequest || now.Sub(t.testableSince) >= trialWait {
-		d.probe(now, t)
+		d.probe(now, t, true)
 	}
 	if byRequest {
 		d.trials = append(d.trials, t)
@@ -104,18 +104,18 @@
 }
 
 func (d *Dispatcher) probeDue(now time.Time, t *target) {
-	d.probe(now, t)
+	d.probe(now, t, false)
 	interval := float64(d.cfg.ProbeInterval) * (1 + probeJitter*(2*d.rng.Float64()-1))
 	t.probeTimer = d.timers.add(&timer{at: now.Add(max(1, time.Duration(interval))), kind: probeTimer, target: t})
 }
 
-func (d *Dispatcher) probe(now time.Time, t *target) {
+func (d *Dispatcher) probe(now time.Time, t *target, isTrial bool) {
 	underWay := !t.probeSent.IsZero() && now.Sub(t.probeSent) < probeLost
 	if d.cfg.ProbeInterval <= 0 || underWay {
 		return
 	}
 	t.probeSent = now
-	d.emit(Probe{Target: t.ID})
+	d.emit(Probe{Target: t.ID, Trial: isTrial})
 }
 
 // ProbeResult reports the end of a probe.
--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -91,7 +91,8 @@
 	ShedStatuses []int `yaml:"shed_statuses"`
 	// ProbePath is the path of a probe; empty disables probes.
 	ProbePath string `yaml:"probe_path"`
-	// ProbeInterval is the time between probes of a target; default 2s.
+	// ProbeInterval is the time between probes of a target by the serving hosts
+	// of a region together; default 2s.
 	ProbeInterval Duration `yaml:"probe_interval"`
 	// LoadPath is the path of the load report; empty disables it.
 	LoadPath string `yaml:"load_path"`
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -14,6 +14,8 @@
 
 // Prober sends a probe to a target and reports whether it passed.
 type Prober interface {
+	// Probes reports whether this host sends the regular probes of a service.
+	Probes(service ident.ServiceName) bool
 	Probe(ctx context.Context, service ident.ServiceName, target ident.TargetID) (ok bool, latency time.Duration)
 }
 
@@ -223,7 +225,9 @@
 	case dispatch.Fail:
 		s.deliver(a.Request, a, true)
 	case dispatch.Probe:
-		s.startProbe(a.Target)
+		if a.Trial || s.prober.Probes(s.name) {
+			s.startProbe(a.Target)
+		}
 	case dispatch.Record:
 		s.recorder.Record(a.Kind, a.Fields...)
 	}
--- a/internal/engine/service_test.go
+++ b/internal/engine/service_test.go
@@ -14,6 +14,7 @@
 
 type nothing struct{}
 
+func (nothing) Probes(ident.ServiceName) bool { return true }
 func (nothing) Probe(context.Context, ident.ServiceName, ident.TargetID) (bool, time.Duration) {
 	return false, 0
 }
