Show a ticket's repeat in the demo

Cause: the demo did not show what a caller's repeat does. Change: a notice with a ticket is repeated at a host of the other region; it gets the stored response and the target ran it once; the address answer is shown once it names all hosts. Conclusion: the demo shows the at-most-once path.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -94,6 +94,8 @@
 in_force() { $ctl document status -admin "$admins" | grep -q 'newest_revision=1 hosts=4 behind_or_silent=0'; }
 wait_for "revision 1 is in force on four hosts" 10 in_force
 $ctl document status -admin "$admins" | tail -1
+both_regions() { [ "$($ctl addresses -host "$caller" errata-index | grep -c zone=)" = 4 ]; }
+wait_for "address answers name all four hosts" 20 both_regions
 $ctl addresses -host "$caller" errata-index
 
 status_of() { curl -s -o /dev/null -w '%{http_code}' "$@"; }
@@ -104,8 +106,10 @@
 }
 echo "== lookups, a notice and an upload"
 check "50 lookups are answered" lookups 50
-notice() { [ "$(status_of -X POST -H 'X-Run-Key: notice-1' -d 'retract article 17' "$caller/notices/1")" = 200 ]; }
-check "a notice is issued" notice
+ticket=$(curl -s -X POST "$caller/.sapphirehaven/v1/tickets?count=1" | sed 's/.*"tickets":\["\([^"]*\)".*/\1/')
+notice() { [ "$(status_of -X POST -H 'X-Run-Key: notice-1' -H "Sapphirehaven-Ticket: $ticket" -d 'retract article 17' "$1/notices/1")" = 200 ]; }
+check "a notice with a ticket is issued" notice "$caller"
+check "its repeat at another host gets the stored response" notice http://127.0.0.1:20103
 runs() { for i in $(seq 15); do curl -s "http://127.0.0.1:$((21100 + i))/runs"; done | grep -o '"notice-1":[0-9]*' | cut -d: -f2 | paste -sd+ | bc; }
 ran_once() { [ "$(runs)" = 1 ]; }
 check "the notice ran exactly once" ran_once
