app: pace uploads across regions by the document

Cause: Transport.SetCrossRegionRate was called by nobody, so uploads took the whole link of 30 Mbit/s.

Change: activate sets the smallest upload.max_bytes_per_second_across_regions of the document. All uploads of a host share one pacer, so the smallest value is the one that no class exceeds.

--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -52,9 +52,27 @@
 		}
 	}
 	s.active = active
+	s.transport.SetCrossRegionRate(crossRegionRate(doc))
 	return active
 }
 
+// crossRegionRate returns the smallest configured pace of uploads in bytes per
+// second, because all uploads of a host share one pacer; 0 means no limit.
+func crossRegionRate(doc *document.Document) int64 {
+	rate := int64(0)
+	for _, svc := range doc.Services {
+		for _, c := range svc.Classes {
+			if c.Upload == nil || c.Upload.MaxBytesPerSecondAcrossRegions <= 0 {
+				continue
+			}
+			if r := int64(c.Upload.MaxBytesPerSecondAcrossRegions); rate == 0 || r < rate {
+				rate = r
+			}
+		}
+	}
+	return rate
+}
+
 func (s *services) backend(revision uint64, doc *document.Document, svc *document.Service, regions map[ident.Zone]ident.Region) *ingress.Backend {
 	b := &ingress.Backend{
 		Service: svc,
