ingress: bound silent callers, test responses, deadlines, uploads and errors

Faults found and fixed: * No write deadline: a caller that stopped reading in the middle of a streamed response held its slot and its memory until the connection broke. A caller must accept 64 KiB in 30 s (Config.WriteTimeout), and a stream ends at the deadline of its request, because the slot is held until then. * http.Server reads up to 256 KiB of an unread body before it sends a response: an upload in chunks that was refused for lack of a slot got its 503 only after the caller had sent that much, a silent caller got none, and an upload whose response started early lost these bytes on the way to the target. A response with an unread body closes the connection, and the rest is read for 1 s. * After a body that timed out, http.Server waited for its rest without a deadline. * An address query took any method; it takes GET and HEAD.

Tests cover incomplete, garbled, swapped and late responses, responses without a body, broken streams, early status during an upload, draining, deadlines, callers that leave, uploads and every error by name.

The test's bound is 16 MiB.

Ruled out: EnableFullDuplex. It is not needed once the connection closes, and with it http.Server would go on with a connection whose body was read in part.

--- a/internal/adapter/ingress/addresses.go
+++ b/internal/adapter/ingress/addresses.go
@@ -31,6 +31,11 @@
 }
 
 func (s *Server) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		w.Header().Set("Allow", http.MethodGet)
+		notRun(http.StatusMethodNotAllowed, "bad_method", "addresses are read with GET").write(w)
+		return
+	}
 	active := s.active.Load()
 	if active == nil {
 		s.noConfiguration().write(w)
@@ -58,6 +63,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderOutcome, OutcomeAnswered)
+	w.WriteHeader(http.StatusOK)
 	_ = json.NewEncoder(w).Encode(a)
 }
 
--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -78,7 +78,7 @@
 	}
 	if q.class.Upload != nil {
 		a.MinBodyBytesPerSecond = int64(q.class.Upload.MinBytesPerSecond)
-		a.InterruptBody = func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Now()) }
+		a.InterruptBody = func() { q.boundRead(time.Now()) }
 	}
 	return a
 }
@@ -137,6 +137,10 @@
 // caller's connection is aborted.
 func (q *request) stream(start dispatch.Start, trace *target.Trace, response *target.Response, first []byte) {
 	q.backend.Engine.Commit(start.Attempt)
+	if q.caller != nil {
+		// The slot is held until the response was passed on.
+		q.caller.until = q.deadline
+	}
 	q.copyHeader(response.Header)
 	q.w.WriteHeader(response.Status)
 	_, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(first), response.Body))
--- a/internal/adapter/ingress/helper_test.go
+++ b/internal/adapter/ingress/helper_test.go
@@ -99,22 +99,41 @@
 	return []document.Class{
 		{Name: "lookup", Idempotent: true, Deadline: document.Duration(hangLimit), MaxRequestBytes: 1 << 20, MaxBufferedAnswerBytes: 64 << 10},
 		{Name: "order", Deadline: document.Duration(hangLimit), MaxRequestBytes: 1 << 20, MaxBufferedAnswerBytes: 64 << 10, NotRunStatuses: []int{503}},
+		{Name: "quick", Idempotent: true, Deadline: document.Duration(hangLimit), AttemptTimeout: document.Duration(300 * time.Millisecond), MaxRequestBytes: 1 << 20, MaxBufferedAnswerBytes: 64 << 10},
+		{Name: "scan", Idempotent: true, Deadline: document.Duration(hangLimit), MaxRequestBytes: 1 << 30, MaxBufferedAnswerBytes: 64 << 10, Upload: &document.Upload{MinBytesPerSecond: 1 << 10}},
 		{Name: "upload", Deadline: document.Duration(hangLimit), MaxRequestBytes: 1 << 30, MaxBufferedAnswerBytes: 64 << 10, Upload: &document.Upload{MinBytesPerSecond: 1}},
 	}
 }
 
+// options are what tests change of a host.
+type options struct {
+	Config
+	target   target.Config
+	dispatch dispatch.Config
+}
+
 // newHost starts a host whose targets have the given addresses and slots.
 func newHost(t testing.TB, slots int, addresses ...string) *host {
+	t.Helper()
+	return newHostWith(t, func(*options) {}, slots, addresses...)
+}
+
+func newHostWith(t testing.TB, change func(*options), slots int, addresses ...string) *host {
 	t.Helper()
 	h := &host{tickets: newTickets("h", 1)}
-	transport := target.New(target.DefaultConfig())
-	h.Server = New(Config{
+	o := options{target: target.DefaultConfig(), dispatch: dispatchConfig(slots, len(addresses)), Config: Config{
 		Host: "h", Incarnation: 1, Location: ident.Location{Region: "r", Zone: "z"}, CallerAddress: "h:1",
-		Transport: transport, Members: nothing{}, Tickets: h.tickets, Recorder: nothing{},
-	})
-	h.engine = engine.NewService(dispatchConfig(slots, len(addresses)), dispatch.Self{Host: "h", Location: h.cfg.Location}, 1, nothing{}, nothing{})
+		Members: nothing{}, Tickets: h.tickets, Recorder: nothing{},
+	}}
+	change(&o)
+	transport := target.New(o.target)
+	o.Transport = transport
+	h.Server = New(o.Config)
+	h.engine = engine.NewService(o.dispatch, dispatch.Self{Host: "h", Location: h.cfg.Location}, 1, nothing{}, nothing{})
 	h.Activate(newActive(h.engine, addresses))
-	srv := httptest.NewServer(h.Server)
+	srv := httptest.NewUnstartedServer(h.Server)
+	srv.Config.MaxHeaderBytes = 16 << 10
+	srv.Start()
 	h.url, h.client = srv.URL, srv.Client()
 	t.Cleanup(func() {
 		srv.CloseClientConnections()
@@ -131,7 +150,7 @@
 		cfg.Targets = append(cfg.Targets, dispatch.Target{ID: targetID(i), Location: ident.Location{Region: "r", Zone: "z"}, Slots: slots, MaxConnections: 100})
 	}
 	for _, c := range classes() {
-		cfg.Classes = append(cfg.Classes, dispatch.Class{Name: c.Name, Idempotent: c.Idempotent, Upload: c.Upload != nil, Floor: 1, Deadline: time.Duration(c.Deadline)})
+		cfg.Classes = append(cfg.Classes, dispatch.Class{Name: c.Name, Idempotent: c.Idempotent, Upload: c.Upload != nil, Floor: 1, Deadline: time.Duration(c.Deadline), AttemptTimeout: time.Duration(c.AttemptTimeout)})
 	}
 	return cfg
 }
@@ -190,6 +209,31 @@
 	return r
 }
 
+// dial opens a connection to the host and sends text on it.
+func (h *host) dial(t testing.TB, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(hangLimit))
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
+
+// expectRaw reads a response from a connection and checks it.
+func expectRaw(t testing.TB, br *bufio.Reader, status int, outcome string) *http.Response {
+	t.Helper()
+	res, err := http.ReadResponse(br, nil)
+	if err != nil || res.StatusCode != status || res.Header.Get(HeaderOutcome) != outcome {
+		t.Fatalf("%+v, %v; want %d %q", res, err, status, outcome)
+	}
+	return res
+}
+
 // idle waits until no attempt occupies a slot.
 func (h *host) idle(t testing.TB) {
 	t.Helper()
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -24,9 +24,11 @@
 
 // request is a caller's request on its way through the host.
 type request struct {
-	server  *Server
-	w       http.ResponseWriter
-	r       *http.Request
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	// caller is the connection to the caller, nil for a relayed request.
+	caller  *callerWriter
 	active  *Active
 	backend *Backend
 	class   *document.Class
@@ -44,13 +46,14 @@
 }
 
 // serveRequest serves one routed request. A returned problem has not been sent.
+// caller is nil for a request that another host relayed.
 //
 // A request with a ticket may be the repeat of one that has run. Until the
 // ticket's table has decided, a refusal of the repeat says nothing about the
 // first one, so its outcome is unknown.
-func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) *Problem {
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, caller *callerWriter) *Problem {
 	decided := false
-	problem := s.route(w, r, &decided)
+	problem := s.route(w, r, caller, &decided)
 	if problem == nil || decided {
 		return problem
 	}
@@ -73,7 +76,7 @@
 
 // route finds the service and class of a request and runs it. It sets decided
 // when the outcome is certain although the request may be a repeat.
-func (s *Server) route(w http.ResponseWriter, r *http.Request, decided *bool) *Problem {
+func (s *Server) route(w http.ResponseWriter, r *http.Request, caller *callerWriter, decided *bool) *Problem {
 	arrived := time.Now()
 	active := s.active.Load()
 	if active == nil {
@@ -89,6 +92,7 @@
 		server:  s,
 		w:       w,
 		r:       r,
+		caller:  caller,
 		active:  active,
 		backend: backend,
 		class:   backend.Classes[route.Class],
@@ -155,9 +159,8 @@
 	if q.r.ContentLength == 0 {
 		return nil
 	}
-	_ = http.NewResponseController(q.w).SetReadDeadline(q.deadline)
-	defer func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	q.boundRead(q.deadline)
+	body, err := io.ReadAll(q.limitedBody())
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
@@ -168,10 +171,18 @@
 	case err != nil:
 		return notRun(http.StatusBadRequest, "bad_body", "the request body broke off")
 	}
+	q.boundRead(time.Time{})
 	q.body = body
 	return nil
 }
 
+// boundRead sets the deadline for the caller's body; the zero time removes it.
+func (q *request) boundRead(until time.Time) {
+	if q.caller != nil && q.caller.conn != nil {
+		_ = q.caller.conn.SetReadDeadline(until)
+	}
+}
+
 func (q *request) bodyTooLarge() *Problem {
 	return notRun(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body is larger than max_request_bytes of class %q: %d", q.class.Name, q.class.MaxRequestBytes))
 }
@@ -224,9 +235,18 @@
 	return unavailable(string(a.Reason), "the request was not sent to a target", a.RetryAfter)
 }
 
+// limitedBody returns the caller's body, which fails when it is too large.
+func (q *request) limitedBody() io.ReadCloser {
+	body := q.r.Body
+	if q.caller != nil {
+		body = &q.caller.body
+	}
+	return http.MaxBytesReader(q.w, body, int64(q.class.MaxRequestBytes))
+}
+
 func (q *request) newBody() io.Reader {
 	if q.class.Upload != nil {
-		return http.MaxBytesReader(q.w, q.r.Body, int64(q.class.MaxRequestBytes))
+		return q.limitedBody()
 	}
 	if len(q.body) == 0 {
 		return nil
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -35,6 +35,9 @@
 	Members       Members
 	Tickets       Tickets
 	Recorder      engine.Recorder
+	// WriteTimeout is the longest time in which a caller may accept no 64 KiB
+	// of its response; default 30 s.
+	WriteTimeout time.Duration
 }
 
 // pathPrefix is the path below which the host answers itself.
@@ -55,6 +58,9 @@
 // New returns a server without a configuration; it refuses requests until
 // Activate is called.
 func New(cfg Config) *Server {
+	if cfg.WriteTimeout <= 0 {
+		cfg.WriteTimeout = defaultWriteTimeout
+	}
 	return &Server{cfg: cfg, rng: rand.New(rand.NewPCG(uint64(cfg.Incarnation), 3))}
 }
 
@@ -71,9 +77,11 @@
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(response http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	w := newCallerWriter(response, r, s.cfg.WriteTimeout)
+	defer w.close()
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -87,7 +95,7 @@
 		s.serveOwn(w, r, name)
 		return
 	}
-	if problem := s.serveRequest(w, r); problem != nil {
+	if problem := s.serveRequest(w, r, w); problem != nil {
 		problem.write(w)
 	}
 }
--- a/internal/adapter/ingress/tickets.go
+++ b/internal/adapter/ingress/tickets.go
@@ -54,6 +54,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderOutcome, OutcomeAnswered)
+	w.WriteHeader(http.StatusOK)
 	_ = json.NewEncoder(w).Encode(issued)
 }
 
@@ -123,7 +124,7 @@
 			_ = recover()
 		}
 	}()
-	if problem := s.serveRequest(w, r); problem != nil {
+	if problem := s.serveRequest(w, r, nil); problem != nil {
 		problem.write(w)
 	}
 	return true
--- /dev/null
+++ b/internal/adapter/ingress/upload_test.go
@@ -0,0 +1,111 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestUploadRefusedEarly guards against an upload that is invited, or awaited,
+// although there is no slot for it.
+func TestUploadRefusedEarly(t *testing.T) {
+	handle, started, _ := silent()
+	h := newHostWith(t, func(o *options) { o.dispatch.QueueLength = -1 }, 1, serveRaw(t, handle).address)
+	go h.send(t.Context(), "POST", "/order", "x")
+	<-started
+	for _, framing := range []string{
+		"Content-Length: 1000000\r\nExpect: 100-continue", "Content-Length: 1000", "Transfer-Encoding: chunked",
+	} {
+		_, br := h.dial(t, "POST /upload HTTP/1.1\r\nHost: h\r\n"+framing+"\r\n\r\n")
+		if res := expectRaw(t, br, 503, OutcomeNotRun); !res.Close || res.Header.Get("Retry-After") == "" {
+			t.Fatalf("%s: %+v", framing, res)
+		}
+		if _, err := io.ReadAll(br); err != nil {
+			t.Fatal("the connection is not closed:", err)
+		}
+	}
+}
+
+// TestSlowUploadLosesSlot guards against a caller that holds a slot while it
+// sends nothing.
+func TestSlowUploadLosesSlot(t *testing.T) {
+	rt := serveRaw(t, always(""))
+	h := newHostWith(t, func(o *options) { o.target.SlowCallerGrace = 50 * time.Millisecond }, 1, rt.address)
+	_, br := h.dial(t, "POST /scan HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nx")
+	expectRaw(t, br, 504, OutcomeUnknown)
+	h.idle(t)
+}
+
+// TestUploadIsNotRepeated guards against a second attempt of an upload whose
+// body was read in part: the rest alone would reach the other target.
+func TestUploadIsNotRepeated(t *testing.T) {
+	breaks := func(_ int, _ net.Conn, r *http.Request) bool {
+		_, _ = io.ReadFull(r.Body, make([]byte, 100))
+		return false
+	}
+	a, b := serveRaw(t, breaks), serveRaw(t, breaks)
+	h := newHost(t, 4, a.address, b.address)
+	r := h.send(t.Context(), "POST", "/scan", strings.Repeat("x", 1<<20), "X-Key", "k")
+	if n := a.count("k") + b.count("k"); n != 1 || r.err == nil && r.outcome != OutcomeUnknown {
+		t.Fatalf("sent %d times: %+v", n, r)
+	}
+	h.idle(t)
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// maxUploadHeap bounds the memory of one upload: the buffers of caller, host and
+// target together. The figure is far above what is measured (see the log).
+const maxUploadHeap = 16 << 20
+
+// TestUploadMemory guards against an upload that is held in memory. It runs
+// caller, host and target in one process.
+func TestUploadMemory(t *testing.T) {
+	const size = 256 << 20
+	var received int64
+	rt := serveRaw(t, func(_ int, c net.Conn, r *http.Request) bool {
+		received, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, okResponse)
+		return true
+	})
+	h := newHost(t, 4, rt.address)
+	runtime.GC()
+	var start, now runtime.MemStats
+	runtime.ReadMemStats(&start)
+	req, err := http.NewRequest("POST", h.url+"/upload", io.LimitReader(zeros{}, size))
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		res, err := h.client.Do(req)
+		if err == nil {
+			res.Body.Close()
+		}
+		done <- err
+	}()
+	peak := uint64(0)
+	for sampling := true; sampling; {
+		select {
+		case err := <-done:
+			if err != nil {
+				t.Fatal(err)
+			}
+			sampling = false
+		case <-time.After(5 * time.Millisecond):
+		}
+		runtime.ReadMemStats(&now)
+		peak = max(peak, now.HeapAlloc)
+	}
+	t.Logf("%d MiB uploaded; peak of the heap %d KiB above the start", received>>20, (peak-min(peak, start.HeapAlloc))>>10)
+	if received != size || peak > start.HeapAlloc+maxUploadHeap {
+		t.Fatalf("%d bytes received, heap from %d to %d", received, start.HeapAlloc, peak)
+	}
+}
