Record refusals and unknown outcomes in the timeline

Cause: the timeline had the kinds of these events, but nothing recorded them. Change: ingress records each kind of problem at once and counts repeats within a second into one event, so that overload does not push other events out. Conclusion: the timeline shows every kind of decision that the design names.

--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -47,6 +47,7 @@
 
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
+	events   *problemEvents
 	cfg      Config
 	active   atomic.Pointer[Active]
 	draining atomic.Bool
@@ -60,7 +61,7 @@
 	if cfg.WriteTimeout <= 0 {
 		cfg.WriteTimeout = defaultWriteTimeout
 	}
-	return &Server{cfg: cfg}
+	return &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder)}
 }
 
 // Activate puts a configuration in force for requests that arrive from now on.
@@ -95,6 +96,7 @@
 		return
 	}
 	if problem := s.serveRequest(w, r, w); problem != nil {
+		s.events.note(problem, w.Header().Get(HeaderRequestID))
 		problem.write(w)
 	}
 }
