dispatch: use new connections, ticks and probes that health asks for

Cause: the dispatcher ticked health by its own intervals and never asked NeedsFresh, so attempts went on using connections that had gone silent, and non-idempotent requests failed on them until the target was ejected. Health had no way to ask for a probe.

Change: Start.Fresh and Attempt.Fresh follow NeedsFresh for all requests, the next tick is health.NextTick, and targets that health.Verify lists are probed. Requests test targets of the other region after 5 s, probes at once.

--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -92,6 +92,7 @@
 	d.record(d.health.Merge(now, e))
 	d.syncAll(now)
 	d.refreshTrials(now)
+	d.verify(now)
 	return d.settle(now)
 }
 
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -18,14 +18,18 @@
 	// trialWait is the time that an ejected target waits for a request that
 	// can test it before a probe does. A probe costs about 25 ms of a target.
 	trialWait = time.Second
+	// remoteTrialWait is the time that a target of the other region waits before
+	// requests test it: it is longer than three probes take, and a request to the
+	// other region costs the caller a round trip between regions.
+	remoteTrialWait = 5 * time.Second
 	// trialServiceTimes is the least time for each of a trial and the attempt
 	// after it, in mean service times.
 	trialServiceTimes = 2
 )
 
-// refreshTrials takes the targets that health wants tested. Requests test only
-// targets of this region; probes test the others and those that no request
-// tested in time.
+// refreshTrials takes the targets that health wants tested. Requests test the
+// targets of this region at once, and those of the other region only when
+// probes alone did not return them.
 func (d *Dispatcher) refreshTrials(now time.Time) {
 	d.trials = d.trials[:0]
 	d.trialRound++
@@ -33,11 +37,18 @@
 	waiting := d.health.Trials(now)
 	for _, id := range waiting {
 		if t := d.targets[id]; t != nil && !t.trial && !t.draining(now) {
-			d.offerTrial(now, t, byRequest && t.distance != balance.OtherRegion)
+			d.offerTrial(now, t, byRequest)
 		}
 	}
-	if len(waiting) > 0 {
-		d.hastenHealth(now)
+	d.hastenHealth(now)
+}
+
+// verify probes the targets whose silence health wants confirmed.
+func (d *Dispatcher) verify(now time.Time) {
+	for _, id := range d.health.Verify(now) {
+		if t := d.targets[id]; t != nil {
+			d.probe(now, t)
+		}
 	}
 }
 
@@ -46,7 +57,11 @@
 		t.testableSince = now
 	}
 	t.testableRound = d.trialRound
-	if !byRequest || now.Sub(t.testableSince) >= trialWait {
+	wait := now.Sub(t.testableSince)
+	if t.distance == balance.OtherRegion {
+		byRequest = byRequest && wait >= remoteTrialWait
+	}
+	if !byRequest || wait >= trialWait {
 		d.probe(now, t)
 	}
 	if byRequest {
@@ -115,6 +130,7 @@
 		return
 	}
 	t.probeSent = now
+	d.health.ProbeStarted(now, t.ID)
 	d.emit(Probe{Target: t.ID})
 }
 
--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -169,7 +169,8 @@
 	}
 	c.countCrossing(t, r.BodyBytes)
 	d.attempts[r.running] = &openAttempt{id: r.running, request: r, target: t, started: now, upload: c.Upload, trial: isTrial}
-	d.health.Started(now, health.Attempt{ID: r.running, Target: t.ID, Class: c.Name, Fresh: isTrial, Trial: isTrial})
+	fresh := isTrial || d.health.NeedsFresh(now, t.ID)
+	d.health.Started(now, health.Attempt{ID: r.running, Target: t.ID, Class: c.Name, Fresh: fresh, Trial: isTrial})
 	d.hastenHealth(now)
 	d.refresh(now, t)
 	d.emit(Start{
@@ -177,7 +178,7 @@
 		Attempt: r.running,
 		Target:  t.ID,
 		Timeout: attemptTimeout(now, r, isTrial),
-		Fresh:   isTrial,
+		Fresh:   fresh,
 		Trial:   isTrial,
 	})
 }
--- a/internal/core/dispatch/tick.go
+++ b/internal/core/dispatch/tick.go
@@ -2,14 +2,8 @@
 
 import "time"
 
-const (
-	// busyHealthInterval is the time between two ticks of health while attempts
-	// are in flight or targets wait for a trial. Health offers no next time,
-	// and its tick may visit every target.
-	busyHealthInterval = 100 * time.Millisecond
-	// idleHealthInterval applies otherwise.
-	idleHealthInterval = time.Second
-)
+// idleHealthInterval is the time to the first tick of health.
+const idleHealthInterval = time.Second
 
 // Tick advances timers.
 func (d *Dispatcher) Tick(now time.Time) []Action {
@@ -37,17 +31,16 @@
 }
 
 func (d *Dispatcher) tickHealth(now time.Time) {
-	d.healthDue = now.Add(idleHealthInterval)
 	d.record(d.health.Tick(now))
 	d.refreshTrials(now)
-	if len(d.attempts) > 0 {
-		d.hastenHealth(now)
-	}
+	d.verify(now)
+	d.healthDue = d.health.NextTick(now)
 }
 
-// hastenHealth makes the next tick of health due within the busy interval.
+// hastenHealth makes the next tick of health due when health wants it after an
+// event, which may be earlier than it was.
 func (d *Dispatcher) hastenHealth(now time.Time) {
-	if due := now.Add(busyHealthInterval); due.Before(d.healthDue) {
+	if due := d.health.NextTick(now); due.Before(d.healthDue) {
 		d.healthDue = due
 	}
 }
