--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -177,7 +177,11 @@
 }
 
 func (s *Service) tick() {
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Tick(now) })
+	regularProbes := s.prober.Probes(s.name)
+	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+		d.SetRegularProbes(regularProbes)
+		return d.Tick(now)
+	})
 }
 
 // step runs one event under the lock, hands out the actions and sets the timer.
@@ -225,9 +229,7 @@
 	case dispatch.Fail:
 		s.deliver(a.Request, a, true)
 	case dispatch.Probe:
-		if a.Trial || s.prober.Probes(s.name) {
-			s.startProbe(a.Target)
-		}
+		s.startProbe(a.Target)
 	case dispatch.Record:
 		s.recorder.Record(a.Kind, a.Fields...)
 	}
@@ -245,12 +247,10 @@
 }
 
 func (s *Service) startProbe(target ident.TargetID) {
-	if s.closed {
-		return
-	}
 	select {
 	case s.probes <- struct{}{}:
 	default:
+		s.dispatcher.ProbeSkipped(target)
 		return
 	}
 	go func() {
