--- /dev/null
+++ b/internal/adapter/ingress/link_test.go
@@ -0,0 +1,111 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/standin"
+)
+
+// newAcross starts a host whose target is in the other region.
+func newAcross(tb testing.TB, cfg standin.LinkConfig, rate int64) (*host, *standin.Link) {
+	tb.Helper()
+	srv := httptest.NewServer(standin.NewTarget(standin.TargetConfig{Name: "t", Slots: 64}).Handler())
+	link, err := standin.NewLink(srv.Listener.Addr().String(), cfg)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	h := newHostWith(tb, func(o *options) { o.target.CrossRegionBytesPerSecond = rate }, 64, link.Address())
+	active := newActive(h.engine, nil)
+	active.Backends["s"].Targets["t0"] = Endpoint{Address: link.Address(), Region: "other"}
+	h.Activate(active)
+	tb.Cleanup(func() {
+		link.Close()
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return h, link
+}
+
+// TestBytesAcrossRegions guards against traffic over the billed link that is
+// counted for no class, or for the wrong one.
+func TestBytesAcrossRegions(t *testing.T) {
+	h, _ := newAcross(t, standin.LinkConfig{}, 0)
+	h.expect(t, 200, OutcomeAnswered, "GET", "/lookup?size=50000", "")
+	h.expect(t, 200, OutcomeAnswered, "POST", "/upload", strings.Repeat("x", 100_000))
+	list := h.cfg.Transport.Traffic()
+	if len(list) != 2 || list[0].Class != "lookup" || list[0].Received < 50_000 || list[0].Sent > 2000 ||
+		list[1].Class != "upload" || list[1].Sent < 100_000 || list[1].Received > 2000 {
+		t.Fatalf("%+v", list)
+	}
+}
+
+// TestFrozenConnections guards against requests that go on to use the idle
+// connections to a target after one of them stayed silent.
+func TestFrozenConnections(t *testing.T) {
+	h, link := newAcross(t, standin.LinkConfig{}, 0)
+	fill := make(chan reply)
+	for range 6 {
+		go func() { fill <- h.send(t.Context(), "GET", "/lookup", "") }()
+	}
+	for range 6 {
+		if r := <-fill; r.outcome != OutcomeAnswered {
+			t.Fatalf("%+v", r)
+		}
+	}
+	link.Freeze()
+	start := time.Now()
+	h.expect(t, 504, OutcomeUnknown, "GET", "/lookup", "", HeaderDeadline, "500")
+	first := time.Since(start)
+	for range 6 {
+		h.expect(t, 200, OutcomeAnswered, "GET", "/lookup", "", HeaderDeadline, "500")
+	}
+	t.Logf("the first request took %v, the next 6 together %v", first, time.Since(start)-first)
+}
+
+// BenchmarkLookupAcrossLink reports the latency of lookups over the link between
+// regions, alone and next to a large upload.
+func BenchmarkLookupAcrossLink(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		upload bool
+		rate   int64
+	}{{"alone", false, 0}, {"upload-unpaced", true, 0}, {"upload-paced-1MiB", true, 1 << 20}} {
+		b.Run(c.name, func(b *testing.B) {
+			h, _ := newAcross(b, standin.CrossRegionLink(), c.rate)
+			if c.upload {
+				body, stop := io.Pipe()
+				defer stop.Close()
+				go h.upload(body)
+				go func() { _, _ = io.Copy(stop, zeros{}) }()
+				time.Sleep(time.Second)
+			}
+			var took []time.Duration
+			for b.Loop() {
+				start := time.Now()
+				h.expect(b, 200, OutcomeAnswered, "GET", "/lookup", "", HeaderDeadline, "60000")
+				took = append(took, time.Since(start))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "ms-p50")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "ms-p99")
+		})
+	}
+}
+
+// upload sends an endless body until it is closed.
+func (h *host) upload(body io.Reader) {
+	req, err := http.NewRequest("POST", h.url+"/upload", body)
+	if err != nil {
+		return
+	}
+	req.Header.Set(HeaderDeadline, "60000")
+	if res, err := h.client.Do(req); err == nil {
+		res.Body.Close()
+	}
+}
