ingress: add metrics of the data path

Change: requests by service, class and outcome, attempts by result, refusals by reason, requests in flight and waiting, attempts in flight, added latency, connections, dials and bytes across regions by class. A server has its own set, which the host registers, so that several servers fit in one process. Counters of a class are looked up once and read without a lock.

docs/metrics.md lists them; TestMetrics fails when a name is missing there.

--- a/internal/adapter/ingress/addresses.go
+++ b/internal/adapter/ingress/addresses.go
@@ -33,18 +33,18 @@
 func (s *Server) serveAddresses(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		w.Header().Set("Allow", http.MethodGet)
-		notRun(http.StatusMethodNotAllowed, "bad_method", "addresses are read with GET").write(w)
+		s.refuse(w, notRun(http.StatusMethodNotAllowed, "bad_method", "addresses are read with GET"))
 		return
 	}
 	active := s.active.Load()
 	if active == nil {
-		s.noConfiguration().write(w)
+		s.refuse(w, s.noConfiguration())
 		return
 	}
 	name := ident.ServiceName(r.URL.Query().Get("service"))
 	backend := active.Backends[name]
 	if backend == nil {
-		notRun(http.StatusNotFound, "unknown_service", "service: the document has no service \""+string(name)+"\"").write(w)
+		s.refuse(w, notRun(http.StatusNotFound, "unknown_service", "service: the document has no service \""+string(name)+"\""))
 		return
 	}
 	members := s.cfg.Members.Serving()
@@ -57,7 +57,7 @@
 	}
 	if count := r.URL.Query().Get("tickets"); count != "" {
 		if problem := s.addTickets(&a, count); problem != nil {
-			problem.write(w)
+			s.refuse(w, problem)
 			return
 		}
 	}
--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -24,6 +24,8 @@
 // attempt carries out one attempt and reports its result. It returns true when
 // the response was streamed to the caller, so that the request has ended.
 func (q *request) attempt(ctx context.Context, start dispatch.Start) bool {
+	began := time.Now()
+	defer func() { q.attempted += time.Since(began) }()
 	ctx, cancel := context.WithTimeout(ctx, start.Timeout)
 	defer cancel()
 	var trace target.Trace
@@ -105,6 +107,7 @@
 // end reports the result, and that the target announced draining before it: the
 // dispatcher then starts nothing more there.
 func (q *request) end(start dispatch.Start, trace *target.Trace, result attempt.Result) {
+	q.metrics.results[result.Kind].Inc()
 	if trace.Draining {
 		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, Draining: true})
 	}
@@ -146,6 +149,7 @@
 	_, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(first), response.Body))
 	q.end(start, trace, response.Finish())
 	if err != nil {
+		q.aborted = true
 		panic(http.ErrAbortHandler)
 	}
 }
--- /dev/null
+++ b/internal/adapter/ingress/metrics.go
@@ -0,0 +1,158 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+// metricKey is a class of a service.
+type metricKey struct {
+	service ident.ServiceName
+	class   ident.ClassName
+}
+
+// classMetrics holds the metrics of one class, so that a request looks up none
+// by name. Their names are in docs/metrics.md.
+type classMetrics struct {
+	answered, notRun, unknown *metrics.Counter
+	results                   [attempt.Canceled + 1]*metrics.Counter
+	added                     *metrics.Histogram
+}
+
+// serverMetrics are the metrics of one server.
+type serverMetrics struct {
+	set         *metrics.Set
+	connections atomic.Int64
+
+	// classes is replaced, never changed, so that reads need no lock.
+	classes atomic.Pointer[map[metricKey]*classMetrics]
+	mu      sync.Mutex
+}
+
+func newServerMetrics() *serverMetrics {
+	m := &serverMetrics{set: metrics.NewSet()}
+	m.classes.Store(&map[metricKey]*classMetrics{})
+	return m
+}
+
+// class returns the metrics of a class.
+func (m *serverMetrics) class(service ident.ServiceName, class ident.ClassName) *classMetrics {
+	key := metricKey{service, class}
+	if c := (*m.classes.Load())[key]; c != nil {
+		return c
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := *m.classes.Load()
+	if c := old[key]; c != nil {
+		return c
+	}
+	classes := make(map[metricKey]*classMetrics, len(old)+1)
+	for k, c := range old {
+		classes[k] = c
+	}
+	classes[key] = m.newClass(key)
+	m.classes.Store(&classes)
+	return classes[key]
+}
+
+func (m *serverMetrics) newClass(key metricKey) *classMetrics {
+	labels := fmt.Sprintf("service=%q,class=%q", key.service, key.class)
+	requests := func(outcome string) *metrics.Counter {
+		return m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_requests_total{%s,outcome=%q}", labels, outcome))
+	}
+	c := &classMetrics{
+		answered: requests(OutcomeAnswered),
+		notRun:   requests(OutcomeNotRun),
+		unknown:  requests(OutcomeUnknown),
+		added:    m.set.GetOrCreateHistogram(fmt.Sprintf("sapphirehaven_added_latency_seconds{%s}", labels)),
+	}
+	for kind := range c.results {
+		c.results[kind] = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_attempts_total{%s,result=%q}", labels, attempt.Kind(kind)))
+	}
+	return c
+}
+
+// refused counts a refusal. Its reason is one of the fixed names of problems.
+func (m *serverMetrics) refused(p *Problem) {
+	if p.Outcome == OutcomeNotRun {
+		m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_refusals_total{reason=%q}", p.Type)).Inc()
+	}
+}
+
+// request counts the end of a request by the outcome that its caller is told.
+func (c *classMetrics) request(outcome string) {
+	switch outcome {
+	case OutcomeAnswered:
+		c.answered.Inc()
+	case OutcomeNotRun:
+		c.notRun.Inc()
+	default:
+		c.unknown.Inc()
+	}
+}
+
+// observe counts a request that ends now.
+func (q *request) observe(problem *Problem) {
+	outcome := OutcomeUnknown
+	switch {
+	case problem != nil:
+		outcome = problem.Outcome
+	case !q.aborted:
+		outcome = q.w.Header().Get(HeaderOutcome)
+	}
+	q.metrics.request(outcome)
+	if !q.admittedAt.IsZero() {
+		q.metrics.added.Update(max(0, time.Since(q.admittedAt)-q.attempted).Seconds())
+	}
+}
+
+// Metrics returns the metrics of the data path, to be registered once.
+func (s *Server) Metrics() *metrics.Set { return s.metrics.set }
+
+// ConnState counts the callers' connections; it is the hook of http.Server.
+func (s *Server) ConnState(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.metrics.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.metrics.connections.Add(-1)
+	}
+}
+
+// writeMetrics writes the metrics that are read from elsewhere.
+func (s *Server) writeMetrics(w io.Writer) {
+	metrics.WriteGaugeUint64(w, "sapphirehaven_requests_in_flight", uint64(max(0, s.InFlight())))
+	metrics.WriteGaugeUint64(w, "sapphirehaven_caller_connections", uint64(max(0, s.metrics.connections.Load())))
+	if active := s.active.Load(); active != nil {
+		for name, b := range active.Backends {
+			status, _ := b.Engine.Status()
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_attempts_in_flight{service=%q}", name), uint64(max(0, status.InFlight)))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_requests_waiting{service=%q}", name), uint64(max(0, status.Waiting)))
+		}
+	}
+	if s.cfg.Transport == nil {
+		return
+	}
+	pool := s.cfg.Transport.PoolStats()
+	metrics.WriteGaugeUint64(w, `sapphirehaven_target_connections{state="open"}`, uint64(max(0, pool.Open)))
+	metrics.WriteGaugeUint64(w, `sapphirehaven_target_connections{state="idle"}`, uint64(max(0, pool.Idle)))
+	metrics.WriteCounterUint64(w, "sapphirehaven_target_dials_total", pool.Dials)
+	metrics.WriteCounterUint64(w, "sapphirehaven_target_dial_failures_total", pool.DialFailures)
+	metrics.WriteCounterUint64(w, "sapphirehaven_target_connection_reuses_total", pool.Reuses)
+	metrics.WriteCounterUint64(w, "sapphirehaven_target_connection_suspicions_total", pool.Suspicions)
+	for _, t := range s.cfg.Transport.Traffic() {
+		metrics.WriteCounterUint64(w, fmt.Sprintf(`sapphirehaven_cross_region_bytes_total{class=%q,direction="sent"}`, t.Class), uint64(t.Sent))
+		metrics.WriteCounterUint64(w, fmt.Sprintf(`sapphirehaven_cross_region_bytes_total{class=%q,direction="received"}`, t.Class), uint64(t.Received))
+	}
+}
--- /dev/null
+++ b/internal/adapter/ingress/metrics_test.go
@@ -0,0 +1,56 @@
+package ingress
+
+import (
+	"bytes"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/standin"
+)
+
+// TestMetrics guards against a request, attempt or refusal that is counted
+// wrongly or not at all, and a metric that docs/metrics.md does not list.
+func TestMetrics(t *testing.T) {
+	h, _ := newAcross(t, standin.LinkConfig{}, 0)
+	h.expect(t, 200, OutcomeAnswered, "GET", "/lookup", "")
+	h.expect(t, 200, OutcomeAnswered, "GET", "/lookup", "")
+	h.expect(t, 400, OutcomeNotRun, "GET", "/lookup", "", HeaderDeadline, "x")
+	h.expect(t, 404, OutcomeNotRun, "GET", "/nowhere", "")
+	h.expect(t, 400, OutcomeUnknown, "POST", "/order", "x", HeaderDeadline, "x", HeaderTicket, h.tickets.draw(t))
+	h.Activate(newActive(h.engine, []string{serveRaw(t, respondOnce("")).address}))
+	h.expect(t, 502, OutcomeUnknown, "POST", "/order", "x")
+	h.idle(t)
+	var out bytes.Buffer
+	h.Metrics().WritePrometheus(&out)
+	for _, want := range []string{
+		`sapphirehaven_requests_total{service="s",class="lookup",outcome="answered"} 2`,
+		`sapphirehaven_requests_total{service="s",class="lookup",outcome="not-run"} 1`,
+		`sapphirehaven_requests_total{service="s",class="order",outcome="unknown"} 2`,
+		`sapphirehaven_attempts_total{service="s",class="lookup",result="answered"} 2`,
+		`sapphirehaven_attempts_total{service="s",class="order",result="connection_lost"} 1`,
+		`sapphirehaven_refusals_total{reason="bad_deadline"} 1`,
+		`sapphirehaven_refusals_total{reason="no_route"} 1`,
+		`sapphirehaven_added_latency_seconds_count{service="s",class="lookup"} 2`,
+		`sapphirehaven_requests_in_flight 0`,
+		`sapphirehaven_attempts_in_flight{service="s"} 0`,
+		`sapphirehaven_requests_waiting{service="s"} 0`,
+		`sapphirehaven_target_dials_total 2`,
+		`sapphirehaven_cross_region_bytes_total{class="lookup",direction="received"} `,
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %s in\n%s", want, &out)
+		}
+	}
+	page, err := os.ReadFile("../../../docs/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range regexp.MustCompile(`(?m)^sapphirehaven_\w+`).FindAllString(out.String(), -1) {
+		name = regexp.MustCompile(`_(bucket|sum|count)$`).ReplaceAllString(name, "")
+		if !bytes.Contains(page, []byte("`"+name+"`")) {
+			t.Errorf("docs/metrics.md does not list %s", name)
+		}
+	}
+}
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -43,6 +43,13 @@
 	mayHaveRun bool
 	// held is the last complete response that was not passed on yet.
 	held *heldResponse
+	// aborted tells that the response to the caller was broken off.
+	aborted bool
+	metrics *classMetrics
+	// admittedAt is the time at which the request was there whole, or its head
+	// when the body streams; attempted is the time spent in attempts since.
+	admittedAt time.Time
+	attempted  time.Duration
 }
 
 // serveRequest serves one routed request. A returned problem has not been sent.
@@ -76,7 +83,7 @@
 
 // route finds the service and class of a request and runs it. It sets decided
 // when the outcome is certain although the request may be a repeat.
-func (s *Server) route(w http.ResponseWriter, r *http.Request, caller *callerWriter, decided *bool) *Problem {
+func (s *Server) route(w http.ResponseWriter, r *http.Request, caller *callerWriter, decided *bool) (problem *Problem) {
 	arrived := time.Now()
 	active := s.active.Load()
 	if active == nil {
@@ -100,12 +107,20 @@
 	}
 	req.wireID = fmt.Sprintf("%s-%x-%x", s.cfg.Host, uint64(s.cfg.Incarnation), uint64(req.id))
 	w.Header().Set(HeaderRequestID, req.wireID)
+	req.metrics = s.metrics.class(route.Service, route.Class)
+	defer func() {
+		if problem != nil && !*decided {
+			problem = undecided(problem, r)
+		}
+		req.observe(problem)
+	}()
 	if problem := req.readDeadline(arrived); problem != nil {
 		return problem
 	}
 	if problem := req.readBody(); problem != nil {
 		return problem
 	}
+	req.admittedAt = time.Now()
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	if text, ok := ticketOf(r); ok && !req.class.Idempotent {
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -50,6 +50,7 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	lastID   atomic.Uint64
+	metrics  *serverMetrics
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -61,7 +62,9 @@
 	if cfg.WriteTimeout <= 0 {
 		cfg.WriteTimeout = defaultWriteTimeout
 	}
-	return &Server{cfg: cfg, rng: rand.New(rand.NewPCG(uint64(cfg.Incarnation), 3))}
+	s := &Server{cfg: cfg, metrics: newServerMetrics(), rng: rand.New(rand.NewPCG(uint64(cfg.Incarnation), 3))}
+	s.metrics.set.RegisterMetricsWriter(s.writeMetrics)
+	return s
 }
 
 // Activate puts a configuration in force for requests that arrive from now on.
@@ -88,7 +91,7 @@
 	if r.ProtoMajor == 1 && r.ProtoMinor == 0 {
 		// An HTTP/1.0 caller could not tell a truncated response from a
 		// complete one.
-		undecided(notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required"), r).write(w)
+		s.refuse(w, undecided(notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required"), r))
 		return
 	}
 	if name, ok := strings.CutPrefix(r.URL.Path, pathPrefix); ok {
@@ -96,10 +99,16 @@
 		return
 	}
 	if problem := s.serveRequest(w, r, w); problem != nil {
-		problem.write(w)
+		s.refuse(w, problem)
 	}
 }
 
+// refuse sends a problem and counts it.
+func (s *Server) refuse(w http.ResponseWriter, problem *Problem) {
+	s.metrics.refused(problem)
+	problem.write(w)
+}
+
 func (s *Server) serveOwn(w http.ResponseWriter, r *http.Request, name string) {
 	switch name {
 	case "addresses":
@@ -107,7 +116,7 @@
 	case "tickets":
 		s.serveTickets(w, r)
 	default:
-		notRun(http.StatusNotFound, "unknown_resource", "the host has no resource "+pathPrefix+name).write(w)
+		s.refuse(w, notRun(http.StatusNotFound, "unknown_resource", "the host has no resource "+pathPrefix+name))
 	}
 }
 
--- a/internal/adapter/ingress/tickets.go
+++ b/internal/adapter/ingress/tickets.go
@@ -44,12 +44,12 @@
 func (s *Server) serveTickets(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", http.MethodPost)
-		notRun(http.StatusMethodNotAllowed, "bad_method", "tickets are drawn with POST").write(w)
+		s.refuse(w, notRun(http.StatusMethodNotAllowed, "bad_method", "tickets are drawn with POST"))
 		return
 	}
 	issued, problem := s.issue(r.URL.Query().Get("count"))
 	if problem != nil {
-		problem.write(w)
+		s.refuse(w, problem)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -125,7 +125,7 @@
 		}
 	}()
 	if problem := s.serveRequest(w, r, nil); problem != nil {
-		problem.write(w)
+		s.refuse(w, problem)
 	}
 	return true
 }
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
@@ -83,6 +84,7 @@
 		CallerAddress: settings.CallerAdvertise,
 		Recorder:      h.timeline,
 	})
+	metrics.RegisterSet(h.ingress.Metrics())
 	h.admin = admin.New(h, &documents{follower: h.follower, writer: h.writer}, settings.AdminToken)
 	return h, nil
 }
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -32,7 +32,7 @@
 func (h *Host) listen() (*listeners, error) {
 	l := &listeners{
 		host:   h,
-		caller: &http.Server{Handler: h.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: h.settings.MaxHeaderBytes},
+		caller: &http.Server{Handler: h.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: h.settings.MaxHeaderBytes, ConnState: h.ingress.ConnState},
 		admin:  &http.Server{Handler: h.admin, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
 	}
 	var err error
