--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -53,6 +53,7 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	lastID   atomic.Uint64
+	metrics  *serverMetrics
 }
 
 // New returns a server without a configuration; it refuses requests until
@@ -61,7 +62,9 @@
 	if cfg.WriteTimeout <= 0 {
 		cfg.WriteTimeout = defaultWriteTimeout
 	}
-	return &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder)}
+	s := &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder), metrics: newServerMetrics()}
+	s.metrics.set.RegisterMetricsWriter(s.writeMetrics)
+	return s
 }
 
 // Activate puts a configuration in force for requests that arrive from now on.
@@ -88,7 +91,7 @@
 	if r.ProtoMajor == 1 && r.ProtoMinor == 0 {
 		// An HTTP/1.0 caller could not tell a truncated response from a
 		// complete one.
-		undecided(notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required"), r).write(w)
+		s.refuse(w, undecided(notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required"), r))
 		return
 	}
 	if name, ok := strings.CutPrefix(r.URL.Path, pathPrefix); ok {
@@ -97,10 +100,16 @@
 	}
 	if problem := s.serveRequest(w, r, w); problem != nil {
 		s.events.note(problem, w.Header().Get(HeaderRequestID))
-		problem.write(w)
+		s.refuse(w, problem)
 	}
 }
 
+// refuse sends a problem and counts it.
+func (s *Server) refuse(w http.ResponseWriter, problem *Problem) {
+	s.metrics.refused(problem)
+	problem.write(w)
+}
+
 func (s *Server) serveOwn(w http.ResponseWriter, r *http.Request, name string) {
 	switch name {
 	case "addresses":
@@ -108,7 +117,7 @@
 	case "tickets":
 		s.serveTickets(w, r)
 	default:
-		notRun(http.StatusNotFound, "unknown_resource", "the host has no resource "+pathPrefix+name).write(w)
+		s.refuse(w, notRun(http.StatusNotFound, "unknown_resource", "the host has no resource "+pathPrefix+name))
 	}
 }
 
