--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -20,7 +20,8 @@
 	self      dispatch.Self
 	transport *target.Transport
 	recorder  engine.Recorder
-	// serves tells whether this host is a serving host of a service.
+	// serves tells whether this host is a serving host of a service; by default
+	// it is one of all.
 	serves func(ident.ServiceName) bool
 
 	mu      sync.Mutex
@@ -29,7 +30,13 @@
 }
 
 func newServices(self dispatch.Self, transport *target.Transport, recorder engine.Recorder) *services {
-	return &services{self: self, transport: transport, recorder: recorder, engines: map[ident.ServiceName]*engine.Service{}}
+	return &services{
+		self:      self,
+		transport: transport,
+		recorder:  recorder,
+		serves:    func(ident.ServiceName) bool { return true },
+		engines:   map[ident.ServiceName]*engine.Service{},
+	}
 }
 
 // activate builds the configuration of a revision. Dispatchers of services that
