Compare ticket times without the monotonic clock reading

Cause: Table.advance kept the latest time.Now value. Two such values compare by their monotonic readings, but expiries have none and compare by wall time. Change: times are stripped of the monotonic reading when they enter the table, so its wall time never falls. Test: TestWallClockSetBack got the verdict "run" before, "expired" now. The existing TestExpiryNeverMovesBack uses times without a monotonic reading and could not see it. Ruled out: stripping in internal/app, since every driver of the table needs it. Conclusion: a wall clock that is set back keeps tickets longer, and never admits one twice.

--- a/internal/core/ticket/expire.go
+++ b/internal/core/ticket/expire.go
@@ -26,7 +26,12 @@
 
 // advance moves the time forward, never back, and drops what has expired. A
 // dropped ticket stays refused, because its expiry stays in the past.
+//
+// Expiries have no monotonic reading, so times are compared without it. With
+// it, a wall clock that is set back would still count as later, and a ticket
+// whose outcome was dropped would be admitted again.
 func (t *Table) advance(now time.Time) {
+	now = now.Round(0)
 	if !now.After(t.now) {
 		return
 	}
--- a/internal/core/ticket/table.go
+++ b/internal/core/ticket/table.go
@@ -69,7 +69,7 @@
 // leave the process except by Export.
 func New(cfg Config, self Issuer, key Key, now time.Time) *Table {
 	t := &Table{
-		cfg: cfg, now: now,
+		cfg: cfg, now: now.Round(0),
 		issuers: map[Issuer]*issuer{}, entries: map[ID]*entry{}, imports: map[Issuer]*importState{},
 	}
 	t.become(self, key)
