Let a draining header outweigh stale load reports

Cause: a target that announced draining in the header of a complete answer was recorded like a load report. Change: LoadReport.ByResponse marks an announcement by a response. It is held for 10 s against reports, as a refusal with that header already was. Ruled out: a new kind of result for an answer with the header, since the answer still counts for the target's health. After 10 s a stale report can still end the draining until the next answer announces it again. Conclusion: the header alone keeps new work away for 10 s at a time.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -106,7 +106,7 @@
 // dispatcher then starts nothing more there.
 func (q *request) end(start dispatch.Start, trace *target.Trace, result attempt.Result) {
 	if trace.Draining {
-		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, Draining: true})
+		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, Draining: true, ByResponse: true})
 	}
 	q.backend.Engine.Finish(start.Attempt, result)
 }
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -106,6 +106,10 @@
 	// report has no load, only Draining.
 	Slots    int
 	Draining bool
+	// ByResponse tells that the target announced draining with the response of
+	// an attempt. Load endpoints may be stale, so for a time no report of one
+	// ends the draining.
+	ByResponse bool
 }
 
 // RefuseReason says why a request was not admitted.
--- a/internal/core/dispatch/target.go
+++ b/internal/core/dispatch/target.go
@@ -26,8 +26,8 @@
 	// draining; drained tells that health was told of one.
 	drainUntil time.Time
 	drained    bool
-	// announced tells that the target refused an attempt because of draining,
-	// rather than only reported it.
+	// announced tells that the response of an attempt announced draining, rather
+	// than a load report.
 	announced bool
 	removed   bool
 	// trial tells that a trial is running.
