Keep a request non-idempotent that was accepted as such

Cause: the caller's side took the class from the revision in which the request arrived, the dispatcher from the newest one. Change: dispatch.Request.NotRepeatable carries what the request was accepted as. Ruled out: taking the class from the dispatcher, since the ticket and the deadline have been decided with the older one by then. The opposite change needs nothing: the dispatcher then already refuses to repeat. Conclusion: a request is repeated only when both revisions allow it.

--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -180,10 +180,11 @@
 // them until ctx ends; attempts run under work.
 func (q *request) run(ctx, work context.Context) *Problem {
 	q.call = q.backend.Engine.Arrive(dispatch.Request{
-		ID:        q.id,
-		Class:     q.class.Name,
-		Deadline:  q.deadline,
-		BodyBytes: q.r.ContentLength,
+		ID:            q.id,
+		Class:         q.class.Name,
+		Deadline:      q.deadline,
+		BodyBytes:     q.r.ContentLength,
+		NotRepeatable: !q.class.Idempotent,
 	})
 	for {
 		action, err := q.call.Next(ctx)
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -93,6 +93,9 @@
 	Deadline time.Time
 	// BodyBytes is the declared size of the request body, -1 if unknown.
 	BodyBytes int64
+	// NotRepeatable tells that the driver accepted the request under a revision
+	// in which its class is not idempotent. A later revision does not change it.
+	NotRepeatable bool
 }
 
 // Result is the end of an attempt.
--- a/internal/core/dispatch/request.go
+++ b/internal/core/dispatch/request.go
@@ -15,8 +15,8 @@
 type request struct {
 	Request
 	class *class
-	// idempotent is the class's property at arrival, so that a new revision
-	// cannot make a request repeatable that was sent as not repeatable.
+	// idempotent is the class's property when the request was accepted, so that
+	// a new revision cannot make a request repeatable that was not.
 	idempotent bool
 	attempts   int
 	// tried holds the targets of earlier attempts, the latest last. They are
@@ -58,7 +58,7 @@
 	if r.Deadline.IsZero() {
 		r.Deadline = now.Add(c.Deadline)
 	}
-	d.admit(now, &request{Request: r, class: c, idempotent: c.Idempotent})
+	d.admit(now, &request{Request: r, class: c, idempotent: c.Idempotent && !r.NotRepeatable})
 	return d.settle(now)
 }
 
