--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -109,7 +109,7 @@
 func (q *request) end(start dispatch.Start, trace *target.Trace, result attempt.Result) {
 	q.metrics.results[result.Kind].Inc()
 	if trace.Draining {
-		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, Draining: true})
+		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, Draining: true, ByResponse: true})
 	}
 	q.backend.Engine.Finish(start.Attempt, result)
 }
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -93,6 +93,9 @@
 	Deadline time.Time
 	// BodyBytes is the declared size of the request body, -1 if unknown.
 	BodyBytes int64
+	// NotRepeatable tells that the driver accepted the request under a revision
+	// in which its class is not idempotent. A later revision does not change it.
+	NotRepeatable bool
 }
 
 // Result is the end of an attempt.
@@ -106,6 +109,10 @@
 	// report has no load, only Draining.
 	Slots    int
 	Draining bool
+	// ByResponse tells that the target announced draining with the response of
+	// an attempt. Load endpoints may be stale, so for a time no report of one
+	// ends the draining.
+	ByResponse bool
 }
 
 // RefuseReason says why a request was not admitted.
