health: count failing probes beside a single timeout, test shared faults in parallel

Cause: at a request every 10 s to 20 s there is no latency baseline, so no attempt is ever overdue, and each timeout on a reused connection counts a fifth.

Change: probes that fail after they passed count like a silent one for 2 minutes beside an attempt that ended without a response. This does not hold while other targets have overdue attempts or half of the peers' probes fail, which is a stall of the service.

--- a/internal/core/health/decide.go
+++ b/internal/core/health/decide.go
@@ -100,13 +100,16 @@
 	p0 := failureBaseline(target, t.total, &t.recent, now)
 	weight, limit := 1.0, maxScoreFactor*t.threshold
 	if connection {
+		if t.overdueAlone(target) {
+			target.unansweredAt = now
+		}
 		if target.group.size > 1 {
 			linkRate := failureBaseline(target, target.group.total, &target.group.recent, now)
 			if linkRate < unreachableRate {
 				p0 = max(p0, linkRate)
 			}
 		}
-		if !a.fresh {
+		if !a.fresh && !target.probe.silent(now) {
 			weight, limit = reusedWeight, maxReusedShare*t.threshold
 			target.suspectTill = now + int64(suspectTime)
 		}
@@ -151,7 +154,8 @@
 	if silence := t.silence(now, target); silence > 0 {
 		// The silent probe used a new connection, so the silence of reused ones
 		// counts in full.
-		pending = max(target.pending.steps(), 0) + silence
+		pending = max(target.pending.steps(), 0)
+		return min(max(finished, pending)+silence, maxScoreFactor*t.threshold)
 	}
 	both := max(finished, pending) + minorShare*min(finished, pending)
 	return min(both+float64(target.probeScore), maxScoreFactor*t.threshold)
--- a/internal/core/health/doc.go
+++ b/internal/core/health/doc.go
@@ -32,7 +32,14 @@
 // raises the baseline within a few results. What still raises the scores of
 // several targets at once is subtracted: the median score of the peers, weighted
 // by traffic, is taken off before the score is compared with the threshold. If
-// half of the targets or more fail, ejection therefore stops.
+// half of the targets or more are slow or silent, ejection therefore stops. For
+// failures the lower quartile is used, and the baseline leaves out targets that
+// fail while half of their peers are well.
+//
+// A test's score rests on a run of results. Before it counts, the run is compared
+// with what the peers did in the same time (compare.go): the baselines lag behind
+// the onset of a shared cause, and a target that happens to get the first slow
+// answers would be ejected for it.
 //
 // A group holds the targets of one zone, which are at the same distance from
 // this host and share its links; a zone with a single target is compared
@@ -47,12 +54,18 @@
 // counts by its age only, as does a timeout so early that more than 5% of the
 // peers' answers take as long.
 //
+// An overdue attempt makes its target the most loaded one, so it gets no second
+// attempt before the first one times out. Verify then asks for a probe
+// (verify.go): a probe that is silent too removes the target. This holds only for
+// targets whose probes passed before, and not while half of the probes fail.
+//
 // # Threshold
 //
 // Config.Balance b maps linearly to the threshold 17-6b: 17 at balance 0, 14
 // at 0.5 and 11 at 1. A failure against a clean baseline scores 5.0 on the
 // burst test, so four failures in close succession are needed at balance 0 and
-// three at balance 0.5 and 1. Bounds that are shares of the threshold follow.
+// three at balance 0.5 and 1, or a single attempt beside a silent probe. Bounds
+// that are shares of the threshold follow.
 //
 // # Several hosts
 //
@@ -61,16 +74,22 @@
 // target: Excluded on this host alone, Ejected if another host agrees (score of
 // half the threshold). With own evidence of a third of the threshold, each
 // agreeing host adds half the threshold. A host with few attempts of its own
-// needs two others with three quarters of the threshold. A single report never
-// suffices. Reports count for 3 s and only if they are newer than the last one.
+// needs two others with three quarters of the threshold, or several that agree
+// with 1.4 thresholds together. A single report suffices only with a silent probe.
+// Reports count for 3 s and only if they are newer than the last one.
 //
 // # Return
 //
 // After a penalty (5 s, doubled with each further ejection, half forgotten per
 // 5 minutes in rotation) three successful trials in a row that are not slow
 // return the target (trial.go), or three successful probes where the service has
-// no idempotent class. Its weight then grows from 0.1 to 1 within 10 s, with
-// latency slack for cold starts. A failed trial starts a longer penalty. With
+// no idempotent class. A target that failed a share p of its attempts needs 3/p
+// trials, one that was slow needs 8. Where only probes test the return of a target
+// that failed requests while its probes passed, the penalty is 2 minutes or more.
+// A host that removed a target on the evidence of others alone tests it, by
+// probes or requests, when no other host has evidence against it any more. The
+// weight of a returned target grows from 0.1 to 1 within 10 s, with latency slack
+// for cold starts. A failed trial starts a longer penalty, up to a minute. With
 // neither trials nor probes the penalty's end returns the target.
 //
 // A draining target leaves at once. If Drain announced it, only Drain ends it;
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -136,6 +136,9 @@
 	reporters map[ident.HostID]*reporter
 	sequence  uint64
 
+	// failingProbes is the number of targets whose last probe failed.
+	failingProbes int
+
 	dirty     bool
 	version   uint64
 	rotation  []Member
@@ -161,7 +164,9 @@
 	suspectTill    int64
 	// answeredAt is the time of the last response.
 	answeredAt int64
-	claims     []claim
+	// unansweredAt is the time of the last attempt that ended without one.
+	unansweredAt int64
+	claims       []claim
 
 	probe probeState
 
@@ -263,6 +268,10 @@
 		a = next
 	}
 	t.overdue = slices.DeleteFunc(t.overdue, gone)
+	t.failingProbes = 0
+	for _, target := range t.order {
+		t.countFailing(false, target.probe.failing)
+	}
 	for _, r := range t.reporters {
 		r.targets = slices.DeleteFunc(r.targets, gone)
 	}
--- a/internal/core/health/measure_test.go
+++ b/internal/core/health/measure_test.go
@@ -225,16 +225,19 @@
 func TestSharedFaults(t *testing.T) {
 	const seeds = 5
 	for _, f := range sharedFaults {
-		for _, balance := range balances {
-			n := 0
-			for seed := range uint64(seeds) {
-				n += sharedRun(balance, f.zone, f.fault, seed)
-			}
-			t.Logf("%s balance %v: %d ejections", f.name, balance, n)
-			if n > 0 {
-				t.Errorf("%s balance %v: %d ejections, want none", f.name, balance, n)
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			for _, balance := range balances {
+				n := 0
+				for seed := range uint64(seeds) {
+					n += sharedRun(balance, f.zone, f.fault, seed)
+				}
+				t.Logf("balance %v: %d ejections", balance, n)
+				if n > 0 {
+					t.Errorf("balance %v: %d ejections, want none", balance, n)
+				}
 			}
-		}
+		})
 	}
 }
 
--- a/internal/core/health/scenario_test.go
+++ b/internal/core/health/scenario_test.go
@@ -33,6 +33,7 @@
 			case "probe":
 				for range number(t, d, "times", 1) {
 					s.run(2 * time.Second)
+					s.t.ProbeStarted(s.now, ident.TargetID(arg(d, "target", "")))
 					s.took(s.t.Probed(s.now, ident.TargetID(arg(d, "target", "")), arg(d, "ok", "true") == "true", 0))
 				}
 			case "probe-start":
--- a/internal/core/health/trial.go
+++ b/internal/core/health/trial.go
@@ -261,7 +261,9 @@
 	}
 	at := now.UnixNano()
 	t.now = at
+	failing := target.probe.failing
 	target.probe.ended(at, ok, took)
+	t.countFailing(failing, !ok)
 	var changes []Change
 	switch {
 	case target.state.inRotation():
--- a/internal/core/health/verify.go
+++ b/internal/core/health/verify.go
@@ -22,9 +22,14 @@
 	// removes no target; with an attempt that is overdue by about one failure, or
 	// with another host that agrees, it does.
 	probeSilenceShare = 0.75
-	// probeFailureMemory is how long the failure of a reliable probe counts like
-	// a silent one.
-	probeFailureMemory = 2 * time.Second
+	// probeFailureMemory is how long failing probes of a target whose probes
+	// passed before count like a silent one. At a few requests a minute, they are
+	// all there is beside a single attempt. It is bounded because a probe endpoint
+	// may break for good.
+	probeFailureMemory = 2 * time.Minute
+	// unansweredMemory is how long an attempt that ended without a response counts
+	// beside failing probes.
+	unansweredMemory = 10 * time.Second
 	// probeMeanGain is the weight of a new sample in the mean probe time.
 	probeMeanGain = 1.0 / 8
 )
@@ -37,6 +42,8 @@
 	// reliable tells that the last probe that ended passed. A target whose probes
 	// always fail tells nothing by it.
 	reliable bool
+	// failing tells that the last probe failed.
+	failing bool
 }
 
 // ProbeStarted records the start of a probe.
@@ -49,6 +56,7 @@
 
 func (p *probeState) ended(now int64, ok bool, took time.Duration) {
 	p.sent = 0
+	p.failing = !ok
 	if !ok {
 		if p.reliable {
 			p.failedTill = now + int64(probeFailureMemory)
@@ -72,6 +80,24 @@
 	return p.reliable && p.sent != 0 && now-p.sent >= int64(limit)
 }
 
+// failingBeside returns the number of other targets whose probes fail.
+func (t *Tracker) failingBeside(target *target) int {
+	if target.probe.failing {
+		return t.failingProbes - 1
+	}
+	return t.failingProbes
+}
+
+// countFailing keeps the number of targets whose probes fail.
+func (t *Tracker) countFailing(before, after bool) {
+	switch {
+	case after && !before:
+		t.failingProbes++
+	case before && !after:
+		t.failingProbes--
+	}
+}
+
 // Verify returns the targets in rotation that a probe should test now, because
 // an attempt is overdue or another host has evidence against them.
 func (t *Tracker) Verify(now time.Time) []ident.TargetID {
@@ -101,18 +127,30 @@
 	return slices.Compact(list)
 }
 
+// overdueAlone reports whether no other target had overdue attempts at the last
+// tick. Otherwise a stall of the service is more likely.
+func (t *Tracker) overdueAlone(target *target) bool {
+	return len(t.overdue) == 0 || len(t.overdue) == 1 && t.overdue[0] == target
+}
+
 func (t *Tracker) verifiable(now int64, target *target) bool {
 	p := &target.probe
 	return target.state.inRotation() && p.reliable && p.sent == 0 && now-p.lastSent >= int64(verifyInterval)
 }
 
 // silence is the evidence of a silent probe. It needs an attempt whose silence
-// concerns this target alone, or another host that agrees.
+// concerns this target alone, one that ended without a response, or another host
+// that agrees.
 func (t *Tracker) silence(now int64, target *target) float64 {
 	if !target.probe.silent(now) || target.answeredAt > target.probe.lastSent {
 		return 0
 	}
-	if target.pending.steps() < overdueStep && t.agreement(target, now).hosts == 0 {
+	if 2*t.failingBeside(target) >= len(t.order)-1 {
+		// Probes of half of the peers fail too.
+		return 0
+	}
+	unanswered := target.unansweredAt != 0 && now-target.unansweredAt <= int64(unansweredMemory)
+	if target.pending.steps() < overdueStep && !unanswered && t.agreement(target, now).hosts == 0 {
 		return 0
 	}
 	return probeSilenceShare * t.threshold
