Bound documents that are checked without the token

Cause: a check of a document takes no token and took up to 64 MiB of YAML; parsing needs many times that in memory, so a few calls could exhaust a host. Change: without the token at most 1 MiB, and one check at a time. Conclusion: sapphirectl document validate has a -token for larger documents.

--- a/internal/adapter/admin/admin.go
+++ b/internal/adapter/admin/admin.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
@@ -23,6 +24,9 @@
 
 // Server serves the administration interface.
 type Server struct {
+	// validating is held while a document is checked.
+	validating sync.Mutex
+
 	host      Host
 	documents Documents
 	token     adminToken
@@ -60,8 +64,7 @@
 		writeJSON(w, http.StatusForbidden, errorBody{"writing is off: the host has no -admin-token"})
 		return false
 	}
-	given, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !s.token.Valid(given) {
+	if !s.hasToken(r) {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		writeJSON(w, http.StatusUnauthorized, errorBody{"the Authorization header has no valid token"})
 		return false
@@ -69,6 +72,12 @@
 	return true
 }
 
+// hasToken reports whether the request has the valid token.
+func (s *Server) hasToken(r *http.Request) bool {
+	given, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return s.token.Valid(given)
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/adapter/admin/documents.go
+++ b/internal/adapter/admin/documents.go
@@ -44,21 +44,29 @@
 	writeJSON(w, http.StatusOK, doc)
 }
 
-// postDocument checks a document (?validate=true, open to all) or proposes it
-// (?base=N, with the token).
+// maxOpenBytes bounds a document that is checked without the token. Parsing
+// takes up to about a hundred times its size in memory.
+const maxOpenBytes = 1 << 20
+
+// postDocument checks a document (?validate=true, without the token up to
+// maxOpenBytes) or proposes it (?base=N, with the token).
 func (s *Server) postDocument(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	onlyValidate := query.Get("validate") == "true"
 	if !onlyValidate && !s.authorized(w, r) {
 		return
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, document.MaxBytes))
+	limit := document.Size(document.MaxBytes)
+	if onlyValidate && !s.hasToken(r) {
+		limit = maxOpenBytes
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
 	if err != nil {
-		writeJSON(w, http.StatusRequestEntityTooLarge, errorBody{"the document is larger than " + document.Size(document.MaxBytes).String() + " or broke off"})
+		writeJSON(w, http.StatusRequestEntityTooLarge, errorBody{"the document is larger than " + limit.String() + " or broke off; larger ones need the token"})
 		return
 	}
 	if onlyValidate {
-		writeResult(w, s.documents.Validate(text))
+		writeResult(w, s.validate(text))
 		return
 	}
 	base, err := strconv.ParseUint(query.Get("base"), 10, 64)
@@ -69,6 +77,13 @@
 	writeResult(w, s.documents.Propose(r.Context(), Proposal{YAML: text, Base: base, Author: query.Get("author"), Note: query.Get("note")}))
 }
 
+// validate checks one document at a time, to bound the memory of checks.
+func (s *Server) validate(text []byte) adminapi.ProposalResult {
+	s.validating.Lock()
+	defer s.validating.Unlock()
+	return s.documents.Validate(text)
+}
+
 func writeResult(w http.ResponseWriter, result adminapi.ProposalResult) {
 	status := map[string]int{
 		adminapi.ResultInvalid: http.StatusUnprocessableEntity,
--- a/internal/ctl/document.go
+++ b/internal/ctl/document.go
@@ -46,6 +46,7 @@
 func runValidate(e *env, args []string) int {
 	flags, output := e.flagSet("document validate", "FILE")
 	admin := flags.String("admin", "", "administration `URL` of a host, to compare with the document in force (default: check only)")
+	token := flags.String("token", "", "administration `token`, needed to compare a document above 1 MiB")
 	if code, ok := e.parse(flags, output, args, 1); !ok {
 		return code
 	}
@@ -56,11 +57,17 @@
 	if *admin == "" {
 		return e.printResult(validateLocally(text), *output)
 	}
-	var result adminapi.ProposalResult
-	if _, err := call(e.ctx, http.MethodPost, splitList(*admin)[0]+adminapi.PathDocument+"?validate=true", "", bytes.NewReader(text), &result); err != nil {
+	var reply struct {
+		adminapi.ProposalResult
+		Error string `json:"error"`
+	}
+	if _, err := call(e.ctx, http.MethodPost, splitList(*admin)[0]+adminapi.PathDocument+"?validate=true", *token, bytes.NewReader(text), &reply); err != nil {
 		return e.fail(err)
 	}
-	return e.printResult(result, *output)
+	if reply.Error != "" {
+		return e.fail(errors.New(reply.Error))
+	}
+	return e.printResult(reply.ProposalResult, *output)
 }
 
 func validateLocally(text []byte) adminapi.ProposalResult {
