--- a/internal/app/spread.go
+++ b/internal/app/spread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 	// is not one of the readers. Membership messages carry the age, and among
 	// 3,200 hosts it takes about 12 of them to reach everybody.
 	silenceLimit = 15 * time.Second
+	// standbyDelay is the time after silenceLimit that each further host of a
+	// zone waits before it reads the log as well.
+	standbyDelay = 2 * time.Second
 	// digestInterval is the time between two updates of the digest on messages.
 	digestInterval = time.Second
 	// readerInterval is the time between two decisions who reads the log.
@@ -102,9 +106,7 @@
 	if err != nil || len(records) == 0 {
 		return
 	}
-	hosts := s.fleet.Live()
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	for _, h := range hosts[:min(fanOut, len(hosts))] {
+	for _, h := range s.nearHosts(fanOut) {
 		go func() {
 			if _, err := s.peers.Push(ctx, h.PeerAddress, records); err != nil {
 				s.log.WithError(err).WithField("peer", h.ID).Debug("records were not pushed")
@@ -113,6 +115,20 @@
 	}
 }
 
+// nearHosts returns up to count random live hosts, those of this host's region
+// if it has any. Each region has hosts that read the log, so records need not
+// cross the link between regions again.
+func (s *spread) nearHosts(count int) []port.Host {
+	region := s.fleet.self().Location.Region
+	hosts := s.fleet.Live()
+	near := slices.DeleteFunc(slices.Clone(hosts), func(h port.Host) bool { return h.Location.Region != region })
+	if len(near) > 0 {
+		hosts = near
+	}
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts[:min(count, len(hosts))]
+}
+
 // receive takes pushed records. A host that lacks earlier ones pulls them.
 func (s *spread) receive(from port.Caller, records []revision.Record) int64 {
 	var missing *configlog.NotKeptError
@@ -207,14 +223,13 @@
 func (s *spread) join(ctx context.Context) {
 	var hosts []port.Host
 	for len(hosts) == 0 && ctx.Err() == nil {
-		hosts = s.fleet.Live()
+		hosts = s.nearHosts(snapshotPeers)
 		if s.follower.Status().Revision > 0 {
 			return
 		}
 		sleep(ctx, tickFloor)
 	}
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	for _, h := range hosts[:min(snapshotPeers, len(hosts))] {
+	for _, h := range hosts {
 		if err := s.adoptFrom(ctx, h); err != nil {
 			s.log.WithError(err).WithField("peer", h.ID).Info("no snapshot from this host")
 		}
@@ -224,12 +239,16 @@
 // chooseReaders switches reading the log on and off.
 func (s *spread) chooseReaders(ctx context.Context) {
 	for ctx.Err() == nil {
-		s.follower.SetReading(s.isReader() || s.logAge() >= silenceLimit)
+		s.follower.SetReading(s.shouldRead())
 		sleep(ctx, readerInterval)
 	}
 }
 
-func (s *spread) isReader() bool {
+// shouldRead reports whether this host reads the log: the first hosts of its
+// zone in rendezvous order do, and the next ones one after the other while no
+// contact with the log service is heard of, so that an outage does not make
+// every host call it.
+func (s *spread) shouldRead() bool {
 	self := s.fleet.self()
 	var zone []serving.Host
 	for _, h := range ingress.ServingHosts(s.fleet.Serving()) {
@@ -237,5 +256,6 @@
 			zone = append(zone, h)
 		}
 	}
-	return rank("log-reader", s.host, zone) < readersPerZone
+	standby := rank("log-reader", s.host, zone) - readersPerZone
+	return standby < 0 || s.logAge() >= silenceLimit+time.Duration(standby)*standbyDelay
 }
