Shut the callers' server down during the hand-over of tickets

Cause: shutDown waited for the hand-over before it closed the callers' listener. Change: the hand-over runs beside Shutdown. Ticket admission still stops first thing in the hand-over, and the final updates still follow both. Ruled out: a shorter limit for the hand-over, since a slow successor would then lose outcomes that there was time to send. Conclusion: a lost successor no longer interrupts requests of callers.

--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -86,11 +86,18 @@
 	time.Sleep(min(h.settings.AddressMaxAge+departureSpread, h.settings.DrainLimit))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.settings.DrainLimit))
 	defer cancel()
-	h.tickets.handOver(ctx)
+	// A successor that does not answer is tried until the drain limit. The
+	// server must not accept requests for as long and then cut them.
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		h.tickets.handOver(ctx)
+	}()
 	if err := l.caller.Shutdown(ctx); err != nil {
 		h.log.WithField("in_flight", h.ingress.InFlight()).Warn("the drain limit was reached; requests in flight are cut")
 		_ = l.caller.Close()
 	}
+	<-handedOver
 	h.tickets.sendUpdates(ctx)
 	h.timeline.Record(event.HostStopped, event.F("drained_in", time.Since(started).Round(time.Millisecond)))
 	h.fleet.stop()
