Claim contact with the log service only after it answered

Cause: a host counted as in contact with the log service when it was reading and the last read had no error, which also holds before the first answer. With readers cut off from the log, or a log that takes more than a second, records could be left unread. Change: Status.Contacted tells that a read has succeeded since reading was switched on. The first read does not wait for new records, so that an idle log answers it at once. Ruled out: the time of the last answer instead of a flag. A read of an idle log waits up to 20 s, longer than the 15 s that make other hosts read. So a reader that loses the log in the middle of a read still claims contact until that read fails, at most 30 s. Conclusion: hosts keep reading until the log service has answered one of them.

--- a/internal/app/spread.go
+++ b/internal/app/spread.go
@@ -84,7 +84,7 @@
 
 // announce sets what membership messages say about this host's configuration.
 func (s *spread) announce(status configlog.Status) {
-	if status.Reading && status.LogErr == nil {
+	if status.Contacted && status.LogErr == nil {
 		s.contact(0)
 	}
 	digest := member.Digest{AsOf: status.AsOf, Revision: status.Revision}
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -27,6 +27,8 @@
 	Chain    document.Hash
 	// Reading tells that the follower reads the log itself.
 	Reading bool
+	// Contacted tells that a read has succeeded since reading was switched on.
+	Contacted bool
 	// LogErr is the error of the last read, nil when it succeeded.
 	LogErr error
 	// Err is a StoppedError when a record is from a newer version.
@@ -53,6 +55,8 @@
 	window  window
 	logErr  error
 	reading bool
+	// contacted tells that a read has succeeded since reading was switched on.
+	contacted bool
 	// stopReading cancels a read in progress.
 	stopReading context.CancelFunc
 
@@ -85,12 +89,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return Status{
-		AsOf:     f.state.AsOf(),
-		Revision: f.state.Revision(),
-		Chain:    f.state.Chain(),
-		Reading:  f.reading,
-		LogErr:   f.logErr,
-		Err:      f.state.Err(),
+		AsOf:      f.state.AsOf(),
+		Revision:  f.state.Revision(),
+		Chain:     f.state.Chain(),
+		Reading:   f.reading,
+		Contacted: f.contacted,
+		LogErr:    f.logErr,
+		Err:       f.state.Err(),
 	}
 }
 
--- a/internal/configlog/read.go
+++ b/internal/configlog/read.go
@@ -19,7 +19,7 @@
 	if f.reading == on {
 		return
 	}
-	f.reading = on
+	f.reading, f.contacted = on, false
 	f.stopReading()
 	f.switched.notify()
 }
@@ -67,8 +67,14 @@
 
 // read reads the log once and applies what it returns.
 func (f *Follower) read(ctx context.Context) (empty bool, err error) {
-	from := f.Status().AsOf + 1
-	batch, err := f.log.Read(ctx, from, f.cfg.ReadLimit, f.cfg.ReadWait)
+	status := f.Status()
+	from, wait := status.AsOf+1, f.cfg.ReadWait
+	if !status.Contacted {
+		// The first answer shows whether the log service can be reached, so it
+		// does not wait for a record.
+		wait = 0
+	}
+	batch, err := f.log.Read(ctx, from, f.cfg.ReadLimit, wait)
 	var truncated *port.TruncatedError
 	if errors.As(err, &truncated) {
 		return false, f.rebuild(ctx, truncated.First)
@@ -133,6 +139,7 @@
 	wasDown := errors.As(f.logErr, &unavailable)
 	isDown := errors.As(err, &unavailable)
 	f.logErr = err
+	f.contacted = f.contacted || err == nil
 	switch {
 	case isDown && !wasDown:
 		f.emit(Event{Kind: LogUnavailable, Err: err})
