Take an attempt's result before its connection is free again

Cause: the trace read whether the connection was reused after the connection was back in the pool, where another attempt marks it as reused: a data race (TestFrozenConnections with -race), and a wrong trace. Change: the result is computed first. Conclusion: an exchange does not touch its connection after giving it back.

--- a/internal/adapter/target/response.go
+++ b/internal/adapter/target/response.go
@@ -87,12 +87,14 @@
 	x.settleWriter(x.t.cfg.EarlyResponseWait)
 	whole := x.requestWritten()
 	detached := x.detach()
+	// The result is taken first: once the connection is in the pool, another
+	// attempt changes it.
+	r.res = x.end(outcome.Event{Kind: outcome.ResponseComplete, Meaning: r.meaning}, nil)
 	if whole && detached && !r.close && !r.Draining {
 		x.t.pool.put(x.c, time.Now())
 	} else {
 		x.t.pool.abandon(x.c, false)
 	}
-	r.res = x.end(outcome.Event{Kind: outcome.ResponseComplete, Meaning: r.meaning}, nil)
 }
 
 // requestWritten tells whether the whole request was written.
