Give each host its own jitter for checkpoints

Cause: the seed of the checkpoint's retry jitter was 0 on every host. Change: it is the host's incarnation. Conclusion: hosts that append at the same time do not retry at the same time.

--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -100,7 +100,9 @@
 	cfg.OnEvent = h.configurationEvent
 	h.follower = configlog.NewFollower(log, cfg)
 	h.writer = configlog.NewWriter(log, h.follower, revision.DefaultAppendConfig())
-	h.checkpoints = configlog.NewCheckpointWriter(log, h.follower, id, h.checkpointRank, revision.DefaultCheckpointConfig(h.settings.LogRetention))
+	checkpoint := revision.DefaultCheckpointConfig(h.settings.LogRetention)
+	checkpoint.Seed = seed
+	h.checkpoints = configlog.NewCheckpointWriter(log, h.follower, id, h.checkpointRank, checkpoint)
 	return nil
 }
 
