systemtest: fleets of separate processes under failure; fix what they found

Cause: behaviour under kill, pause, log faults and cuts was shown only by the demonstration, not by tests. Change: package internal/systemtest builds the programs once and runs hosts and stand-ins as processes: killed host, paused host, log service out, slow and losing acknowledgements, unknown document, racing operators, limited retention, no log and no peer, cut log, one-way cut. Faults found and fixed: - apply during an outage with status 503 ended after 30 s without an ID: sapphirectl gave up at 30 s, the host answered at 60 s. The writer now reads before it appends, so an unreachable log refuses at once, and the host reports unknown at 25 s, before sapphirectl's limit of 45 s. - a proposal refused for its base before the append did not name the winner. - all hosts used the same seed for the jitter of checkpoints. - sapphirectl replay was documented but not connected. Ruled out: treating 503 on an append as not taken; an intermediary can return it after it passed the append on.

--- a/internal/app/documents.go
+++ b/internal/app/documents.go
@@ -78,7 +78,7 @@
 	}
 	if draft.Base != p.Base {
 		checked.Result = adminapi.ResultRefused
-		checked.Reason = fmt.Sprintf("the document was written against revision %d, but revision %d is in force", p.Base, draft.Base)
+		checked.Reason = fmt.Sprintf("the document was written against revision %d, but revision %d is in force%s", p.Base, draft.Base, d.winner(p.Base))
 		return checked
 	}
 	if checked.Difference == "" {
@@ -93,6 +93,16 @@
 	return d.result(report, checked.Difference)
 }
 
+// winner names the document that replaced a revision, if the history has it.
+func (d *documents) winner(base uint64) string {
+	for _, r := range d.follower.Results() {
+		if r.Accepted && r.Revision == base+1 {
+			return fmt.Sprintf(": document %s was accepted as revision %d", r.ID, r.Revision)
+		}
+	}
+	return ""
+}
+
 func (d *documents) result(r revision.Report, difference string) adminapi.ProposalResult {
 	out := decided(r.ID, r.Result)
 	switch r.Verdict {
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -17,6 +17,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/logservice"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/peer"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
+	"github.com/sapphirehaven/sapphirehaven/internal/adminapi"
 	"github.com/sapphirehaven/sapphirehaven/internal/configlog"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
@@ -96,8 +97,12 @@
 	cfg.Seed = seed
 	cfg.OnEvent = h.configurationEvent
 	h.follower = configlog.NewFollower(log, cfg)
-	h.writer = configlog.NewWriter(log, h.follower, revision.DefaultAppendConfig())
-	h.checkpoints = configlog.NewCheckpointWriter(log, h.follower, id, h.checkpointRank, revision.DefaultCheckpointConfig(h.settings.LogRetention))
+	appends := revision.DefaultAppendConfig()
+	appends.Deadline = adminapi.ApplyLimit
+	h.writer = configlog.NewWriter(log, h.follower, appends)
+	checkpoints := revision.DefaultCheckpointConfig(h.settings.LogRetention)
+	checkpoints.Seed = seed ^ hostSeed(id)
+	h.checkpoints = configlog.NewCheckpointWriter(log, h.follower, id, h.checkpointRank, checkpoints)
 	return nil
 }
 
@@ -129,6 +134,9 @@
 	return nil
 }
 
+// hostSeed differs between hosts that started in the same microsecond.
+func hostSeed(id ident.HostID) uint64 { return seed(id, "") }
+
 // resumed stops work under the incarnation before a pause.
 func (h *Host) resumed(incarnation ident.Incarnation) {
 	h.identity.incarnation.Store(uint64(incarnation))
--- a/internal/configlog/writer.go
+++ b/internal/configlog/writer.go
@@ -66,6 +66,9 @@
 // Propose appends a proposal and waits for its verdict. An error means that it
 // can't be encoded and nothing was appended. When ctx ends first the verdict is
 // unknown.
+//
+// It reads from the log before it appends: a service that does not answer reads
+// gets no append, whose outcome would be unknown for as long as the outage lasts.
 func (w *Writer) Propose(ctx context.Context, p revision.Proposal) (revision.Report, error) {
 	proposal, err := logcodec.Records(NewID(), p)
 	if err != nil {
@@ -77,10 +80,24 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if err := w.checkLog(ctx); err != nil {
+		return revision.Report{ID: p.ID, Verdict: revision.ProposalNotAppended, Err: err}, nil
+	}
 	run := &proposing{writer: w, id: p.ID, payloads: [...][][]byte{proposal, withdrawal}, results: make(chan sent, 1)}
 	return run.loop(ctx), nil
 }
 
+// checkLog reads one record and returns an error if the log service is not
+// available.
+func (w *Writer) checkLog(ctx context.Context) error {
+	_, err := w.log.Read(ctx, w.follower.Status().AsOf+1, 1, 0)
+	var truncated *port.TruncatedError
+	if errors.As(err, &truncated) {
+		return nil
+	}
+	return err
+}
+
 // proposing drives one revision.Append.
 type proposing struct {
 	writer   *Writer
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adminapi"
 )
 
-// requestTimeout bounds one call of a host; an apply waits for the log service
-// and a withdrawal, so it takes longer.
-const requestTimeout = 30 * time.Second
+// requestTimeout bounds one call of a host. An apply takes up to
+// adminapi.ApplyLimit, and before that a read of the log service.
+const requestTimeout = adminapi.ApplyLimit + 20*time.Second
 
 // maxResponseBytes bounds what is read of a host's response.
 const maxResponseBytes = 64 << 20
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -55,6 +55,7 @@
 	"members":   runMembers,
 	"timeline":  runTimeline,
 	"load":      runLoad,
+	"replay":    runReplay,
 }
 
 // Run executes one command and returns the exit code.
--- /dev/null
+++ b/internal/ctl/replay.go
@@ -0,0 +1,7 @@
+package ctl
+
+import "github.com/sapphirehaven/sapphirehaven/internal/replaycmd"
+
+func runReplay(e *env, args []string) int {
+	return replaycmd.Run(args, e.stdout, e.stderr)
+}
--- /dev/null
+++ b/internal/systemtest/fleet_test.go
@@ -0,0 +1,264 @@
+//go:build linux
+
+package systemtest
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adminapi"
+)
+
+const token = "system-test-token"
+
+// host is one running sapphirehaven process.
+type host struct {
+	*process
+	id, caller, admin, peer string
+}
+
+// fleet is a set of hosts with its stand-ins.
+type fleet struct {
+	t              testing.TB
+	logURL         string
+	hostsURL       string
+	lookups, press []string
+	hosts          []*host
+}
+
+// slots bounds the fleets that run at the same time, to leave most of the
+// machine to others.
+var slots = make(chan struct{}, 6)
+
+func newFleet(t testing.TB, logArgs ...string) *fleet {
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
+	f := &fleet{t: t}
+	f.logURL = "http://" + f.standin("log", logArgs...)
+	f.hostsURL = "http://" + f.standin("hosts", "-lag", "0")
+	return f
+}
+
+func (f *fleet) standin(kind string, args ...string) string {
+	_, at := startListening(f.t, "standin", 1, accepts, func(a []string) []string {
+		return append([]string{kind, "-listen", a[0]}, args...)
+	})
+	return at[0]
+}
+
+func (f *fleet) addTargets(count int) {
+	for range count {
+		f.lookups = append(f.lookups, f.standin("target", "-latency", "2ms"))
+		f.press = append(f.press, f.standin("target", "-latency", "2ms"))
+	}
+}
+
+// addHost starts a host and lists it. Flags given here come last and override.
+func (f *fleet) addHost(id, zone string, flags ...string) *host {
+	f.t.Helper()
+	p, at := startListening(f.t, "sapphirehaven", 3, healthy, func(a []string) []string {
+		return append([]string{"-host-id", id, "-region", "r", "-zone", zone, "-caller-listen", a[0], "-admin-listen", a[1], "-peer-listen", a[2],
+			"-log-url", f.logURL, "-hosts-url", f.hostsURL, "-admin-token", token, "-address-max-age", "1s", "-drain-limit", "30s"}, flags...)
+	})
+	h := &host{process: p, id: id, caller: "http://" + at[0], admin: "http://" + at[1], peer: at[2]}
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			lines := strings.Split(strings.TrimSpace(h.out.String()), "\n")
+			f.t.Logf("end of the output of %s:\n%s", id, strings.Join(lines[max(0, len(lines)-25):], "\n"))
+		}
+	})
+	f.hosts = append(f.hosts, h)
+	f.list(h, at[2])
+	return h
+}
+
+// healthy tells that a host serves its administration interface, which it does
+// after it has opened all its sockets.
+func healthy(addresses []string) bool {
+	res, err := httpClient.Get("http://" + addresses[1] + "/healthz")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// list puts a host into the host list with the given peer address.
+func (f *fleet) list(h *host, peer string) {
+	f.t.Helper()
+	put(f.t, f.hostsURL+"/v1/hosts/"+h.id, map[string]string{"peer_address": peer, "caller_address": strings.TrimPrefix(h.caller, "http://"),
+		"admin_address": strings.TrimPrefix(h.admin, "http://"), "region": "r", "zone": "a", "state": "live"})
+}
+
+// newServingFleet starts hosts in two zones and puts a document in force.
+func newServingFleet(t testing.TB, hosts int, logArgs ...string) *fleet {
+	f := newFleet(t, logArgs...)
+	f.addTargets(3)
+	for i := range hosts {
+		f.addHost(fmt.Sprintf("host-%d", i+1), string(rune('a'+i%2)))
+	}
+	f.mustApply(0, f.document("first"))
+	f.waitMembers(f.hosts...)
+	return f
+}
+
+// waitMembers waits until the hosts hold each other as alive.
+func (f *fleet) waitMembers(hosts ...*host) {
+	f.t.Helper()
+	waitFor(f.t, "every host knows every other one", func() bool {
+		for _, a := range hosts {
+			for _, b := range hosts {
+				if state := a.stateOf(b.id); state != "alive" && state != "self" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// document returns a document with the fleet's targets; the name makes it
+// differ from others.
+func (f *fleet) document(name string) string { return documentOf(name, f.lookups, f.press) }
+
+func documentOf(name string, lookups, press []string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "format: 1\nname: %s\nregions: [{name: r, zones: [a, b]}]\nservices:\n", name)
+	service := func(name, classes string, targets []string) {
+		fmt.Fprintf(&b, "  - name: %s\n    health: {probe_path: /healthz, probe_interval: 1s, load_path: /load}\n    limits: {queue_length: 64}\n    retry: {budget: 0.2, max_attempts: 3}\n    classes: [%s]\n    targets:\n", name, classes)
+		for i, address := range targets {
+			fmt.Fprintf(&b, "      - {name: %s-%d, address: %q, zone: %c, slots: 6}\n", name, i+1, address, 'a'+i%2)
+		}
+	}
+	service("index", "{name: lookup, idempotent: true, deadline: 5s, attempt_timeout: 2s}", lookups)
+	service("press", "{name: notice, idempotent: false, deadline: 5s, not_run_statuses: [503]}", press)
+	b.WriteString("routes:\n  - {name: lookups, path_prefix: /errata, methods: [GET], service: index, class: lookup}\n" +
+		"  - {name: notices, path_prefix: /notices, methods: [POST], service: press, class: notice}\n")
+	return b.String()
+}
+
+// ctl runs sapphirectl and returns its exit code and output.
+func ctl(t testing.TB, stdin string, args ...string) (int, string) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(programs, "sapphirectl"), args...)
+	cmd.Stdin = strings.NewReader(stdin)
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, os.Stderr
+	if err := cmd.Run(); cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), out.String()
+}
+
+// apply proposes a document through a host with sapphirectl.
+func (h *host) apply(t testing.TB, base uint64, doc string) (adminapi.ProposalResult, int) {
+	t.Helper()
+	code, out := ctl(t, doc, "document", "apply", "-output", "json", "-admin", h.admin, "-token", token, "-base", fmt.Sprint(base), "-")
+	var result adminapi.ProposalResult
+	if err := json.Unmarshal([]byte(out), &result); err != nil {
+		t.Errorf("apply: exit code %d: %v: %q", code, err, out)
+	}
+	return result, code
+}
+
+// mustApply puts a document in force on all hosts.
+func (f *fleet) mustApply(base uint64, doc string) {
+	f.t.Helper()
+	result, code := f.hosts[0].apply(f.t, base, doc)
+	if code != 0 || result.Revision != base+1 {
+		f.t.Fatalf("apply: exit code %d, %+v", code, result)
+	}
+	f.waitRevision(base+1, f.hosts...)
+}
+
+// waitRevision waits until hosts have a revision in force and requires that
+// their hashes agree.
+func (f *fleet) waitRevision(revision uint64, hosts ...*host) string {
+	f.t.Helper()
+	hash := ""
+	for _, h := range hosts {
+		var s adminapi.Status
+		waitFor(f.t, fmt.Sprintf("revision %d on %s", revision, h.id), func() bool {
+			s = h.status()
+			return s.Revision >= revision
+		})
+		if s.Revision != revision || (hash != "" && s.Hash != hash) {
+			f.t.Fatalf("%s has revision %d with hash %s, want %d with %s", h.id, s.Revision, s.Hash, revision, hash)
+		}
+		hash = s.Hash
+	}
+	return hash
+}
+
+func (h *host) status() (s adminapi.Status) {
+	_ = get(h.admin+adminapi.PathStatus, &s)
+	return s
+}
+
+// stateOf returns how h sees another host.
+func (h *host) stateOf(id string) string {
+	var members []adminapi.Member
+	_ = get(h.admin+adminapi.PathMembers, &members)
+	for _, m := range members {
+		if m.Host == id {
+			return m.State
+		}
+	}
+	return ""
+}
+
+// events counts the events of a kind that have a field.
+func (h *host) events(kind, field string) (count int) {
+	var events []adminapi.Event
+	_ = get(h.admin+adminapi.PathTimeline, &events)
+	for _, e := range events {
+		if e.Kind == kind && (field == "" || strings.Contains(strings.Join(e.Fields, " ")+" ", field+" ")) {
+			count++
+		}
+	}
+	return count
+}
+
+func get(url string, out any) error {
+	res, err := httpClient.Get(url)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	return json.NewDecoder(res.Body).Decode(out)
+}
+
+func put(t testing.TB, url string, body any) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := httpClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		t.Fatalf("PUT %s: status %d", url, res.StatusCode)
+	}
+}
+
+func decode(t testing.TB, res *http.Response, out any) {
+	t.Helper()
+	defer res.Body.Close()
+	if err := json.NewDecoder(res.Body).Decode(out); err != nil {
+		t.Fatal(err)
+	}
+}
