target, ingress: write request heads without copies, use fewer contexts

Cause: each attempt cloned the caller's header twice, deleted names from the copy one by one, wrote it sorted through a new buffer, made three contexts with timers, and read the response into a growing buffer.

Change: * The head is written from the caller's header into a buffer of the connection; names are canonicalized and checked, and line breaks replaced, as before. * An attempt has its own context only when its timeout ends before the deadline of the request; a body has one only when it streams. * The body of a response is read into a buffer of its declared length, at most 64 KiB before any byte has arrived. * The write deadline of a caller is renewed when an eighth of it has passed. * Request IDs are formed without fmt.

The fuzz test of the request head calls head with a buffer; its checks are the same.

Ruled out: the check of an idle connection before reuse costs a system call, but it is a protection.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
@@ -26,8 +27,11 @@
 func (q *request) attempt(ctx context.Context, start dispatch.Start) bool {
 	began := time.Now()
 	defer func() { q.attempted += time.Since(began) }()
-	ctx, cancel := context.WithTimeout(ctx, start.Timeout)
-	defer cancel()
+	if end := began.Add(start.Timeout); end.Before(q.deadline) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end)
+		defer cancel()
+	}
 	var trace target.Trace
 	endpoint, ok := q.endpoint(start.Target)
 	if !ok {
@@ -63,7 +67,8 @@
 		Method:        q.r.Method,
 		URI:           q.r.URL.RequestURI(),
 		Host:          q.r.Host,
-		Header:        q.header(),
+		Header:        q.r.Header,
+		Via:           q.server.via,
 		Body:          q.newBody(),
 		ContentLength: q.contentLength(),
 		Idempotent:    q.class.Idempotent,
@@ -85,15 +90,6 @@
 	return a
 }
 
-// header returns the caller's header with this host added to Via.
-func (q *request) header() http.Header {
-	h := q.r.Header.Clone()
-	h.Del(HeaderTicket)
-	h.Del(HeaderDeadline)
-	h.Add("Via", "1.1 "+string(q.server.cfg.Host))
-	return h
-}
-
 // finish reports the end of an attempt. An upload whose body was read in part
 // cannot be sent again, whatever the dispatcher would decide.
 func (q *request) finish(start dispatch.Start, trace *target.Trace, result attempt.Result) {
@@ -118,7 +114,7 @@
 // is too large for that.
 func (q *request) receive(start dispatch.Start, trace *target.Trace, response *target.Response) bool {
 	limit := int64(q.class.MaxBufferedAnswerBytes)
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err := readUpTo(response, limit+1)
 	if err == nil && int64(len(body)) > limit && !response.Unverifiable {
 		q.stream(start, trace, response, body)
 		return true
@@ -136,6 +132,33 @@
 	return false
 }
 
+// readUpTo reads at most limit bytes of the body. Its error is nil at the end of
+// the body and at the limit.
+func readUpTo(response *target.Response, limit int64) ([]byte, error) {
+	size := int64(512)
+	if response.ContentLength >= 0 {
+		// Room for one more byte lets the read that fills the buffer meet the end.
+		size = response.ContentLength + 1
+	}
+	body := make([]byte, 0, min(size, limit, maxFirstBuffer))
+	for {
+		n, err := response.Body.Read(body[len(body):min(int64(cap(body)), limit)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case err != nil || int64(len(body)) == limit:
+			return body, err
+		case len(body) == cap(body):
+			body = slices.Grow(body, len(body))
+		}
+	}
+}
+
+// maxFirstBuffer bounds what is allocated for a declared length before any byte
+// of the body has arrived.
+const maxFirstBuffer = 64 << 10
+
 // stream passes a large response on while it arrives. When it breaks off, the
 // caller's connection is aborted.
 func (q *request) stream(start dispatch.Start, trace *target.Trace, response *target.Response, first []byte) {
--- a/internal/adapter/ingress/caller.go
+++ b/internal/adapter/ingress/caller.go
@@ -17,6 +17,10 @@
 	// lingerTimeout bounds how long the rest of a body that is not wanted is
 	// read, so that the caller can receive the refusal before the reset.
 	lingerTimeout = time.Second
+	// renewalFraction: a deadline that is earlier than it could be by less than
+	// this fraction of the write timeout is not renewed, because each renewal
+	// changes a timer.
+	renewalFraction = 8
 )
 
 // callerWriter is the response to one caller. A caller that accepts nothing for
@@ -28,7 +32,9 @@
 	timeout time.Duration
 	// until, if set, is the latest write deadline.
 	until time.Time
-	body  callerBody
+	// set is the write deadline that is in force.
+	set  time.Time
+	body callerBody
 }
 
 // deadlineSetter is implemented by the ResponseWriter of http.Server.
@@ -100,6 +106,10 @@
 	if !w.until.IsZero() && w.until.Before(deadline) {
 		deadline = w.until
 	}
+	if early := deadline.Sub(w.set); early >= 0 && early < w.timeout/renewalFraction {
+		return
+	}
+	w.set = deadline
 	_ = w.conn.SetWriteDeadline(deadline)
 }
 
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -105,7 +105,7 @@
 		class:   backend.Classes[route.Class],
 		id:      ident.RequestID(s.lastID.Add(1)),
 	}
-	req.wireID = fmt.Sprintf("%s-%x-%x", s.cfg.Host, uint64(s.cfg.Incarnation), uint64(req.id))
+	req.wireID = s.idPrefix + strconv.FormatUint(uint64(req.id), 16)
 	w.Header().Set(HeaderRequestID, req.wireID)
 	req.metrics = s.metrics.class(route.Service, route.Class)
 	defer func() {
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -51,6 +52,8 @@
 	inFlight atomic.Int64
 	lastID   atomic.Uint64
 	metrics  *serverMetrics
+	// via and idPrefix are parts of every request to a target.
+	via, idPrefix string
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -63,6 +66,8 @@
 		cfg.WriteTimeout = defaultWriteTimeout
 	}
 	s := &Server{cfg: cfg, metrics: newServerMetrics(), rng: rand.New(rand.NewPCG(uint64(cfg.Incarnation), 3))}
+	s.via = "1.1 " + string(cfg.Host)
+	s.idPrefix = fmt.Sprintf("%s-%x-", cfg.Host, uint64(cfg.Incarnation))
 	s.metrics.set.RegisterMetricsWriter(s.writeMetrics)
 	return s
 }
--- a/internal/adapter/target/attempt.go
+++ b/internal/adapter/target/attempt.go
@@ -33,8 +33,11 @@
 	// URI is the request target in origin form, sent unchanged.
 	URI string
 	// Host is the Host header; Address if empty.
-	Host   string
+	Host string
+	// Header is not changed.
 	Header http.Header
+	// Via, if set, is added to the Via headers.
+	Via string
 	// Body is nil when there is none. A body that streams (longer than
 	// Config.InlineBodyBytes, or of unknown length) is read by another
 	// goroutine, which has ended when Finish or a failing Do returns.
--- a/internal/adapter/target/conn.go
+++ b/internal/adapter/target/conn.go
@@ -11,8 +11,10 @@
 // that holds it, at most one reader and one writer at a time.
 type conn struct {
 	net.Conn
-	address      string
-	br           *bufio.Reader
+	address string
+	br      *bufio.Reader
+	// out is the buffer for request heads.
+	out          []byte
 	headLeft     int
 	limited      bool
 	counter      *byteCounter
--- a/internal/adapter/target/exchange.go
+++ b/internal/adapter/target/exchange.go
@@ -24,7 +24,7 @@
 	stop func() bool
 	// interruptDone is closed when the end of ctx was handled.
 	interruptDone chan struct{}
-	// bodyCtx ends when the body is no longer wanted.
+	// bodyCtx ends when a streamed body is no longer wanted.
 	bodyCtx  context.Context
 	stopBody context.CancelFunc
 	// writerDone is closed when the writer of a streamed body has ended.
--- a/internal/adapter/target/fuzz_test.go
+++ b/internal/adapter/target/fuzz_test.go
@@ -67,7 +67,7 @@
 			return
 		}
 		x := &exchange{t: New(DefaultConfig()), a: &a, ctx: t.Context(), start: time.Now()}
-		br := bufio.NewReader(bytes.NewReader(x.head()))
+		br := bufio.NewReader(bytes.NewReader(x.head(nil)))
 		req, err := http.ReadRequest(br)
 		if err != nil {
 			// A head that a target refuses as malformed does no harm.
--- a/internal/adapter/target/header.go
+++ b/internal/adapter/target/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,42 +26,83 @@
 // removeHopByHop deletes headers of one connection, including those that the
 // Connection header names.
 func removeHopByHop(h http.Header) {
+	for _, name := range connectionHeaders(h) {
+		delete(h, name)
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// notForwarded tells whether a header of the caller is not sent: hop-by-hop
+// headers, and those that follow from the attempt.
+func notForwarded(name string) bool {
+	switch name {
+	case "Host", "Content-Length", "Expect", headerTicket, headerDeadline, headerRequestID:
+		return true
+	}
+	return slices.Contains(hopByHop, name)
+}
+
+// connectionHeaders returns the headers that the Connection header names.
+func connectionHeaders(h http.Header) []string {
+	var names []string
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			if name = textproto.TrimString(name); name != "" {
-				h.Del(name)
+				names = append(names, textproto.CanonicalMIMEHeaderKey(name))
 			}
 		}
 	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
+	return names
 }
 
-// requestHeader returns the header to send for an attempt, without Host. The
+// appendRequestHeader appends the header of an attempt, without Host. The
 // framing headers follow from the attempt and never from the caller.
-func requestHeader(a *Attempt, remaining time.Duration) http.Header {
-	h := a.Header.Clone()
-	if h == nil {
-		h = http.Header{}
+func appendRequestHeader(b []byte, a *Attempt, remaining time.Duration) []byte {
+	named := connectionHeaders(a.Header)
+	for name, values := range a.Header {
+		name = textproto.CanonicalMIMEHeaderKey(name)
+		if notForwarded(name) || slices.Contains(named, name) || name == "" || strings.ContainsFunc(name, notToken) {
+			continue
+		}
+		for _, value := range values {
+			b = appendHeader(b, name, value)
+		}
 	}
-	removeHopByHop(h)
-	for _, name := range []string{"Host", "Content-Length", "Expect", headerTicket, headerDeadline, headerRequestID} {
-		h.Del(name)
+	if a.Via != "" {
+		b = appendHeader(b, "Via", a.Via)
 	}
 	if a.RequestID != "" {
-		h.Set(headerRequestID, a.RequestID)
+		b = appendHeader(b, headerRequestID, a.RequestID)
 	}
 	if remaining > 0 {
-		h.Set(headerDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+		b = append(b, headerDeadline+": "...)
+		b = strconv.AppendInt(b, max(1, remaining.Milliseconds()), 10)
+		b = append(b, "\r\n"...)
 	}
 	switch {
 	case a.chunked():
-		h.Set("Transfer-Encoding", "chunked")
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
 	case a.ContentLength > 0 || methodHasBody(a.Method):
-		h.Set("Content-Length", strconv.FormatInt(max(0, a.ContentLength), 10))
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, max(0, a.ContentLength), 10)
+		b = append(b, "\r\n"...)
+	}
+	return b
+}
+
+// lineBreaks replaces what would end a header line.
+var lineBreaks = strings.NewReplacer("\r", " ", "\n", " ")
+
+func appendHeader(b []byte, name, value string) []byte {
+	if strings.ContainsAny(value, "\r\n") {
+		value = lineBreaks.Replace(value)
 	}
-	return h
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, textproto.TrimString(value)...)
+	return append(b, "\r\n"...)
 }
 
 // chunked tells whether the body has no declared length.
--- a/internal/adapter/target/send.go
+++ b/internal/adapter/target/send.go
@@ -1,7 +1,7 @@
 package target
 
 import (
-	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -36,9 +36,10 @@
 		}
 		return x.sendWhole(body)
 	}
-	if err := x.write(x.head()); err != nil {
+	if err := x.write(x.headOf()); err != nil {
 		return x.afterWriteError(err)
 	}
+	x.bodyCtx, x.stopBody = context.WithCancel(x.ctx)
 	x.writerDone = make(chan struct{})
 	go x.streamBody()
 	return nil
@@ -80,10 +81,10 @@
 
 // sendWhole writes head and body at once.
 func (x *exchange) sendWhole(body []byte) error {
-	if err := x.pace(len(body)); err != nil {
+	if err := x.pace(x.ctx, len(body)); err != nil {
 		return err
 	}
-	if err := x.write(append(x.head(), body...)); err != nil {
+	if err := x.write(append(x.headOf(), body...)); err != nil {
 		return x.afterWriteError(err)
 	}
 	x.apply(outcome.RequestWritten)
@@ -103,8 +104,8 @@
 	return nil
 }
 
-// head returns the request line and header.
-func (x *exchange) head() []byte {
+// head appends the request line and header to a buffer.
+func (x *exchange) head(b []byte) []byte {
 	a := x.a
 	var remaining time.Duration
 	if deadline, ok := x.ctx.Deadline(); ok {
@@ -114,13 +115,24 @@
 	if host == "" {
 		host = a.Address
 	}
-	var b bytes.Buffer
-	b.WriteString(a.Method + " " + a.URI + " HTTP/1.1\r\nHost: " + host + "\r\n")
-	_ = requestHeader(a, remaining).Write(&b)
-	b.WriteString("\r\n")
-	return b.Bytes()
+	for _, part := range [...]string{a.Method, " ", a.URI, " HTTP/1.1\r\nHost: ", host, "\r\n"} {
+		b = append(b, part...)
+	}
+	return append(appendRequestHeader(b, a, remaining), "\r\n"...)
 }
 
+// headOf returns the head in the connection's buffer.
+func (x *exchange) headOf() []byte {
+	b := x.head(x.c.out[:0])
+	if cap(b) <= maxKeptHead {
+		x.c.out = b
+	}
+	return b
+}
+
+// maxKeptHead bounds the buffer for request heads that a connection keeps.
+const maxKeptHead = 4 << 10
+
 // write sends p and records the first byte that leaves this host.
 func (x *exchange) write(p []byte) error {
 	if err := x.ctx.Err(); err != nil {
@@ -138,11 +150,11 @@
 }
 
 // pace waits until n body bytes may cross to another region.
-func (x *exchange) pace(n int) error {
+func (x *exchange) pace(ctx context.Context, n int) error {
 	if !x.a.CrossRegion || n == 0 {
 		return nil
 	}
-	return x.t.pacer.wait(x.bodyCtx, n)
+	return x.t.pacer.wait(ctx, n)
 }
 
 // streamBody writes a large body in the writer's goroutine.
@@ -196,7 +208,7 @@
 
 // writeBody sends n bytes of buf, as a chunk when the body has no length.
 func (x *exchange) writeBody(buf []byte, n int, end bool) error {
-	if err := x.pace(n); err != nil {
+	if err := x.pace(x.bodyCtx, n); err != nil {
 		return err
 	}
 	from, to := chunkPrefix, chunkPrefix+n
--- a/internal/adapter/target/transport.go
+++ b/internal/adapter/target/transport.go
@@ -80,7 +80,6 @@
 	}
 	x.c = c
 	x.apply(outcome.Connected)
-	x.bodyCtx, x.stopBody = context.WithCancel(x.ctx)
 	x.interruptDone = make(chan struct{})
 	x.stop = context.AfterFunc(x.ctx, x.ctxDone)
 	return nil
