--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -54,6 +55,8 @@
 	inFlight atomic.Int64
 	lastID   atomic.Uint64
 	metrics  *serverMetrics
+	// via and idPrefix are parts of every request to a target.
+	via, idPrefix string
 }
 
 // New returns a server without a configuration; it refuses requests until
@@ -63,6 +66,8 @@
 		cfg.WriteTimeout = defaultWriteTimeout
 	}
 	s := &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder), metrics: newServerMetrics()}
+	s.via = "1.1 " + string(cfg.Host)
+	s.idPrefix = fmt.Sprintf("%s-%x-", cfg.Host, uint64(cfg.Incarnation))
 	s.metrics.set.RegisterMetricsWriter(s.writeMetrics)
 	return s
 }
