Drive dispatchers with a clock that wall clock steps do not move

Cause: the engine passed time.Now to the core, whose health computes ages, waits and ramps from wall times in nanoseconds. After the wall clock was set back, every removed target stayed out for the length of the step. Change: times for the dispatcher are counted from the start of the process by the monotonic clock. Conclusion: a step of the wall clock does not change the return of targets.

--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -31,6 +31,16 @@
 // maxProbes bounds the probes that one service runs at once.
 const maxProbes = 32
 
+// processStart has a monotonic reading, from which steady times are counted.
+var processStart = time.Now()
+
+// steady returns the time now as counted from origin by the monotonic clock.
+// The core computes ages and waits from wall times, so a step of the wall clock
+// would otherwise keep a removed target out for the length of the step.
+func steady(origin, now time.Time) time.Time { return origin.Add(now.Sub(origin)) }
+
+func steadyNow() time.Time { return steady(processStart, time.Now()) }
+
 // Service drives the dispatcher of one service. It is safe for concurrent use.
 type Service struct {
 	name     ident.ServiceName
@@ -59,7 +69,7 @@
 
 // NewService starts a dispatcher with its configuration.
 func NewService(cfg dispatch.Config, self dispatch.Self, seed uint64, prober Prober, recorder Recorder) *Service {
-	now := time.Now()
+	now := steadyNow()
 	s := &Service{
 		name:       cfg.Service,
 		prober:     prober,
@@ -161,7 +171,7 @@
 func (s *Service) Evidence() health.Evidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatcher.Evidence(time.Now())
+	return s.dispatcher.Evidence(steadyNow())
 }
 
 // Merge takes the report of another serving host.
@@ -173,7 +183,7 @@
 func (s *Service) Status() (dispatch.ServiceStatus, []dispatch.TargetStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatcher.ServiceStatus(time.Now()), s.dispatcher.Status()
+	return s.dispatcher.ServiceStatus(steadyNow()), s.dispatcher.Status()
 }
 
 func (s *Service) tick() {
@@ -184,7 +194,7 @@
 func (s *Service) step(event func(time.Time, *dispatch.Dispatcher) []dispatch.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := steadyNow()
 	s.carryOutAll(now, event(now, s.dispatcher))
 	s.schedule(now)
 }
