Give the engine of the evidence tests a prober

Cause: the engine asks its prober whether the host sends regular probes; the tests passed none, and the first tick crashed. Change: a prober that leaves probes to other hosts. Conclusion: the tests run on the real engine as before.

--- a/internal/app/evidence_test.go
+++ b/internal/app/evidence_test.go
@@ -59,7 +59,7 @@
 	}
 	active := oneService(4)
 	backend := active.Backends["errata-index"]
-	backend.Engine = engine.NewService(cfg, dispatch.Self{Host: "b", Location: here}, 1, nil, noEvents{})
+	backend.Engine = engine.NewService(cfg, dispatch.Self{Host: "b", Location: here}, 1, &services{serves: func(ident.ServiceName) bool { return false }}, noEvents{})
 	t.Cleanup(backend.Engine.Close)
 	d := newDirectory(hosts, 1)
 	d.configure(active)
