Wait for the started process in the failure tests, not for its address

Cause: two runs of the tests on one machine can choose the same free address. Change: the stand-in prints that it listens, hosts log host_started, and a start counts only after that line.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,6 +6,7 @@
 import (
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -74,14 +75,19 @@
 }
 
 func serve(address string, handler http.Handler) error {
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 	go func() {
 		<-stop
 		_ = server.Close()
 	}()
-	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening on", listener.Addr())
+	if err := server.Serve(listener); err != http.ErrServerClosed {
 		return err
 	}
 	return nil
--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -121,7 +121,7 @@
 			addresses[i] = freeAddress(t)
 		}
 		p := start(t, program, args(addresses)...)
-		waitFor(t, program+" is ready", func() bool { return p.hasEnded() || ready(addresses) })
+		waitFor(t, program+" is ready", func() bool { return p.hasEnded() || p.listens() && ready(addresses) })
 		if !p.hasEnded() {
 			return p, addresses
 		}
@@ -133,6 +133,14 @@
 	return nil, nil
 }
 
+// listens reports whether the program has said that it listens. An answer at its
+// address is no proof: another test on the machine may have taken the address
+// first, and the program be about to end.
+func (p *process) listens() bool {
+	out := p.out.String()
+	return strings.Contains(out, "listening on ") || strings.Contains(out, "event=host_started")
+}
+
 func accepts(addresses []string) bool {
 	conn, err := net.Dial("tcp", addresses[0])
 	if err != nil {
