Pass on a response that arrives before the end of an upload

Cause: when a target responds with 300 or above before it has read the whole upload, the host interrupts its read of the caller's body by a deadline on the caller's connection. net/http takes the failed read for a caller that left and ends the request's context, which canceled the attempt. Change: an upload's work ends with net/http's context only if this host has not interrupted the read itself. A further attempt removes the deadline first. Ruled out: reading on until the caller has sent all, which holds a slot for the whole upload. After an interruption a caller that leaves is noticed only at the deadline or when the response is written. Conclusion: early refusals of uploads reach the caller or the next target.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -78,7 +78,11 @@
 	}
 	if q.class.Upload != nil {
 		a.MinBodyBytesPerSecond = int64(q.class.Upload.MinBytesPerSecond)
-		a.InterruptBody = func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Now()) }
+		a.InterruptBody = q.interruptBody
+		if q.interrupted.Load() {
+			// An earlier attempt stopped waiting for the body and read none of it.
+			_ = http.NewResponseController(q.w).SetReadDeadline(time.Time{})
+		}
 	}
 	return a
 }
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,8 @@
 	// body is the whole request body of a class that is not an upload.
 	body []byte
 	call *engine.Call
+	// interrupted tells that this host gave up reading the body of an upload.
+	interrupted atomic.Bool
 	// mayHaveRun tells that an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	// held is the last complete response that was not passed on yet.
@@ -102,7 +105,7 @@
 	if problem := req.readBody(); problem != nil {
 		return problem
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	ctx, cancel := req.context()
 	defer cancel()
 	if text, ok := ticketOf(r); ok && !req.class.Idempotent {
 		tk, err := ticket.Parse(text)
@@ -172,6 +175,29 @@
 	return nil
 }
 
+// context returns a context that ends at the deadline or when the caller
+// leaves. net/http takes an interrupted read of the body for a caller that left
+// and ends the request's context, while the target's response still arrives.
+func (q *request) context() (context.Context, context.CancelFunc) {
+	caller := q.r.Context()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(caller), q.deadline)
+	stop := context.AfterFunc(caller, func() {
+		if !q.interrupted.Load() {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// interruptBody makes a blocked read of the body fail.
+func (q *request) interruptBody() {
+	q.interrupted.Store(true)
+	_ = http.NewResponseController(q.w).SetReadDeadline(time.Now())
+}
+
 func (q *request) bodyTooLarge() *Problem {
 	return notRun(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body is larger than max_request_bytes of class %q: %d", q.class.Name, q.class.MaxRequestBytes))
 }
