Wait for relayed requests at a shutdown without a successor

Cause: sendUpdates, which waits for relayed requests, returned at once when no successor was announced: there is no other live host, or the hand-over failed. Change: it waits until no ticketed request runs, with or without a successor, up to the drain limit. Ruled out: waiting for ingress.InFlight, which callers' requests that were cut at the limit still hold. Conclusion: the drain limit alone bounds relayed requests.

--- a/internal/app/review_shutdown_test.go
+++ b/internal/app/review_shutdown_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/member"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ticket"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
@@ -33,10 +34,10 @@
 	return false, &port.HandoverRefusedError{Reason: "the test is over"}
 }
 
-// TestLostSuccessorDoesNotHoldShutdown guards against a shutdown that waits for
-// a lost successor until the drain limit while it still accepts callers, and
-// then cuts their requests.
-func TestLostSuccessorDoesNotHoldShutdown(t *testing.T) {
+// startShutdownHost returns a host on loopback that knows no other host, with
+// its HTTP servers.
+func startShutdownHost(t *testing.T) (*Host, *listeners) {
+	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	settings := DefaultSettings()
@@ -49,13 +50,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.tickets.learn(member.Info{ID: "b", Version: member.Version{Incarnation: 1}, PeerAddress: "127.0.0.1:1"}, member.Alive)
 	l, err := h.listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.peerSock.Close()
+	t.Cleanup(func() { _ = l.peerSock.Close() })
 	l.serve()
+	return h, l
+}
+
+// TestLostSuccessorDoesNotHoldShutdown guards against a shutdown that waits for
+// a lost successor until the drain limit while it still accepts callers, and
+// then cuts their requests.
+func TestLostSuccessorDoesNotHoldShutdown(t *testing.T) {
+	h, l := startShutdownHost(t)
+	h.tickets.learn(member.Info{ID: "b", Version: member.Version{Incarnation: 1}, PeerAddress: "127.0.0.1:1"}, member.Alive)
 	successor := &lostSuccessor{caller: l.callerSock.Addr().String()}
 	h.tickets.peers = successor
 	h.shutDown(l)
@@ -63,3 +72,26 @@
 		t.Fatal("the host accepted callers until the drain limit")
 	}
 }
+
+// TestShutdownWaitsForRelayedRequest guards against a relayed request that is
+// cut by a shutdown without a successor: there is no other live host, or the
+// hand-over failed.
+func TestShutdownWaitsForRelayedRequest(t *testing.T) {
+	h, l := startShutdownHost(t)
+	tk := h.tickets.issueOne(t)
+	run := h.tickets.Admit(tk, ticket.Fingerprint{})
+	ended := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		sleep(ctx, 5*time.Second)
+		h.tickets.End(tk.ID, run.Run, ticket.Ending{})
+		close(ended)
+	}()
+	h.shutDown(l)
+	select {
+	case <-ended:
+	default:
+		t.Fatal("the host stopped while a relayed request was running")
+	}
+}
--- a/internal/app/tickets.go
+++ b/internal/app/tickets.go
@@ -234,16 +234,18 @@
 
 // sendUpdates passes on the outcomes of requests that end after the hand-over,
 // until none runs any more. Relayed requests are among them, for which the
-// shutdown of the callers' server does not wait.
+// shutdown of the callers' server does not wait, so this waits also without a
+// successor.
 func (t *tickets) sendUpdates(ctx context.Context) {
 	n, ok := t.fleet.successor()
-	for ok && ctx.Err() == nil {
+	for ctx.Err() == nil {
 		var update ticket.Update
 		more, running := false, 0
 		t.use(func(_ time.Time, table *ticket.Table) {
 			update, more = table.Updates()
 			running = table.Running()
 		})
+		more = more && ok
 		if !more && running == 0 {
 			return
 		}
