Send a waiting request to the newest address of its target

Cause: a request looked a target up in the revision under which it arrived first. Change: the revision in force goes first, as in the dispatcher that chose the target. Figures: TestMovedTargetAfterWait: the old address got the waiting request before, the new one does now. Ruled out: ending waiting requests at each revision, which refuses work that the new address can do. Conclusion: a moved target gets no work at its old address after the revision.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -41,18 +41,18 @@
 }
 
 // endpoint returns where a target is. The dispatcher follows new revisions at
-// once, so it may pick a target that only the revision in force has.
+// once, so the revision in force goes first: it may have added or moved the
+// target since the request arrived.
 func (q *request) endpoint(id ident.TargetID) (Endpoint, bool) {
-	if e, ok := q.backend.Targets[id]; ok {
-		return e, true
-	}
 	if active := q.server.active.Load(); active != nil {
 		if backend := active.Backends[q.backend.Service.Name]; backend != nil {
-			e, ok := backend.Targets[id]
-			return e, ok
+			if e, ok := backend.Targets[id]; ok {
+				return e, true
+			}
 		}
 	}
-	return Endpoint{}, false
+	e, ok := q.backend.Targets[id]
+	return e, ok
 }
 
 func (q *request) newAttempt(start dispatch.Start, endpoint Endpoint, trace *target.Trace) target.Attempt {
