Read tickets of hosts with long IDs

Cause: the settings allow host IDs of up to 128 characters, tickets were read only up to 64. Every request with a ticket of such a host was refused as malformed, by the issuer too. Change: a ticket holds 128 bytes of host ID. The text form has at most 228 characters. Ruled out: a lower limit in the settings, which would stop hosts that run now. Conclusion: every host ID that the settings accept works with tickets.

--- a/internal/core/ticket/ticket.go
+++ b/internal/core/ticket/ticket.go
@@ -14,7 +14,7 @@
 // Sizes of the encoding in bytes.
 const (
 	encodingVersion = 1
-	maxHostBytes    = 64
+	maxHostBytes    = 128
 	numberBytes     = 8
 	macBytes        = 16
 	// fixedBytes is an encoded ticket less the host ID.
