Refuse a drain limit that leaves no time to drain

Cause: a shutdown waits for cached address responses, AddressMaxAge plus 3 s, inside the drain limit. Change: the settings refuse it and name the flag. Ruled out: counting the limit from the end of the wait, since operators plan restarts by the limit. Conclusion: every accepted setting leaves time for the hand-over and requests.

--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -47,7 +47,8 @@
 	// TicketTTL is how long a ticket can be used and its outcome is stored;
 	// default 10m.
 	TicketTTL time.Duration
-	// DrainLimit bounds a graceful shutdown; default 60s.
+	// DrainLimit bounds a graceful shutdown; default 60s. It must be more than
+	// AddressMaxAge plus 3 s.
 	DrainLimit time.Duration
 	// MaxHeaderBytes bounds the header of a caller's request; default 65536.
 	MaxHeaderBytes int
@@ -148,6 +149,10 @@
 	e.checkDuration("address-max-age", s.AddressMaxAge, 100*time.Millisecond, time.Hour)
 	e.checkDuration("ticket-ttl", s.TicketTTL, time.Second, 24*time.Hour)
 	e.checkDuration("drain-limit", s.DrainLimit, time.Second, time.Hour)
+	// A shutdown first waits until callers have dropped their cached addresses.
+	if least := s.AddressMaxAge + departureSpread; s.DrainLimit <= least {
+		e.add("drain-limit", "is %s, want more than -address-max-age plus %s: %s", s.DrainLimit, departureSpread, least)
+	}
 	if s.AdminToken != "" && len(s.AdminToken) < 16 {
 		e.add("admin-token", "has %d characters, want at least 16, or none to turn writing off", len(s.AdminToken))
 	}
