--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -47,18 +47,18 @@
 }
 
 // endpoint returns where a target is. The dispatcher follows new revisions at
-// once, so it may pick a target that only the revision in force has.
+// once, so the revision in force goes first: it may have added or moved the
+// target since the request arrived.
 func (q *request) endpoint(id ident.TargetID) (Endpoint, bool) {
-	if e, ok := q.backend.Targets[id]; ok {
-		return e, true
-	}
 	if active := q.server.active.Load(); active != nil {
 		if backend := active.Backends[q.backend.Service.Name]; backend != nil {
-			e, ok := backend.Targets[id]
-			return e, ok
+			if e, ok := backend.Targets[id]; ok {
+				return e, true
+			}
 		}
 	}
-	return Endpoint{}, false
+	e, ok := q.backend.Targets[id]
+	return e, ok
 }
 
 func (q *request) newAttempt(start dispatch.Start, endpoint Endpoint, trace *target.Trace) target.Attempt {
@@ -85,7 +85,11 @@
 	}
 	if q.class.Upload != nil {
 		a.MinBodyBytesPerSecond = int64(q.class.Upload.MinBytesPerSecond)
-		a.InterruptBody = func() { q.boundRead(time.Now()) }
+		a.InterruptBody = q.interruptBody
+		if q.interrupted.Load() {
+			// An earlier attempt stopped waiting for the body and read none of it.
+			q.boundRead(time.Time{})
+		}
 	}
 	return a
 }
