health: need more trials after a removal on few failures

Cause: the failure rate at removal is estimated from the run that removed the target, which is a chance peak: a target with 30% errors that failed 3 of 4 attempts needed 4 trials in a row and passed them every fourth time.

Change: the rate is lowered by 4 successes. It stays at 3 trials for a target that failed all attempts while its probes failed, and where only probes test the return.

--- a/internal/core/health/doc.go
+++ b/internal/core/health/doc.go
@@ -83,8 +83,8 @@
 // After a penalty (5 s, doubled with each further ejection, half forgotten per
 // 5 minutes in rotation) three successful trials in a row that are not slow
 // return the target (trial.go), or three successful probes where the service has
-// no idempotent class. A target that failed a share p of its attempts needs 3/p
-// trials, one that was slow needs 8. Where only probes test the return of a target
+// no idempotent class. A target that failed a share p of its attempts needs about
+// 3/p trials, one that was slow needs 8. Where only probes test the return of a target
 // that failed requests while its probes passed, the penalty is 2 minutes or more.
 // A host that removed a target on the evidence of others alone tests it, by
 // probes or requests, when no other host has evidence against it any more. The
--- a/internal/core/health/trial.go
+++ b/internal/core/health/trial.go
@@ -37,7 +37,10 @@
 	// trials, up to maxTrials. If it is unchanged it passes them with a probability
 	// of about exp(-passFactor). With three trials a target with 30% errors
 	// returned after every third series.
+	// The share is lowered by passPrior successes, because a removal comes after a
+	// chance peak of failures.
 	passFactor = 3.0
+	passPrior  = 4.0
 	maxTrials  = 60
 	// slowTrials is the number of trials of a target that was removed for its
 	// latency. Three do not tell a factor of 3 from chance.
@@ -79,7 +82,7 @@
 	target.removedAttempts = t.recentAttempts(target, now)
 	target.removedAt = now
 	target.adopted = cause == adoptedCause
-	t.setTrials(target, cause)
+	t.setTrials(now, target, cause)
 	target.unseen = !t.cfg.IdempotentTrials && !target.adopted && target.probe.reliable && !target.probe.silent(now)
 	idle := float64(now-target.returnedAt) / float64(penaltyHalfLife)
 	target.level = float32(float64(target.level)*math.Exp2(-idle) + 1)
@@ -92,14 +95,17 @@
 }
 
 // setTrials sets how many trials return a removed target.
-func (t *Tracker) setTrials(target *target, cause string) {
+func (t *Tracker) setTrials(now int64, target *target, cause string) {
 	target.trialsNeeded, target.maxExcess = minTrials, maxTrialExcess
 	s := &target.stat
 	switch {
 	case cause == "latency":
 		target.trialsNeeded, target.maxExcess = slowTrials, maxSlowExcess
+	case !t.cfg.IdempotentTrials || target.probe.silent(now) && s.run == s.runFailed:
+		// Probes do not fail in proportion, and a target that failed them and all
+		// attempts has a fault that a few trials show.
 	case s.runFailed > 0:
-		n := math.Ceil(passFactor * float64(s.run) / float64(s.runFailed))
+		n := math.Ceil(passFactor * (float64(s.run) + passPrior) / float64(s.runFailed))
 		target.trialsNeeded = uint16(min(max(n, minTrials), maxTrials))
 	}
 }
