health: give the exception for trials to little traffic only

Change: 3 trials suffice after all attempts failed only if the host sent the target fewer than 10 recently.

--- a/internal/core/health/trial.go
+++ b/internal/core/health/trial.go
@@ -82,7 +82,7 @@
 	target.removedAttempts = t.recentAttempts(target, now)
 	target.removedAt = now
 	target.adopted = cause == adoptedCause
-	t.setTrials(now, target, cause)
+	t.setTrials(target, cause)
 	target.unseen = !t.cfg.IdempotentTrials && !target.adopted && target.probe.reliable && !target.probe.silent(now)
 	idle := float64(now-target.returnedAt) / float64(penaltyHalfLife)
 	target.level = float32(float64(target.level)*math.Exp2(-idle) + 1)
@@ -95,15 +95,15 @@
 }
 
 // setTrials sets how many trials return a removed target.
-func (t *Tracker) setTrials(now int64, target *target, cause string) {
+func (t *Tracker) setTrials(target *target, cause string) {
 	target.trialsNeeded, target.maxExcess = minTrials, maxTrialExcess
 	s := &target.stat
 	switch {
 	case cause == "latency":
 		target.trialsNeeded, target.maxExcess = slowTrials, maxSlowExcess
-	case !t.cfg.IdempotentTrials || target.probe.silent(now) && s.run == s.runFailed:
-		// Probes do not fail in proportion, and a target that failed them and all
-		// attempts has a fault that a few trials show.
+	case !t.cfg.IdempotentTrials || s.run == s.runFailed && target.removedAttempts < fewAttempts:
+		// Probes do not fail in proportion. At little traffic trials are rare, and a
+		// target that failed all attempts has a fault that a few of them show.
 	case s.runFailed > 0:
 		n := math.Ceil(passFactor * (float64(s.run) + passPrior) / float64(s.runFailed))
 		target.trialsNeeded = uint16(min(max(n, minTrials), maxTrials))
