--- a/internal/core/health/trial.go
+++ b/internal/core/health/trial.go
@@ -37,7 +37,10 @@
 	// trials, up to maxTrials. If it is unchanged it passes them with a probability
 	// of about exp(-passFactor). With three trials a target with 30% errors
 	// returned after every third series.
+	// The share is lowered by passPrior successes, because a removal comes after a
+	// chance peak of failures.
 	passFactor = 3.0
+	passPrior  = 4.0
 	maxTrials  = 60
 	// slowTrials is the number of trials of a target that was removed for its
 	// latency. Three do not tell a factor of 3 from chance.
@@ -98,8 +101,11 @@
 	switch {
 	case cause == "latency":
 		target.trialsNeeded, target.maxExcess = slowTrials, maxSlowExcess
+	case !t.cfg.IdempotentTrials || s.run == s.runFailed && target.removedAttempts < fewAttempts:
+		// Probes do not fail in proportion. At little traffic trials are rare, and a
+		// target that failed all attempts has a fault that a few of them show.
 	case s.runFailed > 0:
-		n := math.Ceil(passFactor * float64(s.run) / float64(s.runFailed))
+		n := math.Ceil(passFactor * (float64(s.run) + passPrior) / float64(s.runFailed))
 		target.trialsNeeded = uint16(min(max(n, minTrials), maxTrials))
 	}
 }
