target: test that no header of a caller changes the framing

Cause: the replacement of line breaks in values survived its mutation: no test covered it since the head is written without http.Header.Write.

Change: seeds of FuzzRequestHead for a line break in a value, one in a name and a name that is not canonical. Each of the three mutations (no replacement, no check of names, no canonical form) fails the test now. A host also removes its metrics from the process when it has stopped.

--- a/internal/adapter/target/fuzz_test.go
+++ b/internal/adapter/target/fuzz_test.go
@@ -58,6 +58,9 @@
 	f.Add("GET", "/a?b", "host", "Connection", "X-Secret", "r1", int64(0))
 	f.Add("POST", "/a HTTP/1.1\r\nX: y", "h\r\nA: b", "Transfer-Encoding", "gzip, chunked", "r\r\n\r\nGET / HTTP/1.1", int64(5))
 	f.Add("PUT", "//x", "", "Content-Length", "7", "", int64(-1))
+	f.Add("GET", "/", "h", "A", "x\r\nContent-Length: 7\r\nB: c", "", int64(0))
+	f.Add("GET", "/", "h", "A: b\r\nContent-Length", "7", "", int64(0))
+	f.Add("GET", "/", "h", "content-length", "7", "", int64(0))
 	f.Fuzz(func(t *testing.T, method, uri, host, key, value, id string, length int64) {
 		a := Attempt{
 			Address: "127.0.0.1:1", Method: method, URI: uri, Host: host, RequestID: id,
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -177,6 +177,7 @@
 	h.shutDown(listeners)
 	stop()
 	running.Wait()
+	metrics.UnregisterSet(h.ingress.Metrics(), false)
 	h.services.close()
 	h.transport.Close()
 	h.peers.Close()
