ingress: test the target of a relayed request

Cause: the parsing of a relayed target had no test of its own.

Change: TestRelayedTarget; it fails with url.Parse.

--- a/internal/adapter/ingress/tickets_test.go
+++ b/internal/adapter/ingress/tickets_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -317,3 +318,15 @@
 		}
 	})
 }
+
+// TestRelayedTarget guards against a relayed request whose path changes on the
+// way, and with it its route and its fingerprint.
+func TestRelayedTarget(t *testing.T) {
+	for _, uri := range []string{"//order/x", "/order?a=//b", "/order/e%2Ff", "/order#x"} {
+		r, err := relayedRequest(t.Context(), port.RelayedRequest{Method: "POST", URI: uri})
+		want, _ := url.ParseRequestURI(uri)
+		if err != nil || r.URL.RequestURI() != want.RequestURI() || r.URL.Host != "" {
+			t.Errorf("%q became %+v, %v", uri, r, err)
+		}
+	}
+}
