--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -60,7 +60,7 @@
 			*unreachable = &port.PeerUnreachableError{Address: address, Cause: err}
 			return nil, *unreachable
 		}
-		return drpcconn.New(sock), nil
+		return drpcconn.New(countingConn{sock}), nil
 	})
 	return peerpb.NewDRPCPeerClient(pooled)
 }
@@ -72,9 +72,11 @@
 	if unreachable != nil {
 		return unreachable
 	}
+	drpcMessagesSent.Inc()
 	if err != nil {
 		return errors.Wrapf(err, "host %s", address)
 	}
+	drpcMessagesReceived.Inc()
 	c.identity.Observe(stamp(from))
 	return nil
 }
@@ -138,6 +140,8 @@
 func (c *Client) Push(ctx context.Context, address string, records []revision.Record) (asOf int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	// The receiver pulls the records that do not fit.
+	records = records[:fitting(records)]
 	var out *peerpb.PushResponse
 	err = c.invoke(ctx, address, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.Sender, error) {
 		var err error
--- a/internal/adapter/peer/datagram.go
+++ b/internal/adapter/peer/datagram.go
@@ -50,8 +50,12 @@
 	if err != nil {
 		return err
 	}
-	_, err = d.sock.WriteToUDP(data, to)
-	return errors.Wrap(err, "peer")
+	if _, err = d.sock.WriteToUDP(data, to); err != nil {
+		return errors.Wrap(err, "peer")
+	}
+	udpBytesSent.Add(len(data))
+	udpMessagesSent.Inc()
+	return nil
 }
 
 func (d *Datagrams) encode(m member.Message) ([]byte, error) {
@@ -76,9 +80,11 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		udpBytesReceived.Add(n)
 		if err != nil || n > MaxDatagramBytes {
 			continue
 		}
+		udpMessagesReceived.Inc()
 		pb := &peerpb.Membership{}
 		if proto.Unmarshal(buffer[:n], pb) != nil {
 			continue
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -27,7 +27,7 @@
 	if err := peerpb.DRPCRegisterPeer(mux, &server{identity, handler}); err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	return errors.Wrap(drpcserver.New(mux).Serve(ctx, lis), "peer")
+	return errors.Wrap(drpcserver.New(mux).Serve(ctx, countingListener{lis}), "peer")
 }
 
 // server translates calls for a port.PeerHandler.
@@ -36,8 +36,11 @@
 	handler  port.PeerHandler
 }
 
-// accept notes the caller's clock and returns the caller.
+// accept counts a call and its response, notes the caller's clock and returns
+// the caller.
 func (s *server) accept(from *peerpb.Sender) port.Caller {
+	drpcMessagesReceived.Inc()
+	drpcMessagesSent.Inc()
 	s.identity.Observe(stamp(from))
 	return caller(from)
 }
@@ -45,6 +48,7 @@
 func (s *server) Records(_ context.Context, in *peerpb.RecordsRequest) (*peerpb.RecordsResponse, error) {
 	s.accept(in.GetSender())
 	records, snapshotNeeded := s.handler.Records(in.GetAfter(), min(int(in.GetLimit()), maxRecords))
+	records = records[:fitting(records)]
 	return &peerpb.RecordsResponse{Sender: sender(s.identity), Records: toLogRecords(records), SnapshotNeeded: snapshotNeeded}, nil
 }
 
--- a/internal/app/spread.go
+++ b/internal/app/spread.go
@@ -87,6 +87,8 @@
 	if status.Reading && status.LogErr == nil {
 		s.contact(0)
 	}
+	configurationRevision.Set(float64(status.Revision))
+	configurationAsOf.Set(float64(status.AsOf))
 	digest := member.Digest{AsOf: status.AsOf, Revision: status.Revision}
 	s.mu.Lock()
 	contactAt := s.contactAt
--- a/internal/configlog/read.go
+++ b/internal/configlog/read.go
@@ -5,12 +5,16 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/revision"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
+// readErrors counts failed reads of the log.
+var readErrors = metrics.NewCounter("sapphirehaven_log_read_errors_total")
+
 // SetReading switches reading the log on or off. Records and snapshots from
 // peers are applied in both cases.
 func (f *Follower) SetReading(on bool) {
@@ -130,6 +134,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var unavailable *port.LogUnavailableError
+	if err != nil {
+		readErrors.Inc()
+	}
 	wasDown := errors.As(f.logErr, &unavailable)
 	isDown := errors.As(err, &unavailable)
 	f.logErr = err
--- a/internal/systemtest/fleet_test.go
+++ b/internal/systemtest/fleet_test.go
@@ -132,7 +132,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "format: 1\nname: %s\nregions: [{name: r, zones: [a, b]}]\nservices:\n", name)
 	service := func(name, classes string, targets []string) {
-		fmt.Fprintf(&b, "  - name: %s\n    health: {probe_path: /healthz, probe_interval: 1s, load_path: /load}\n    limits: {queue_length: 64}\n    retry: {budget: 0.2, max_attempts: 3}\n    classes: [%s]\n    targets:\n", name, classes)
+		fmt.Fprintf(&b, "  - name: %s\n    health: {probe_path: /healthz, probe_interval: 1s, load_path: /load, shed_statuses: [503]}\n    limits: {queue_length: 64}\n    retry: {budget: 0.2, max_attempts: 3}\n    classes: [%s]\n    targets:\n", name, classes)
 		for i, address := range targets {
 			fmt.Fprintf(&b, "      - {name: %s-%d, address: %q, zone: %c, slots: 6}\n", name, i+1, address, 'a'+i%2)
 		}
