--- a/internal/app/spread.go
+++ b/internal/app/spread.go
@@ -91,6 +91,8 @@
 	if status.Contacted && status.LogErr == nil {
 		s.contact(0)
 	}
+	configurationRevision.Set(float64(status.Revision))
+	configurationAsOf.Set(float64(status.AsOf))
 	digest := member.Digest{AsOf: status.AsOf, Revision: status.Revision}
 	s.mu.Lock()
 	contactAt := s.contactAt
