Exchange evidence in time when one host does not answer

Cause: the next exchange started 1 s after the slowest call, and a call gives up after 3 s. With one silent partner, for instance behind a one-way partition in which other hosts still see it, reports left every 4 s and expired after 3 s at all other hosts, so they had no agreement for a part of the time. Change: the calls of an exchange get one interval of 1 s. Ruled out: exchanges that overlap, which would let calls to a silent host pile up. Conclusion: reports of a host arrive before its last ones expire.

--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -51,7 +51,12 @@
 // at times, and the reply carries the other's evidence; hosts of different
 // regions have nothing to tell. At 1,300 services, a call for each pair in each
 // second would fill the 30 Mbit/s link between regions.
+//
+// A call gets one interval: a report counts for 3 s, so a host that does not
+// answer must not delay the next exchange with the others for longer.
 func (e *evidence) exchangeAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeInterval)
+	defer cancel()
 	e.round++
 	partners := e.hosts.partners(e.identity.host)
 	own := e.own(allNames(partners))
