Pull records from another host when one does not answer

Cause: one pull ran at a time, whatever became of it. Change: after 1 s a pull from another host may start beside it, at most 4 at once and one for each host. Ruled out: pulls from all hosts at once, which would carry the same records over the link between regions several times. Conclusion: a silent host delays a pull by 1 s.

--- a/internal/app/spread.go
+++ b/internal/app/spread.go
@@ -29,6 +29,11 @@
 	fanOut = 4
 	// pullLimit is the number of records that are asked for at once.
 	pullLimit = 256
+	// pullPatience is the age of a running pull from which another one may start:
+	// a host that does not answer holds a pull for 3 s, or a snapshot for 30 s.
+	pullPatience = time.Second
+	// maxPulls bounds the pulls that run at once.
+	maxPulls = 4
 	// snapshotPeers is the number of hosts that a starting host asks.
 	snapshotPeers = 3
 	// silenceLimit is the age of the newest contact with the log service, heard
@@ -54,9 +59,11 @@
 	// contactAt is the time of the newest contact with the log service that
 	// this host knows of.
 	contactAt time.Time
-	// pulling tells that a pull is running; one at a time is enough, since it
-	// goes on until nothing is missing.
-	pulling bool
+	// pulls holds the peer addresses of the pulls that are running, pulledAt is
+	// the start of the last one. One is enough, since it goes on until nothing is
+	// missing, unless its host does not answer.
+	pulls    map[string]bool
+	pulledAt time.Time
 }
 
 // run pushes applied records to other hosts until ctx ends.
@@ -150,15 +157,20 @@
 
 func (s *spread) pull(h port.Host) {
 	s.mu.Lock()
-	if s.pulling {
+	busy := len(s.pulls) > 0 && time.Since(s.pulledAt) < pullPatience
+	if busy || s.pulls[h.PeerAddress] || len(s.pulls) == maxPulls {
 		s.mu.Unlock()
 		return
 	}
-	s.pulling = true
+	if s.pulls == nil {
+		s.pulls = map[string]bool{}
+	}
+	s.pulls[h.PeerAddress] = true
+	s.pulledAt = time.Now()
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
-		s.pulling = false
+		delete(s.pulls, h.PeerAddress)
 		s.mu.Unlock()
 	}()
 	if err := s.pullAll(context.Background(), h); err != nil {
