--- a/internal/core/health/baseline.go
+++ b/internal/core/health/baseline.go
@@ -175,24 +175,31 @@
 // withRecent raises the mean to that of the peers' newest answers if that is
 // higher: a slowdown of the group shows in it at once.
 func (b latencyBaseline) withRecent(t *target, now int64) latencyBaseline {
-	if newest, known := newestMean(&t.group.recent, t, now, shortLatencies); known {
-		b.mean = max(b.mean, newest)
+	newest, many, known := newestMeans(&t.group.recent, t, now, shortLatencies)
+	if !known {
+		return b
 	}
-	return b.withNewest(&t.group.recent, t, now)
+	b.mean = max(b.mean, many, newest-b.newestMargin())
+	return b
 }
 
-// withNewest does the same with the few newest answers, less a standard error
-// because they scatter.
+// withNewest does the same with the few newest answers in a ring.
 func (b latencyBaseline) withNewest(r *ring, t *target, now int64) latencyBaseline {
-	if newest, known := newestMean(r, t, now, minShortLatencies); known {
-		b.mean = max(b.mean, newest-b.sigma/math.Sqrt(minShortLatencies))
+	if newest, _, known := newestMeans(r, t, now, minShortLatencies); known {
+		b.mean = max(b.mean, newest-b.newestMargin())
 	}
 	return b
 }
 
-// newestMean returns the mean log latency of up to limit newest answers of the
-// peers, if there are enough.
-func newestMean(r *ring, t *target, now int64, limit int) (mean float64, known bool) {
+// newestMargin is a standard error of the mean of the few newest answers, which
+// is taken off because they scatter.
+func (b latencyBaseline) newestMargin() float64 {
+	return b.sigma / math.Sqrt(minShortLatencies)
+}
+
+// newestMeans returns the mean log latencies of the minShortLatencies and of up
+// to limit newest answers of the peers, if there are enough.
+func newestMeans(r *ring, t *target, now int64, limit int) (newest, many float64, known bool) {
 	sum, n := 0.0, 0
 	for s := range r.peers(t, now-int64(recentWindow)) {
 		if s.failed {
@@ -200,11 +207,14 @@
 		}
 		sum += float64(s.excess)
 		n++
+		if n == minShortLatencies {
+			newest = sum / float64(n)
+		}
 		if n == limit {
 			break
 		}
 	}
-	return sum / float64(n), n >= minShortLatencies
+	return newest, sum / float64(max(n, 1)), n >= minShortLatencies
 }
 
 // failureBaseline returns the failure rate of the other targets: the highest of
