Keep tickets and incarnations safe over revisions and clock steps

Cause (found by review, each with a failing test first): a revision that made a class idempotent let the repeat of a used ticket run again (2 executions); one that made it an upload changed the fingerprint, and the repeat was told not-run although the request had run. A host that restarted with a lower incarnation, after its clock was set back, was never alive to others again. Change: every request with a ticket goes through its table, whatever its class is now; a request under a ticket of another one is unknown; a host that hears that a higher incarnation of it has ended takes the next one. Tests: expectations of ticket_of_other_request change from not-run to unknown, which claims less. TestRepeatAfterRevision, TestRestartAfterClockSetBack and TestLivingNamesakeIsNotOutbid are new. Ruled out: raising the incarnation over a living one, since two processes with one ID would do so without end. Conclusion: the table alone decides about a ticket.

--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -126,7 +126,9 @@
 	req.admittedAt = time.Now()
 	ctx, cancel := req.context()
 	defer cancel()
-	if text, ok := ticketOf(r); ok && !req.class.Idempotent {
+	// The class does not matter: an earlier revision may have declared the
+	// request as not idempotent when it ran with this ticket.
+	if text, ok := ticketOf(r); ok {
 		tk, err := ticket.Parse(text)
 		*decided = true
 		if err != nil {
--- a/internal/adapter/ingress/tickets.go
+++ b/internal/adapter/ingress/tickets.go
@@ -259,7 +259,9 @@
 	case ticket.NeverAdmitted:
 		return notRun(http.StatusConflict, "ticket_lapsed", "the ticket was never used and is not valid any more; draw a new one")
 	case ticket.OtherRequest:
-		return notRun(http.StatusUnprocessableEntity, "ticket_of_other_request", "the ticket was used for a request with another method, path or body")
+		// A revision that makes the class an upload changes the fingerprint of the
+		// same request, so this may be the repeat of one that has run.
+		return unknown(http.StatusUnprocessableEntity, "ticket_of_other_request", "the ticket was used for a request with another method, path or body")
 	case ticket.Invalid:
 		return notRun(http.StatusBadRequest, "bad_ticket", HeaderTicket+": the ticket was not issued by the host that it names")
 	case ticket.Expired:
--- a/internal/core/member/apply.go
+++ b/internal/core/member/apply.go
@@ -65,8 +65,7 @@
 // apply takes an update if it is newer than what is known.
 func (l *List) apply(now time.Time, u Update) []Action {
 	if u.ID == l.self.ID {
-		l.refute(u)
-		return nil
+		return l.refute(now, u)
 	}
 	if u.State == Failed {
 		// Only the own timeout makes a host fail here.
@@ -105,12 +104,26 @@
 
 // refute answers an accusation against this host, or a statement about a later
 // life of it that it does not know.
-func (l *List) refute(u Update) {
+func (l *List) refute(now time.Time, u Update) []Action {
 	if u.State == Alive || u.Version.Before(l.self.Version) {
-		return
+		return nil
+	}
+	if u.Version.Incarnation > l.self.Version.Incarnation {
+		return l.outbid(now, u)
 	}
 	l.self.Version.Epoch = max(l.self.Version.Epoch, u.Version.Epoch)
 	l.announce()
+	return nil
+}
+
+// outbid takes an incarnation above that of an earlier life, which is higher than
+// this one when the wall clock was set back before the restart. An incarnation
+// that has not ended belongs to another process with this host's ID.
+func (l *List) outbid(now time.Time, u Update) []Action {
+	if u.State != Failed && u.State != Left {
+		return nil
+	}
+	return l.newIncarnation(now, u.Version.Incarnation+1, 0)
 }
 
 func (l *List) add(now time.Time, u Update, listed bool) []Action {
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -75,8 +75,13 @@
 // resume starts a new incarnation after a pause. Timers that ran out during the
 // pause say nothing about other hosts, so they start again.
 func (l *List) resume(now time.Time, gap time.Duration) []Action {
+	return l.newIncarnation(now, ident.Incarnation(now.UnixMicro()), gap)
+}
+
+// newIncarnation starts a new life of this host, at least with the given number.
+func (l *List) newIncarnation(now time.Time, least ident.Incarnation, gap time.Duration) []Action {
 	previous := l.self.Version.Incarnation
-	l.self.Version = Version{Incarnation: max(previous+1, ident.Incarnation(now.UnixMicro()))}
+	l.self.Version = Version{Incarnation: max(previous+1, least)}
 	l.self.Successor = ""
 	l.disseminate(Update{Info: l.self, State: Alive})
 	l.probes = map[uint64]*probe{}
--- a/internal/core/ticket/admit.go
+++ b/internal/core/ticket/admit.go
@@ -52,15 +52,15 @@
 }
 
 // Outcome returns what a caller may conclude from a verdict that is not Run.
-// OtherRequest and Invalid are errors of the caller: this request was refused
-// and not run, whatever happened to another one.
+// OtherRequest is unknown: a new revision can change the fingerprint of a request,
+// so it may be the repeat of one that has run.
 func (v Verdict) Outcome() outcome.Outcome {
 	switch v {
 	case Run:
 		return outcome.Pending
 	case Stored, AnsweredNotStored:
 		return outcome.Answered
-	case NeverAdmitted, OtherRequest, Invalid:
+	case NeverAdmitted, Invalid:
 		return outcome.NotRun
 	}
 	return outcome.Unknown
