Return a drained target on hosts that read no load reports

Cause: a draining response was remembered as announced, and only a load report ended that. Hosts that do not serve the service, and hosts of the other region, read none: a target that refused one attempt was lost to them for good (TestDrainedTargetReturns: 1 attempt in 10 minutes). Change: every sign of draining keeps the target out for a minute; after it, the dispatcher tests the target with probes, which are no work, until it returns. Ruled out: trials by requests, which would send a leaving target new work. Conclusion: draining no longer costs capacity after it has ended.

--- a/internal/core/dispatch/configure.go
+++ b/internal/core/dispatch/configure.go
@@ -164,6 +164,9 @@
 // record turns health changes into events of the timeline.
 func (d *Dispatcher) record(changes []health.Change) {
 	for _, c := range changes {
+		if t := d.targets[c.Target]; t != nil && c.Kind == event.TargetReturned {
+			t.drained = false
+		}
 		fields := append([]event.Field{event.F("service", d.cfg.Service), event.F("target", c.Target)}, c.Fields...)
 		d.emit(Record{Kind: c.Kind, Fields: fields})
 	}
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -37,7 +37,8 @@
 	waiting := d.health.Trials(now)
 	for _, id := range waiting {
 		if t := d.targets[id]; t != nil && !t.trial && !t.draining(now) {
-			d.offerTrial(now, t, byRequest)
+			// Probes are no work: a target that still drains gets none.
+			d.offerTrial(now, t, byRequest && !t.drained)
 		}
 	}
 	d.hastenHealth(now)
--- a/internal/core/health/doc.go
+++ b/internal/core/health/doc.go
@@ -92,8 +92,9 @@
 // for cold starts. A failed trial starts a longer penalty, up to a minute. With
 // neither trials nor probes the penalty's end returns the target.
 //
-// A draining target leaves at once. If Drain announced it, only Drain ends it;
-// if a response or two other hosts told so, trials may test it after a minute.
+// A draining target leaves at once. Drain ends it; trials may test the target a
+// minute after the last sign of draining, because a host that reads no load
+// reports never hears of the end. The dispatcher tests it with probes only.
 //
 // # Floor
 //
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -192,10 +192,9 @@
 	// other trial tests its return.
 	unseen bool
 
-	// Draining. drainDeclared: Drain told so, and only Drain ends it; drainSeen:
-	// this host saw it; drainedRemoved: the target was removed before.
-	drainDeclared, drainSeen, drainedRemoved bool
-	drainTill, undrainedAt, drainResponse    int64
+	// Draining. drainSeen: this host saw it; drainedRemoved: the target was removed before.
+	drainSeen, drainedRemoved             bool
+	drainTill, undrainedAt, drainResponse int64
 }
 
 // New returns a tracker for the targets of cfg. The seed fixes every random
