Accept a detection that leaves no attempt after the onset

Cause: TestReportTraces failed at one trace of 46: an attempt in flight at the onset of a blackout removed the target before a new one was sent, which is the best possible result, and the check failed for lack of a sample. Change: without a sample, the check passes only if the target goes out of rotation within the bound after the onset; out before the fault, out later and never out fail (TestDetectWithoutAttempts).

--- a/internal/replay/check.go
+++ b/internal/replay/check.go
@@ -154,8 +154,31 @@
 			}
 		}
 	}
+	if all == 0 {
+		removed := c.removedInTime(p)
+		return removed > 0, fmt.Sprintf("no attempt during the fault, out within %s on %d (host, target)", c.e.Within, removed)
+	}
 	detail := fmt.Sprintf("%d of %d within %s, worst %s", within, all, c.e.Within, worst.Round(time.Millisecond))
-	return all > 0 && float64(within) >= c.e.Share*float64(all), detail
+	return float64(within) >= c.e.Share*float64(all), detail
+}
+
+// removedInTime counts the pairs of host and target that went out of rotation
+// within the bound after the onset of a fault. An attempt in flight at the onset
+// can remove a target before a new one is sent, which leaves no detection time.
+func (c *detectCheck) removedInTime(p *player) int {
+	targets := set(c.e.Targets)
+	count := 0
+	for _, s := range p.measure.spans {
+		if !targets[s.target] || !c.e.on(s.host.index) {
+			continue
+		}
+		for _, f := range p.targets[s.target].faults {
+			if s.from >= f.From && s.from <= f.From+c.e.Within && s.from < f.Until {
+				count++
+			}
+		}
+	}
+	return count
 }
 
 // neverOutCheck requires that targets are in rotation for the whole period.
--- a/internal/replay/check_test.go
+++ b/internal/replay/check_test.go
@@ -205,3 +205,24 @@
 		t.Errorf("an attempt at an unknown target gives error %v", err)
 	}
 }
+
+// TestDetectWithoutAttempts guards against a target that counts as detected
+// because nobody sent it work, and against one that counts as undetected although
+// it went out so soon that no attempt followed the onset of its fault.
+func TestDetectWithoutAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		outAt time.Duration
+		pass  bool
+	}{
+		{"out within the bound", 5500 * time.Millisecond, true},
+		{"out after the bound", 7 * time.Second, false},
+		{"out before the fault", 4 * time.Second, false},
+		{"never out", time.Hour, false},
+	} {
+		trace := mustParse(t, smallHeader+"5s fault t-1 kind=status until=15s\nexpect detect t-1 within=1s")
+		if o := outcomeOf(t, trace, fake{out: only("t-1"), outAt: c.outAt}); o.Pass != c.pass {
+			t.Errorf("%s: pass %t: %s", c.name, o.Pass, o.Detail)
+		}
+	}
+}
