Bring the capacity page up to the build

Change: the formulas follow the build, the slopes are measured again, and the list of what is not reached names what is left. Figures: at the target size, one checkpoint over the link 4.30 GB before, 6.7 MB now (worked out); probes at a target 1,600/s before, 1/s now (worked out); heap at a collection 378 MB before, 428 MB with the heap floor. Conclusion: traffic of a host (6.4 of 4 KB/s) and memory are the next limits.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -29,7 +29,11 @@
 	updatesPerRestart = 3.0  // leaving, left, alive again
 	readersPerZone    = 2.0
 	checkpointsPerDay = 3.0 // retention 24h, one for each third
-	probesPerSecond   = 0.5 // of each target, by each host: probe_interval 2s
+	probesPerSecond   = 0.5 // of each target, by the serving hosts of a region: probe_interval 2s
+	outage            = 60.0
+	silenceLimit      = 15.0     // s
+	standbyDelay      = 2.0      // s
+	heapFloor         = 48 << 20 // bytes that start a collection later, but are not resident
 	serviceTime       = 0.05
 	ticketShare       = 0.2  // of requests; assumed
 	newsShare         = 0.02 // of reports have news; assumed
@@ -55,7 +59,13 @@
 	slopes *Slopes
 }
 
-func (m *model) slope(id string) float64     { return m.slopes.Get(id) }
+func (m *model) slope(id string) float64 { return m.slopes.Get(id) }
+
+// servedTargets returns the targets of the services that a host serves.
+func (m *model) servedTargets() float64 {
+	return m.servicesPerHost() * float64(m.Targets) / float64(m.Services)
+}
+
 func (m *model) perSecond(d float64) float64 { return d / day }
 
 // sets is the number of serving hosts of one service.
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -22,9 +22,10 @@
 		{"services that a host serves", "services * 4 * regions / hosts", "", (*model).servicesPerHost, nil},
 		{"connections at a target, serving sets", "serving hosts * slots", "", func(m *model) float64 { return m.sets() * float64(m.SlotsPerTarget) }, fixed(targetConnections)},
 		{"connections at a target, every host to every target", "hosts * 1", "", func(m *model) float64 { return float64(m.Hosts) }, fixed(targetConnections)},
-		{"probes that a target gets, when probe_path is set", "hosts * 0.5/s", "/s", func(m *model) float64 { return float64(m.Hosts) * probesPerSecond }, func(*model) float64 { return 0.1 / 0.025 }},
-		{"probes that a host sends", "targets * 0.5/s", "/s", func(m *model) float64 { return float64(m.Targets) * probesPerSecond }, nil},
-		{"probes that a target gets, from serving hosts only", "serving hosts * 0.5/s", "/s", func(m *model) float64 { return m.sets() * probesPerSecond }, func(*model) float64 { return 0.1 / 0.025 }},
+		{"probes that a target gets from the serving hosts of each region together", "regions * 0.5/s", "/s", func(m *model) float64 { return float64(m.Regions) * probesPerSecond }, func(*model) float64 { return 0.1 / 0.025 }},
+		{"probes that a target would get from every host (ruled out)", "hosts * 0.5/s", "/s", func(m *model) float64 { return float64(m.Hosts) * probesPerSecond }, func(*model) float64 { return 0.1 / 0.025 }},
+		{"probes that a host sends", "targets of its services * 0.5/s / 4 serving hosts", "/s", func(m *model) float64 { return m.servedTargets() * probesPerSecond / servingHosts }, nil},
+		{"load reports that a host reads", "targets of its services in its region * 1/s", "/s", func(m *model) float64 { return m.servedTargets() / float64(m.Regions) }, nil},
 		{"dispatch state, all services", "services * `state.service` + targets * `state.target`", "bytes", (*model).dispatchBytes, fixed(memoryBudget)},
 		{"dispatch state, served services only", "the same * serving hosts / hosts", "bytes", func(m *model) float64 { return m.dispatchBytes() * m.sets() / float64(m.Hosts) }, fixed(memoryBudget)},
 		{"timers of all targets", "targets * `tick.target`", "%", (*model).dispatchCPU, fixed(coreBudget)},
@@ -44,13 +45,13 @@
 		{"document and route table", "routes * (`sections.route` + `document.route` + `table.route`) + targets * `sections.target`", "bytes", (*model).documentBytes, fixed(memoryBudget)},
 		{"teams, if an entry costs what a route section costs", "teams * `sections.route`", "bytes", func(m *model) float64 { return float64(m.Teams) * m.slope("sections.route") }, fixed(memoryBudget)},
 		{"live heap, teams left out", "all states of this page + window of records", "bytes", (*model).heapBytes, fixed(memoryBudget)},
-		{"heap at a collection, GOGC=100", "2 * live heap", "bytes", func(m *model) float64 { return garbageFactor * m.heapBytes() }, fixed(memoryBudget)},
-		{"heap at a collection, served services only", "2 * (live heap - unused dispatch state)", "bytes", func(m *model) float64 {
-			return garbageFactor * (m.heapBytes() - m.dispatchBytes()*(1-m.sets()/float64(m.Hosts)))
+		{"heap at a collection, GOGC=100", "2 * live heap + 48 MiB", "bytes", func(m *model) float64 { return garbageFactor*m.heapBytes() + heapFloor }, fixed(memoryBudget)},
+		{"heap at a collection, served services only", "2 * (live heap - unused dispatch state) + 48 MiB", "bytes", func(m *model) float64 {
+			return garbageFactor*(m.heapBytes()-m.dispatchBytes()*(1-m.sets()/float64(m.Hosts))) + heapFloor
 		}, fixed(memoryBudget)},
-		{"the same with teams", "2 * (the above without the factor + teams)", "bytes", func(m *model) float64 {
+		{"the same with teams", "2 * (the above live heap + teams) + 48 MiB", "bytes", func(m *model) float64 {
 			served := m.heapBytes() - m.dispatchBytes()*(1-m.sets()/float64(m.Hosts))
-			return garbageFactor * (served + float64(m.Teams)*m.slope("sections.route"))
+			return garbageFactor*(served+float64(m.Teams)*m.slope("sections.route")) + heapFloor
 		}, fixed(memoryBudget)},
 		{"processor for a change of a route or target until it is in force", "`apply.delta` + `apply.assemble` + `apply.check` + `apply.compile` + targets * `configure.target`", "ns", func(m *model) float64 { return m.applyTime() + m.activateTime() }, nil},
 		{"the same for any other change", "`apply.validate` in place of `apply.check`", "ns", func(m *model) float64 {
@@ -70,7 +71,10 @@
 		{"reads, long polls of 20 s", "readers * (1/20s + changes/s)", "/s", func(m *model) float64 {
 			return readersPerZone * float64(m.Zones) * (0.05 + m.perSecond(m.ChangesPerDay))
 		}, nil},
-		{"reads while nobody reaches the log, backoff 10 s", "hosts / 10s", "/s", func(m *model) float64 { return float64(m.Hosts) / 10 }, fixed(300)},
+		{"reads a minute into an outage of the log, backoff 10 s", "zones * (2 + (60 s - 15 s) / 2 s) / 10s", "/s", func(m *model) float64 {
+			readers := readersPerZone + (outage-silenceLimit)/standbyDelay
+			return math.Min(float64(m.Hosts), float64(m.Zones)*readers) / 10
+		}, fixed(300)},
 	}},
 	{"A host as evidence partner", []row{
 		{"pairs with hosts of the same region", "services of a host * 3", "", (*model).partners, nil},
@@ -96,10 +100,9 @@
 		{"membership", "hosts * 2/s * 1/2 * 1/2 * datagram", "bytes/s", (*model).linkMembership, fixed(linkBudget)},
 		{"evidence, before: every pair each second", "services * 16 * exchange / 2", "bytes/s", func(m *model) float64 { return m.remotePairs() * m.exchangeBytes() / 2 }, fixed(linkBudget)},
 		{"evidence, now: 2% of the pairs have news each way", "services * 16 * 4% * exchange / 2", "bytes/s", (*model).linkEvidence, fixed(linkBudget)},
-		{"changes", "hosts * 4 * 1/2 * changes/s * push / 2", "bytes/s", (*model).linkPushes, fixed(linkBudget)},
-		{"snapshots for starting hosts", "restarts/s * 3 * 1/2 * `snapshot` / 2", "bytes/s", (*model).linkJoins, fixed(linkBudget)},
-		{"sum of these, now", "", "bytes/s", func(m *model) float64 { return m.linkMembership() + m.linkEvidence() + m.linkPushes() + m.linkJoins() }, fixed(linkBudget)},
-		{"one checkpoint", "hosts * 4 * 1/2 * `snapshot` / 2", "bytes", (*model).linkCheckpoint, nil},
+		{"changes, read by the readers of the region without the log", "2 * zones / 2 * changes/s * record", "bytes/s", (*model).linkChanges, fixed(linkBudget)},
+		{"sum of these, now", "", "bytes/s", func(m *model) float64 { return m.linkMembership() + m.linkEvidence() + m.linkChanges() }, fixed(linkBudget)},
+		{"one checkpoint", "2 * zones / 2 * `snapshot`", "bytes", (*model).linkCheckpoint, nil},
 		{"time of the whole link for one checkpoint", "the above / 3.75 MB/s", "ns", func(m *model) float64 { return m.linkCheckpoint() / linkBudget * 1e9 }, nil},
 	}},
 	{"Cuts and their end", []row{
@@ -125,13 +128,15 @@
 func (m *model) linkEvidence() float64 {
 	return m.remotePairs() * 2 * newsShare * m.remoteExchangeBytes() / 2
 }
-func (m *model) linkPushes() float64 {
-	return float64(m.Hosts) * fanOut / 4 * m.perSecond(m.ChangesPerDay) * (m.slope("push") + packetsPerCall*tcpHeader)
-}
-func (m *model) linkJoins() float64 {
-	return m.perSecond(m.RestartsPerDay) * snapshotPeers / 4 * m.snapshotBytes()
+
+// linkReaders returns the log readers of the region without the log service.
+func (m *model) linkReaders() float64 { return readersPerZone * float64(m.Zones) / 2 }
+
+func (m *model) linkChanges() float64 {
+	return m.linkReaders() * m.perSecond(m.ChangesPerDay) * m.slope("record.change")
 }
-func (m *model) linkCheckpoint() float64 { return float64(m.Hosts) * fanOut / 4 * m.snapshotBytes() }
+
+func (m *model) linkCheckpoint() float64 { return m.linkReaders() * m.snapshotBytes() }
 
 // reprobeTime is the time until each failed host was probed once, when each host
 // probes a random one every 5 s, in nanoseconds.
