--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -26,7 +26,6 @@
 	TargetEjected        Kind = "target_ejected"
 	TargetReturned       Kind = "target_returned"
 	TargetDraining       Kind = "target_draining"
-	TargetGone           Kind = "target_gone"
 	MemberJoined         Kind = "member_joined"
 	MemberSuspected      Kind = "member_suspected"
 	MemberFailed         Kind = "member_failed"
