ingress: separate finding a request's class from serving it

Cause: route was the longest function of the package, passed a flag through a pointer and made a refusal unknown in two places. Change: newRequest finds the class, serve runs the request, the flag is a field. Conclusion: no change of behaviour.

--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -42,6 +42,11 @@
 	call *engine.Call
 	// interrupted tells that this host gave up reading the body of an upload.
 	interrupted atomic.Bool
+	// arrived is the time of the request's arrival.
+	arrived time.Time
+	// decided tells that an outcome of "not run" is certain although the request
+	// may be a repeat.
+	decided bool
 	// mayHaveRun tells that an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	// held is the last complete response that was not passed on yet.
@@ -61,13 +66,18 @@
 // A request with a ticket may be the repeat of one that has run. Until the
 // ticket's table has decided, a refusal of the repeat says nothing about the
 // first one, so its outcome is unknown.
-func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, caller *callerWriter) *Problem {
-	decided := false
-	problem := s.route(w, r, caller, &decided)
-	if problem == nil || decided {
-		return problem
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, caller *callerWriter) (problem *Problem) {
+	q, problem := s.newRequest(w, r, caller)
+	if problem != nil {
+		return undecided(problem, r)
 	}
-	return undecided(problem, r)
+	defer func() {
+		if problem != nil && !q.decided {
+			problem = undecided(problem, r)
+		}
+		q.observe(problem)
+	}()
+	return q.serve()
 }
 
 // undecided makes a refusal unknown if the request carries a ticket.
@@ -84,21 +94,21 @@
 	return problem
 }
 
-// route finds the service and class of a request and runs it. It sets decided
-// when the outcome is certain although the request may be a repeat.
-func (s *Server) route(w http.ResponseWriter, r *http.Request, caller *callerWriter, decided *bool) (problem *Problem) {
+// newRequest finds the service and class of a request under the configuration in
+// force.
+func (s *Server) newRequest(w http.ResponseWriter, r *http.Request, caller *callerWriter) (*request, *Problem) {
 	arrived := time.Now()
 	active := s.active.Load()
 	if active == nil {
-		return s.noConfiguration()
+		return nil, s.noConfiguration()
 	}
 	w.Header().Set(HeaderRevision, strconv.FormatUint(active.Revision, 10))
 	route := active.Routes.Lookup(r.Method, r.URL.Path)
 	if route == nil {
-		return notRun(http.StatusNotFound, "no_route", fmt.Sprintf("no route matches %s %s", r.Method, r.URL.Path))
+		return nil, notRun(http.StatusNotFound, "no_route", fmt.Sprintf("no route matches %s %s", r.Method, r.URL.Path))
 	}
 	backend := active.Backends[route.Service]
-	req := &request{
+	q := &request{
 		server:  s,
 		w:       w,
 		r:       r,
@@ -107,36 +117,37 @@
 		backend: backend,
 		class:   backend.Classes[route.Class],
 		id:      ident.RequestID(s.lastID.Add(1)),
+		metrics: s.metrics.class(route.Service, route.Class),
+		arrived: arrived,
 	}
-	req.wireID = s.idPrefix + strconv.FormatUint(uint64(req.id), 16)
-	w.Header().Set(HeaderRequestID, req.wireID)
-	req.metrics = s.metrics.class(route.Service, route.Class)
-	defer func() {
-		if problem != nil && !*decided {
-			problem = undecided(problem, r)
-		}
-		req.observe(problem)
-	}()
-	if problem := req.readDeadline(arrived); problem != nil {
+	q.wireID = s.idPrefix + strconv.FormatUint(uint64(q.id), 16)
+	w.Header().Set(HeaderRequestID, q.wireID)
+	return q, nil
+}
+
+// serve reads the request and runs it, under its ticket if it has one.
+func (q *request) serve() *Problem {
+	if problem := q.readDeadline(q.arrived); problem != nil {
 		return problem
 	}
-	if problem := req.readBody(); problem != nil {
+	if problem := q.readBody(); problem != nil {
 		return problem
 	}
-	req.admittedAt = time.Now()
-	ctx, cancel := req.context()
+	q.admittedAt = time.Now()
+	ctx, cancel := q.context()
 	defer cancel()
 	// The class does not matter: an earlier revision may have declared the
 	// request as not idempotent when it ran with this ticket.
-	if text, ok := ticketOf(r); ok {
-		tk, err := ticket.Parse(text)
-		*decided = true
-		if err != nil {
-			return notRun(http.StatusBadRequest, "bad_ticket", HeaderTicket+": "+err.Error())
-		}
-		return req.runTicketed(ctx, tk)
+	text, ok := ticketOf(q.r)
+	if !ok {
+		return q.run(ctx, ctx)
+	}
+	q.decided = true
+	tk, err := ticket.Parse(text)
+	if err != nil {
+		return notRun(http.StatusBadRequest, "bad_ticket", HeaderTicket+": "+err.Error())
 	}
-	return req.run(ctx, ctx)
+	return q.runTicketed(ctx, tk)
 }
 
 // ticketOf returns the ticket of a request. An empty header counts as a
