--- a/internal/core/health/decide.go
+++ b/internal/core/health/decide.go
@@ -31,54 +31,74 @@
 		target.drainResponse = now
 		return t.drain(now, target, "response")
 	}
-	weight := t.weight(now)
-	baseline := target.group.longBaseline(target, weight).withRecent(target, now)
-	latency := res.FirstByte
-	if latency <= 0 {
-		latency = time.Duration(now - a.started)
-	}
-	log := target.group.logSeconds(latency)
-	center := &target.group.centers[a.profile]
-	excess := log - center.mean
-	if center.n == 0 {
-		excess = 0
-	}
-	above := excess - baseline.mean - target.slack()
+	r := t.relate(now, a, res)
 	if a.trial {
-		return t.finishTrial(now, a, res, above, baseline.known)
+		return t.finishTrial(now, a, res, r.above, r.baseline.known)
 	}
 	if target.state == Draining {
 		return nil
 	}
-	s := sample{target: target, started: a.started, ended: now, excess: float32(excess)}
 	target.stat.fade(now)
-	switch res.Kind {
+	t.count(now, a, res.Kind, r)
+	return t.evaluate(now, target)
+}
+
+// relation compares an attempt's latency with those of the peers.
+type relation struct {
+	baseline latencyBaseline
+	// weight is that of a result now.
+	weight float64
+	// log is the log latency; excess is what it has above the center of its
+	// profile, and above what it has above the peers, too.
+	log, excess, above float64
+	center             *center
+}
+
+func (t *Tracker) relate(now int64, a *openAttempt, res attempt.Result) relation {
+	g := a.target.group
+	latency := res.FirstByte
+	if latency <= 0 {
+		latency = time.Duration(now - a.started)
+	}
+	r := relation{weight: t.weight(now), log: g.logSeconds(latency), center: &g.centers[a.profile]}
+	r.baseline = g.longBaseline(a.target, r.weight).withRecent(a.target, now)
+	if r.center.n != 0 {
+		r.excess = r.log - r.center.mean
+	}
+	r.above = r.excess - r.baseline.mean - a.target.slack()
+	return r
+}
+
+// count adds the end of an attempt to the statistics and the baselines.
+func (t *Tracker) count(now int64, a *openAttempt, kind attempt.Kind, r relation) {
+	target := a.target
+	s := sample{target: target, started: a.started, ended: now, excess: float32(r.excess)}
+	switch kind {
 	case attempt.Answered:
-		t.succeeded(now, a, excess, above, baseline, weight)
-		t.learn(target, s, true, weight)
+		t.succeeded(now, a, r.excess, r.above, r.baseline, r.weight)
+		t.learn(target, s, true, r.weight)
 		if target.state.inRotation() {
-			center.add(log)
+			r.center.add(r.log)
 		}
-		if baseline.known && target.state == Healthy && float64(target.stat.slow) < maxTailScore*t.threshold {
-			target.group.tail.add(above, weight)
+		if r.baseline.known && target.state == Healthy && float64(target.stat.slow) < maxTailScore*t.threshold {
+			target.group.tail.add(r.above, r.weight)
 		}
 	case attempt.Shed:
 	case attempt.Canceled:
 		t.censored(now, a)
 	case attempt.TimedOut:
-		if baseline.known && target.group.tail.evidence(above, baseline.sigma, weight) < minTimeoutTail {
+		if r.baseline.known && target.group.tail.evidence(r.above, r.baseline.sigma, r.weight) < minTimeoutTail {
 			t.censored(now, a)
-			break
+			return
 		}
 		s.failed = true
 		t.failed(now, a, true)
-		t.learn(target, s, false, weight)
+		t.learn(target, s, false, r.weight)
 	default:
 		s.failed = true
-		t.failed(now, a, res.Kind == attempt.ConnectionLost)
-		t.learn(target, s, false, weight)
+		t.failed(now, a, kind == attempt.ConnectionLost)
+		t.learn(target, s, false, r.weight)
 	}
-	return t.evaluate(now, target)
 }
 
 func (t *Tracker) succeeded(now int64, a *openAttempt, excess, above float64, b latencyBaseline, weight float64) {
