--- a/internal/systemtest/target_test.go
+++ b/internal/systemtest/target_test.go
@@ -13,7 +13,9 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
 )
 
-// countingTarget counts every request for work that reaches it.
+// countingTarget counts every request for work that reaches it. While it drains,
+// it announces so and goes on answering: a refusal would make hosts pause as for
+// any target that sheds, and hide that the announcement is not followed.
 type countingTarget struct {
 	address  string
 	work     atomic.Int64
@@ -34,7 +36,6 @@
 		c.work.Add(1)
 		if c.draining.Load() {
 			w.Header().Set("Sapphirehaven-Draining", "true")
-			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}))
 	t.Cleanup(server.Close)
