--- a/internal/adapter/target/send.go
+++ b/internal/adapter/target/send.go
@@ -239,7 +239,7 @@
 
 // settleWriter ends the writer of a streamed body. When the body was read to
 // its end, the last write gets the given time to finish.
-func (x *exchange) settleWriter(patience time.Duration) {
+func (x *exchange) settleWriter(timeout time.Duration) {
 	if x.writerDone == nil {
 		return
 	}
@@ -247,8 +247,8 @@
 	bodyRead := x.bodyRead
 	x.settled = true
 	x.mu.Unlock()
-	if bodyRead && patience > 0 {
-		x.c.boundWrite(time.Now().Add(patience))
+	if bodyRead && timeout > 0 {
+		x.c.boundWrite(time.Now().Add(timeout))
 		<-x.writerDone
 		return
 	}
--- a/internal/app/spread.go
+++ b/internal/app/spread.go
@@ -30,9 +30,9 @@
 	fanOut = 4
 	// pullLimit is the number of records that are asked for at once.
 	pullLimit = 256
-	// pullPatience is the age of a running pull from which another one may start:
+	// pullTimeout is the age of a running pull from which another one may start:
 	// a host that does not answer holds a pull for 3 s, or a snapshot for 30 s.
-	pullPatience = time.Second
+	pullTimeout = time.Second
 	// maxPulls bounds the pulls that run at once.
 	maxPulls = 4
 	// snapshotPeers is the number of hosts that a starting host asks.
@@ -175,7 +175,7 @@
 
 func (s *spread) pull(h port.Host) {
 	s.mu.Lock()
-	busy := len(s.pulls) > 0 && time.Since(s.pulledAt) < pullPatience
+	busy := len(s.pulls) > 0 && time.Since(s.pulledAt) < pullTimeout
 	if busy || s.pulls[h.PeerAddress] || len(s.pulls) == maxPulls {
 		s.mu.Unlock()
 		return
--- a/internal/core/document/validate_change.go
+++ b/internal/core/document/validate_change.go
@@ -125,7 +125,7 @@
 }
 
 // sameMethods reports whether two routes of the same prefix match the same
-// requests. A route for all methods gives way to one that names a method.
+// requests. A route that names the method takes precedence over one for all methods.
 func (r *Route) sameMethods(o Route) bool {
 	if len(r.Methods) == 0 || len(o.Methods) == 0 {
 		return len(r.Methods) == len(o.Methods)
--- a/internal/core/member/disseminate.go
+++ b/internal/core/member/disseminate.go
@@ -13,7 +13,7 @@
 }
 
 // maxQueued bounds the updates that wait to be passed on. When all hosts of a
-// region change at once, the oldest updates give way; the host list and the
+// region change at once, the oldest updates are dropped; the host list and the
 // hosts' own messages repair what is lost.
 const maxQueued = 4096
 
--- a/internal/core/member/message.go
+++ b/internal/core/member/message.go
@@ -28,7 +28,7 @@
 	// From is the sender.
 	From Info
 	// Subject is the host that a PingRequest asks about, and that an Ack on its
-	// behalf confirms; empty when the sender speaks for itself.
+	// behalf confirms; empty when the sender reports on itself.
 	Subject ident.HostID
 	// SubjectAddress is the peer address of Subject in a PingRequest.
 	SubjectAddress string
