--- a/cmd/sapphirehaven/main.go
+++ b/cmd/sapphirehaven/main.go
@@ -29,18 +29,28 @@
 		fmt.Fprintln(os.Stderr, "sapphirehaven:", err)
 		os.Exit(exitUsage)
 	}
+	run := runOwn
+	if settings.Config != "" {
+		run = runOnPlatform
+	}
 	if err := run(settings); err != nil {
 		fmt.Fprintln(os.Stderr, "sapphirehaven:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func run(settings app.Settings) error {
+// untilStopped returns a context that ends when the process is told to stop.
+func untilStopped() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+// runOwn runs a host with the product's own log, host list and documents.
+func runOwn(settings app.Settings) error {
 	log, err := app.NewLogger(os.Stderr, settings.LogLevel, settings.HostID)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilStopped()
 	defer stop()
 	host, err := app.New(settings, log)
 	if err != nil {
--- a/internal/adapter/ingress/addresses.go
+++ b/internal/adapter/ingress/addresses.go
@@ -60,7 +60,7 @@
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderOutcome, OutcomeAnswered)
+	setHeader(w.Header(), s.cfg.Dialect.Outcome, OutcomeAnswered)
 	w.WriteHeader(http.StatusOK)
 	_ = json.NewEncoder(w).Encode(a)
 }
--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
@@ -65,7 +66,7 @@
 	a := target.Attempt{
 		Address:       endpoint.Address,
 		Method:        q.r.Method,
-		URI:           q.r.URL.RequestURI(),
+		URI:           q.uri(),
 		Host:          q.r.Host,
 		Header:        q.r.Header,
 		Via:           q.server.via,
@@ -74,6 +75,7 @@
 		Idempotent:    q.class.Idempotent,
 		Fresh:         start.Fresh,
 		RequestID:     q.wireID,
+		ExpectTarget:  string(start.Target),
 		Statuses: target.Statuses{
 			Failure: q.backend.Service.Health.FailureStatuses,
 			Shed:    q.backend.Service.Health.ShedStatuses,
@@ -95,6 +97,15 @@
 	return a
 }
 
+// uri returns the request target as the caller sent it. A relayed request has
+// only the parsed form.
+func (q *request) uri() string {
+	if strings.HasPrefix(q.r.RequestURI, "/") {
+		return q.r.RequestURI
+	}
+	return q.r.URL.RequestURI()
+}
+
 // finish reports the end of an attempt. An upload whose body was read in part
 // cannot be sent again, whatever the dispatcher would decide.
 func (q *request) finish(start dispatch.Start, trace *target.Trace, result attempt.Result) {
@@ -112,6 +123,9 @@
 	if trace.Draining {
 		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, Draining: true, ByResponse: true})
 	}
+	if load := trace.Load; load != nil {
+		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, InFlight: load.InFlight, Slots: load.Slots})
+	}
 	q.backend.Engine.Finish(start.Attempt, result)
 }
 
@@ -196,8 +210,8 @@
 func (q *request) copyHeader(from http.Header) {
 	to := q.w.Header()
 	copyHeader(to, from)
-	to.Set(HeaderRequestID, q.wireID)
-	to.Set(HeaderOutcome, OutcomeAnswered)
+	to.Set(q.server.cfg.Dialect.RequestID, q.wireID)
+	setHeader(to, q.server.cfg.Dialect.Outcome, OutcomeAnswered)
 }
 
 // failed ends a request whose last attempt failed.
@@ -208,6 +222,8 @@
 	switch a.Result.Kind {
 	case attempt.ServerError:
 		return q.passOn(a.Attempt)
+	case attempt.Shed, attempt.Draining:
+		return unknown(http.StatusBadGateway, a.Result.Kind.String(), "the target refused the request without saying that it did not run")
 	case attempt.TimedOut, attempt.Canceled:
 		return unknown(http.StatusGatewayTimeout, a.Result.Kind.String(), "no complete response arrived in time; the request may have run")
 	default:
--- a/internal/adapter/ingress/metrics.go
+++ b/internal/adapter/ingress/metrics.go
@@ -109,7 +109,7 @@
 	case problem != nil:
 		outcome = problem.Outcome
 	case !q.aborted:
-		outcome = q.w.Header().Get(HeaderOutcome)
+		outcome = q.sentOutcome()
 	}
 	q.metrics.request(outcome)
 	if !q.admittedAt.IsZero() {
@@ -117,6 +117,15 @@
 	}
 }
 
+// sentOutcome returns the outcome of a request that ended with a response other
+// than a problem. A dialect without the header has no relayed outcomes.
+func (q *request) sentOutcome() string {
+	if name := q.server.cfg.Dialect.Outcome; name != "" {
+		return q.w.Header().Get(name)
+	}
+	return OutcomeAnswered
+}
+
 // Metrics returns the metrics of the data path, to be registered once.
 func (s *Server) Metrics() *metrics.Set { return s.metrics.set }
 
--- a/internal/adapter/ingress/metrics_test.go
+++ b/internal/adapter/ingress/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 	"os"
 	"regexp"
 	"strings"
@@ -16,9 +17,9 @@
 	h, _ := newAcross(t, standin.LinkConfig{}, 0)
 	h.expect(t, 200, OutcomeAnswered, "GET", "/lookup", "")
 	h.expect(t, 200, OutcomeAnswered, "GET", "/lookup", "")
-	h.expect(t, 400, OutcomeNotRun, "GET", "/lookup", "", HeaderDeadline, "x")
+	h.expect(t, 400, OutcomeNotRun, "GET", "/lookup", "", dialect.Own().Deadline, "x")
 	h.expect(t, 404, OutcomeNotRun, "GET", "/nowhere", "")
-	h.expect(t, 400, OutcomeUnknown, "POST", "/order", "x", HeaderDeadline, "x", HeaderTicket, h.tickets.draw(t))
+	h.expect(t, 400, OutcomeUnknown, "POST", "/order", "x", dialect.Own().Deadline, "x", dialect.Own().Ticket, h.tickets.draw(t))
 	h.Activate(newActive(h.engine, []string{serveRaw(t, respondOnce("")).address}))
 	h.expect(t, 502, OutcomeUnknown, "POST", "/order", "x")
 	h.idle(t)
--- a/internal/adapter/ingress/problem.go
+++ b/internal/adapter/ingress/problem.go
@@ -6,18 +6,11 @@
 	"net/http"
 	"strconv"
 	"time"
-)
 
-// Headers of the caller interface.
-const (
-	HeaderOutcome   = "Sapphirehaven-Outcome"
-	HeaderRequestID = "Sapphirehaven-Request-Id"
-	HeaderRevision  = "Sapphirehaven-Revision"
-	HeaderDeadline  = "Sapphirehaven-Deadline-Ms"
-	HeaderTicket    = "Sapphirehaven-Ticket"
+	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 )
 
-// Values of HeaderOutcome.
+// Values of the outcome header.
 const (
 	// OutcomeAnswered: the response is the target's complete response.
 	OutcomeAnswered = "answered"
@@ -49,7 +42,7 @@
 
 func unavailable(name, detail string, retryAfter time.Duration) *Problem {
 	p := notRun(http.StatusServiceUnavailable, name, detail)
-	p.RetryAfter = max(retryAfter, time.Second)
+	p.RetryAfter = retryAfter
 	return p
 }
 
@@ -58,15 +51,59 @@
 }
 
 // write sends the problem as the response.
-func (p *Problem) write(w http.ResponseWriter) {
+func (p *Problem) write(w http.ResponseWriter, d *dialect.Dialect) {
+	body := *p
+	body.Type = problemTypePrefix + p.Type
+	if d.StatusTellsOutcome {
+		body.Status = statusOf(p)
+		body.Title = http.StatusText(body.Status)
+	}
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
-	h.Set(HeaderOutcome, p.Outcome)
-	if p.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	setHeader(h, d.Outcome, p.Outcome)
+	if body.Status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", retryAfter(p.RetryAfter, d.FractionalRetryAfter))
 	}
-	w.WriteHeader(p.Status)
-	body := *p
-	body.Type = problemTypePrefix + p.Type
+	w.WriteHeader(body.Status)
 	_ = json.NewEncoder(w).Encode(body)
 }
+
+// statusOf returns a status that tells callers without the outcome header whether
+// the request ran: 503 promises that it did not, 502 and 504 promise nothing.
+func statusOf(p *Problem) int {
+	switch {
+	case p.Outcome == OutcomeNotRun && p.Status >= http.StatusInternalServerError && p.Status != http.StatusHTTPVersionNotSupported:
+		return http.StatusServiceUnavailable
+	case p.Outcome != OutcomeNotRun && promisesNotRun(p.Status):
+		return http.StatusBadGateway
+	}
+	return p.Status
+}
+
+// promisesNotRun tells whether a status alone says that a request was not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// minRetryAfter keeps callers from coming back at once.
+const minRetryAfter = 50 * time.Millisecond
+
+// retryAfter formats a wait in seconds. Without fractions it is rounded up, and
+// at least a second.
+func retryAfter(wait time.Duration, fractions bool) string {
+	if fractions {
+		return strconv.FormatFloat(max(wait, minRetryAfter).Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(max(1, int(math.Ceil(wait.Seconds()))))
+}
+
+// setHeader sets a header of the dialect, if it has it.
+func setHeader(h http.Header, name, value string) {
+	if name != "" {
+		h.Set(name, value)
+	}
+}
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -69,11 +69,11 @@
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, caller *callerWriter) (problem *Problem) {
 	q, problem := s.newRequest(w, r, caller)
 	if problem != nil {
-		return undecided(problem, r)
+		return s.undecided(problem, r)
 	}
 	defer func() {
 		if problem != nil && !q.decided {
-			problem = undecided(problem, r)
+			problem = s.undecided(problem, r)
 		}
 		q.observe(problem)
 	}()
@@ -81,8 +81,8 @@
 }
 
 // undecided makes a refusal unknown if the request carries a ticket.
-func undecided(problem *Problem, r *http.Request) *Problem {
-	if _, ok := ticketOf(r); !ok {
+func (s *Server) undecided(problem *Problem, r *http.Request) *Problem {
+	if _, ok := s.ticketOf(r); !ok {
 		return problem
 	}
 	problem.Outcome = OutcomeUnknown
@@ -102,12 +102,21 @@
 	if active == nil {
 		return nil, s.noConfiguration()
 	}
-	w.Header().Set(HeaderRevision, strconv.FormatUint(active.Revision, 10))
-	route := active.Routes.Lookup(r.Method, r.URL.Path)
-	if route == nil {
-		return nil, notRun(http.StatusNotFound, "no_route", fmt.Sprintf("no route matches %s %s", r.Method, r.URL.Path))
+	setHeader(w.Header(), s.cfg.Dialect.Revision, strconv.FormatUint(active.Revision, 10))
+	rt := active.Routes.Lookup(r.Host, r.Method, r.URL.Path)
+	if rt == nil {
+		return nil, notRun(http.StatusNotFound, "no_route", fmt.Sprintf("no route matches %s %s of host %s", r.Method, r.URL.Path, r.Host))
 	}
-	backend := active.Backends[route.Service]
+	id := ident.RequestID(s.lastID.Add(1))
+	wireID, problem := s.wireID(r, id)
+	if problem != nil {
+		return nil, problem
+	}
+	service := rt.Service
+	if len(rt.Split) > 0 {
+		service = s.splits.choose(rt)
+	}
+	backend := active.Backends[service]
 	q := &request{
 		server:  s,
 		w:       w,
@@ -115,16 +124,28 @@
 		caller:  caller,
 		active:  active,
 		backend: backend,
-		class:   backend.Classes[route.Class],
-		id:      ident.RequestID(s.lastID.Add(1)),
-		metrics: s.metrics.class(route.Service, route.Class),
+		class:   backend.Classes[rt.Class],
+		id:      id,
+		wireID:  wireID,
+		metrics: s.metrics.class(service, rt.Class),
 		arrived: arrived,
 	}
-	q.wireID = s.idPrefix + strconv.FormatUint(uint64(q.id), 16)
-	w.Header().Set(HeaderRequestID, q.wireID)
+	w.Header().Set(s.cfg.Dialect.RequestID, q.wireID)
 	return q, nil
 }
 
+// wireID returns the ID that targets and callers see.
+func (s *Server) wireID(r *http.Request, id ident.RequestID) (string, *Problem) {
+	if !s.cfg.Dialect.CallerNamesRequests {
+		return s.idPrefix + strconv.FormatUint(uint64(id), 16), nil
+	}
+	name := s.cfg.Dialect.RequestID
+	if given := r.Header.Get(name); given != "" {
+		return given, nil
+	}
+	return "", notRun(http.StatusBadRequest, "no_request_id", "the header "+name+" is missing")
+}
+
 // serve reads the request and runs it, under its ticket if it has one.
 func (q *request) serve() *Problem {
 	if problem := q.readDeadline(q.arrived); problem != nil {
@@ -138,22 +159,22 @@
 	defer cancel()
 	// The class does not matter: an earlier revision may have declared the
 	// request as not idempotent when it ran with this ticket.
-	text, ok := ticketOf(q.r)
+	text, ok := q.server.ticketOf(q.r)
 	if !ok {
 		return q.run(ctx, ctx)
 	}
 	q.decided = true
 	tk, err := ticket.Parse(text)
 	if err != nil {
-		return notRun(http.StatusBadRequest, "bad_ticket", HeaderTicket+": "+err.Error())
+		return notRun(http.StatusBadRequest, "bad_ticket", q.server.cfg.Dialect.Ticket+": "+err.Error())
 	}
 	return q.runTicketed(ctx, tk)
 }
 
 // ticketOf returns the ticket of a request. An empty header counts as a
 // malformed ticket: its caller wants the protection that a ticket gives.
-func ticketOf(r *http.Request) (text string, ok bool) {
-	values, ok := r.Header[HeaderTicket]
+func (s *Server) ticketOf(r *http.Request) (text string, ok bool) {
+	values, ok := r.Header[s.cfg.Dialect.Ticket]
 	if !ok || len(values) == 0 {
 		return "", false
 	}
@@ -166,13 +187,17 @@
 
 func (q *request) readDeadline(arrived time.Time) *Problem {
 	left := time.Duration(q.class.Deadline)
-	if value := q.r.Header.Get(HeaderDeadline); value != "" {
+	name := q.server.cfg.Dialect.Deadline
+	if value := q.r.Header.Get(name); value != "" {
 		ms, err := strconv.ParseInt(value, 10, 64)
 		if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
-			return notRun(http.StatusBadRequest, "bad_deadline", fmt.Sprintf("%s is %q, want 1 to %d milliseconds", HeaderDeadline, value, maxDeadline.Milliseconds()))
+			return notRun(http.StatusBadRequest, "bad_deadline", fmt.Sprintf("%s is %q, want 1 to %d milliseconds", name, value, maxDeadline.Milliseconds()))
 		}
 		left = time.Duration(ms) * time.Millisecond
 	}
+	if timeout := time.Duration(q.class.Timeout); timeout > 0 {
+		left = min(left, timeout)
+	}
 	q.deadline = arrived.Add(left)
 	return nil
 }
--- a/internal/adapter/ingress/review_upload_test.go
+++ b/internal/adapter/ingress/review_upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 	"io"
 	"net"
 	"net/http"
@@ -35,8 +36,8 @@
 			t.Fatal(err)
 		}
 		body, _ := io.ReadAll(res.Body)
-		if res.StatusCode != http.StatusForbidden || res.Header.Get(HeaderOutcome) != OutcomeAnswered || string(body) != "no" {
-			t.Errorf("body %s after the header: status %d outcome %s body %q", pause, res.StatusCode, res.Header.Get(HeaderOutcome), body)
+		if res.StatusCode != http.StatusForbidden || res.Header.Get(dialect.Own().Outcome) != OutcomeAnswered || string(body) != "no" {
+			t.Errorf("body %s after the header: status %d outcome %s body %q", pause, res.StatusCode, res.Header.Get(dialect.Own().Outcome), body)
 		}
 	}
 }
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -10,6 +10,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
+	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 	"github.com/sapphirehaven/sapphirehaven/internal/engine"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
@@ -38,6 +39,8 @@
 	Members       Members
 	Tickets       Tickets
 	Recorder      engine.Recorder
+	// Dialect is what callers speak; default the product's own.
+	Dialect dialect.Dialect
 	// WriteTimeout is the longest time in which a caller may accept no 64 KiB
 	// of its response; default 30 s.
 	WriteTimeout time.Duration
@@ -53,8 +56,10 @@
 	active   atomic.Pointer[Active]
 	draining atomic.Bool
 	inFlight atomic.Int64
+	arrived  atomic.Uint64
 	lastID   atomic.Uint64
 	metrics  *serverMetrics
+	splits   *splits
 	// via and idPrefix are parts of every request to a target.
 	via, idPrefix string
 }
@@ -65,8 +70,13 @@
 	if cfg.WriteTimeout <= 0 {
 		cfg.WriteTimeout = defaultWriteTimeout
 	}
-	s := &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder), metrics: newServerMetrics()}
-	s.via = "1.1 " + string(cfg.Host)
+	if cfg.Dialect == (dialect.Dialect{}) {
+		cfg.Dialect = dialect.Own()
+	}
+	s := &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder), metrics: newServerMetrics(), splits: newSplits(cfg.Host)}
+	if cfg.Dialect.Via {
+		s.via = "1.1 " + string(cfg.Host)
+	}
 	s.idPrefix = fmt.Sprintf("%s-%x-", cfg.Host, uint64(cfg.Incarnation))
 	s.metrics.set.RegisterMetricsWriter(s.writeMetrics)
 	return s
@@ -84,8 +94,12 @@
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
+// Requests returns the number of requests that arrived so far.
+func (s *Server) Requests() uint64 { return s.arrived.Load() }
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(response http.ResponseWriter, r *http.Request) {
+	s.arrived.Add(1)
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	w := newCallerWriter(response, r, s.cfg.WriteTimeout)
@@ -96,7 +110,7 @@
 	if r.ProtoMajor == 1 && r.ProtoMinor == 0 {
 		// An HTTP/1.0 caller could not tell a truncated response from a
 		// complete one.
-		s.refuse(w, undecided(notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required"), r))
+		s.refuse(w, s.undecided(notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required"), r))
 		return
 	}
 	if name, ok := strings.CutPrefix(r.URL.Path, pathPrefix); ok {
@@ -104,7 +118,7 @@
 		return
 	}
 	if problem := s.serveRequest(w, r, w); problem != nil {
-		s.events.note(problem, w.Header().Get(HeaderRequestID))
+		s.events.note(problem, w.Header().Get(s.cfg.Dialect.RequestID))
 		s.refuse(w, problem)
 	}
 }
@@ -112,7 +126,7 @@
 // refuse sends a problem and counts it.
 func (s *Server) refuse(w http.ResponseWriter, problem *Problem) {
 	s.metrics.refused(problem)
-	problem.write(w)
+	problem.write(w, &s.cfg.Dialect)
 }
 
 func (s *Server) serveOwn(w http.ResponseWriter, r *http.Request, name string) {
--- a/internal/adapter/ingress/tickets.go
+++ b/internal/adapter/ingress/tickets.go
@@ -53,7 +53,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderOutcome, OutcomeAnswered)
+	setHeader(w.Header(), s.cfg.Dialect.Outcome, OutcomeAnswered)
 	w.WriteHeader(http.StatusOK)
 	_ = json.NewEncoder(w).Encode(issued)
 }
@@ -86,16 +86,16 @@
 	w := &memoryWriter{header: http.Header{}}
 	req, err := relayedRequest(ctx, r)
 	if err != nil {
-		unknown(http.StatusBadRequest, "bad_request", "the relayed request is malformed").write(w)
+		unknown(http.StatusBadRequest, "bad_request", "the relayed request is malformed").write(w, &s.cfg.Dialect)
 		return w.response()
 	}
 	req.Header = r.Header
 	req.Host = r.Host
-	req.Header.Set(HeaderTicket, r.Ticket)
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(r.TimeLeft.Milliseconds(), 1), 10))
+	req.Header.Set(s.cfg.Dialect.Ticket, r.Ticket)
+	req.Header.Set(s.cfg.Dialect.Deadline, strconv.FormatInt(max(r.TimeLeft.Milliseconds(), 1), 10))
 	if !s.serveRecovering(w, req) {
 		w = &memoryWriter{header: http.Header{}}
-		unknown(http.StatusBadGateway, "response_broke_off", "the response broke off; the request may have run").write(w)
+		unknown(http.StatusBadGateway, "response_broke_off", "the response broke off; the request may have run").write(w, &s.cfg.Dialect)
 	}
 	return w.response()
 }
@@ -143,7 +143,7 @@
 	case ticket.Elsewhere:
 		return q.relay(ctx, tk, admission)
 	}
-	return verdictProblem(admission.Verdict)
+	return q.server.verdictProblem(admission.Verdict)
 }
 
 // digestHeaders declare a hash of the body.
@@ -182,7 +182,7 @@
 		end.Outcome = coreOutcome(problem.Outcome)
 		return problem
 	}
-	end.Outcome = coreOutcome(recorder.Header().Get(HeaderOutcome))
+	end.Outcome = coreOutcome(recorder.Header().Get(q.server.cfg.Dialect.Outcome))
 	if end.Outcome == outcome.Answered {
 		end.Response = recorder.stored()
 	}
@@ -206,7 +206,7 @@
 	for _, line := range stored.Headers {
 		h.Add(line.Name, line.Value)
 	}
-	h.Set(HeaderOutcome, OutcomeAnswered)
+	setHeader(h, q.server.cfg.Dialect.Outcome, OutcomeAnswered)
 	q.w.WriteHeader(stored.Status)
 	_, _ = q.w.Write(stored.Body)
 }
@@ -246,7 +246,7 @@
 }
 
 // verdictProblem says why a request with a ticket does not run.
-func verdictProblem(v ticket.Verdict) *Problem {
+func (s *Server) verdictProblem(v ticket.Verdict) *Problem {
 	switch v {
 	case ticket.InProgress:
 		return unknown(http.StatusConflict, "in_progress", "the first request with this ticket is still running; ask again")
@@ -263,7 +263,7 @@
 		// same request, so this may be the repeat of one that has run.
 		return unknown(http.StatusUnprocessableEntity, "ticket_of_other_request", "the ticket was used for a request with another method, path or body")
 	case ticket.Invalid:
-		return notRun(http.StatusBadRequest, "bad_ticket", HeaderTicket+": the ticket was not issued by the host that it names")
+		return notRun(http.StatusBadRequest, "bad_ticket", s.cfg.Dialect.Ticket+": the ticket was not issued by the host that it names")
 	case ticket.Expired:
 		return unknown(http.StatusGone, "ticket_expired", "the ticket has expired and its outcome is not stored any more")
 	default:
--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
@@ -52,8 +53,8 @@
 func (c *Client) Close() { _ = c.pool.Close() }
 
 // conn returns a connection that is dialed at its first call.
-func (c *Client) conn(ctx context.Context, address string, unreachable *error) peerpb.DRPCPeerClient {
-	pooled := c.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string, unreachable *error) drpc.Conn {
+	return c.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
 		dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
 		sock, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
@@ -62,11 +63,23 @@
 		}
 		return drpcconn.New(countingConn{sock}), nil
 	})
-	return peerpb.NewDRPCPeerClient(pooled)
 }
 
 // invoke makes one call with a connection of the pool.
 func (c *Client) invoke(ctx context.Context, address string, call func(context.Context, peerpb.DRPCPeerClient) (*peerpb.Sender, error)) error {
+	return c.invokeConn(ctx, address, func(ctx context.Context, conn drpc.Conn) (*peerpb.Sender, error) {
+		return call(ctx, peerpb.NewDRPCPeerClient(conn))
+	})
+}
+
+// invokeFleet makes one call to the fleet service of a host.
+func (c *Client) invokeFleet(ctx context.Context, address string, call func(context.Context, peerpb.DRPCFleetClient) (*peerpb.Sender, error)) error {
+	return c.invokeConn(ctx, address, func(ctx context.Context, conn drpc.Conn) (*peerpb.Sender, error) {
+		return call(ctx, peerpb.NewDRPCFleetClient(conn))
+	})
+}
+
+func (c *Client) invokeConn(ctx context.Context, address string, call func(context.Context, drpc.Conn) (*peerpb.Sender, error)) error {
 	var unreachable error
 	from, err := call(ctx, c.conn(ctx, address, &unreachable))
 	if unreachable != nil {
@@ -112,7 +125,12 @@
 	return data, err
 }
 
-func receiveSnapshot(stream peerpb.DRPCPeer_SnapshotClient) ([]byte, *peerpb.Sender, error) {
+// chunkReceiver is the receiving end of a stream of chunks.
+type chunkReceiver interface {
+	Recv() (*peerpb.SnapshotChunk, error)
+}
+
+func receiveSnapshot(stream chunkReceiver) ([]byte, *peerpb.Sender, error) {
 	var data []byte
 	for {
 		chunk, err := stream.Recv()
--- /dev/null
+++ b/internal/adapter/peer/convert_fleet.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
+	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+func toState(s roster.State) *peerpb.RegistryState {
+	return &peerpb.RegistryState{
+		ConfigVersion:  s.ConfigVersion,
+		TargetsChanged: s.TargetsChanged,
+		HostsHash:      s.HostsHash,
+		AgeMs:          s.Age.Milliseconds(),
+	}
+}
+
+func fromState(pb *peerpb.RegistryState) roster.State {
+	return roster.State{
+		ConfigVersion:  pb.GetConfigVersion(),
+		TargetsChanged: pb.GetTargetsChanged(),
+		HostsHash:      pb.GetHostsHash(),
+		Age:            max(0, time.Duration(pb.GetAgeMs())*time.Millisecond),
+	}
+}
+
+func toRegisteredHost(h registry.Host) *peerpb.RegisteredHost {
+	return &peerpb.RegisteredHost{
+		Id:            string(h.ID),
+		Incarnation:   uint64(h.Incarnation),
+		Region:        string(h.Location.Region),
+		Zone:          string(h.Location.Zone),
+		CallerAddress: h.CallerAddress,
+		PeerAddress:   h.PeerAddress,
+		Millicores:    int32(h.Millicores),
+	}
+}
+
+func fromRegisteredHost(pb *peerpb.RegisteredHost) registry.Host {
+	return registry.Host{
+		ID:            ident.HostID(pb.GetId()),
+		Incarnation:   ident.Incarnation(pb.GetIncarnation()),
+		Location:      ident.Location{Region: ident.Region(pb.GetRegion()), Zone: ident.Zone(pb.GetZone())},
+		CallerAddress: pb.GetCallerAddress(),
+		PeerAddress:   pb.GetPeerAddress(),
+		Millicores:    int(pb.GetMillicores()),
+	}
+}
+
+func fromBeacon(pb *peerpb.Beacon) roster.Beacon {
+	b := roster.Beacon{From: fromRegisteredHost(pb.GetHost()), State: fromState(pb.GetState())}
+	for _, id := range pb.GetActive() {
+		b.Active = append(b.Active, ident.HostID(id))
+	}
+	return b
+}
+
+func toObservations(list []port.TargetObservation) *peerpb.Observations {
+	pb := &peerpb.Observations{}
+	for _, o := range list {
+		pb.Targets = append(pb.Targets, &peerpb.TargetObservation{
+			Service:   string(o.Service),
+			Target:    string(o.Target),
+			Successes: uint32(o.Successes),
+			Failures:  uint32(o.Failures),
+			InFlight:  uint32(o.InFlight),
+		})
+	}
+	return pb
+}
+
+func fromObservations(pb *peerpb.Observations) []port.TargetObservation {
+	list := make([]port.TargetObservation, 0, len(pb.GetTargets()))
+	for _, o := range pb.GetTargets() {
+		list = append(list, port.TargetObservation{
+			Service:   ident.ServiceName(o.GetService()),
+			Target:    ident.TargetID(o.GetTarget()),
+			Successes: int(o.GetSuccesses()),
+			Failures:  int(o.GetFailures()),
+			InFlight:  int(o.GetInFlight()),
+		})
+	}
+	return list
+}
+
+func toRegistry(c port.RegistryCopy) (*peerpb.Registry, error) {
+	pb := &peerpb.Registry{
+		State:                 toState(c.State),
+		TargetsPosition:       c.TargetsPosition,
+		ConfigurationPosition: c.ConfigurationPosition,
+	}
+	if c.Configuration != nil {
+		data, err := json.Marshal(c.Configuration)
+		if err != nil {
+			return nil, errors.Wrap(err, "peer: configuration")
+		}
+		pb.Configuration = data
+	}
+	for _, r := range c.Targets {
+		pb.Targets = append(pb.Targets, toRegisteredTarget(r))
+	}
+	for _, h := range c.Hosts {
+		pb.Hosts = append(pb.Hosts, toRegisteredHost(h))
+	}
+	return pb, nil
+}
+
+func fromRegistry(pb *peerpb.Registry) (port.RegistryCopy, error) {
+	c := port.RegistryCopy{
+		State:                 fromState(pb.GetState()),
+		TargetsPosition:       pb.GetTargetsPosition(),
+		ConfigurationPosition: pb.GetConfigurationPosition(),
+	}
+	if len(pb.GetConfiguration()) > 0 {
+		c.Configuration = &registry.Configuration{}
+		if err := json.Unmarshal(pb.GetConfiguration(), c.Configuration); err != nil {
+			return c, errors.Wrap(err, "peer: configuration")
+		}
+	}
+	for _, t := range pb.GetTargets() {
+		c.Targets = append(c.Targets, fromRegisteredTarget(t))
+	}
+	for _, h := range pb.GetHosts() {
+		c.Hosts = append(c.Hosts, fromRegisteredHost(h))
+	}
+	return c, nil
+}
+
+func toRegisteredTarget(r registry.TargetRecord) *peerpb.RegisteredTarget {
+	pb := &peerpb.RegisteredTarget{Id: string(r.ID), Offset: r.Offset, Gone: r.Target == nil}
+	if t := r.Target; t != nil {
+		pb.Service, pb.Address, pb.Zone, pb.Version = string(t.Service), t.Address, string(t.Zone), t.Version
+		pb.Slots, pb.Draining = int32(t.Slots), t.Draining
+		pb.WarmUpLeftMs, pb.BornMs = t.WarmUpLeft.Milliseconds(), t.Born
+	}
+	return pb
+}
+
+func fromRegisteredTarget(pb *peerpb.RegisteredTarget) registry.TargetRecord {
+	r := registry.TargetRecord{ID: ident.TargetID(pb.GetId()), Offset: pb.GetOffset()}
+	if pb.GetGone() {
+		return r
+	}
+	r.Target = &registry.Target{
+		ID:         r.ID,
+		Service:    ident.ServiceName(pb.GetService()),
+		Address:    pb.GetAddress(),
+		Zone:       ident.Zone(pb.GetZone()),
+		Version:    pb.GetVersion(),
+		Slots:      int(pb.GetSlots()),
+		Draining:   pb.GetDraining(),
+		WarmUpLeft: time.Duration(pb.GetWarmUpLeftMs()) * time.Millisecond,
+		Born:       pb.GetBornMs(),
+	}
+	return r
+}
--- a/internal/adapter/peer/datagram.go
+++ b/internal/adapter/peer/datagram.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,48 +13,32 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
 )
 
-// MaxDatagramBytes bounds a datagram, so that no network on the way splits it.
-const MaxDatagramBytes = 1200
-
 // Datagrams sends and receives the messages of the membership protocol.
 type Datagrams struct {
 	identity Identity
-	sock     *net.UDPConn
+	sock     socket
 }
 
 // ListenDatagrams opens the UDP socket.
 func ListenDatagrams(address string, identity Identity) (*Datagrams, error) {
-	at, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "peer")
-	}
-	sock, err := net.ListenUDP("udp", at)
+	sock, err := listenSocket(address)
 	if err != nil {
-		return nil, errors.Wrap(err, "peer")
+		return nil, err
 	}
 	return &Datagrams{identity: identity, sock: sock}, nil
 }
 
 // Close closes the socket; Receive then returns.
-func (d *Datagrams) Close() { _ = d.sock.Close() }
+func (d *Datagrams) Close() { d.sock.close() }
 
 // Send sends a message. Updates that do not fit into a datagram are left out;
 // they travel again on later messages.
 func (d *Datagrams) Send(address string, m member.Message) error {
-	to, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return errors.Wrap(err, "peer")
-	}
 	data, err := d.encode(m)
 	if err != nil {
 		return err
 	}
-	if _, err = d.sock.WriteToUDP(data, to); err != nil {
-		return errors.Wrap(err, "peer")
-	}
-	udpBytesSent.Add(len(data))
-	udpMessagesSent.Inc()
-	return nil
+	return d.sock.send(address, data)
 }
 
 func (d *Datagrams) encode(m member.Message) ([]byte, error) {
@@ -74,28 +57,18 @@
 // Receive hands every valid message to handle until ctx ends or the socket is
 // closed.
 func (d *Datagrams) Receive(ctx context.Context, handle func(member.Message)) {
-	buffer := make([]byte, MaxDatagramBytes+1)
-	for ctx.Err() == nil {
-		n, _, err := d.sock.ReadFromUDP(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		udpBytesReceived.Add(n)
-		if err != nil || n > MaxDatagramBytes {
-			continue
-		}
-		udpMessagesReceived.Inc()
+	d.sock.receive(ctx, func(data []byte) {
 		pb := &peerpb.Membership{}
-		if proto.Unmarshal(buffer[:n], pb) != nil {
-			continue
+		if !unmarshal(data, pb) {
+			return
 		}
 		m, ok := fromMembership(pb)
 		if !ok {
-			continue
+			return
 		}
 		d.identity.Observe(event.Stamp{WallMicros: pb.GetWallUs(), Logical: pb.GetLogical()})
 		handle(m)
-	}
+	})
 }
 
 func toMembership(m member.Message) *peerpb.Membership {
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -58,14 +58,24 @@
 	if err != nil {
 		return err
 	}
+	return sendChunks(stream, s.identity, data)
+}
+
+// chunkSender is the sending end of a stream of chunks.
+type chunkSender interface {
+	Send(*peerpb.SnapshotChunk) error
+}
+
+// sendChunks sends data in chunks, with a checksum of the whole on the last one.
+func sendChunks(stream chunkSender, identity Identity, data []byte) error {
 	checksum := sha256.Sum256(data)
 	for len(data) > snapshotChunkBytes {
-		if err := stream.Send(&peerpb.SnapshotChunk{Sender: sender(s.identity), Data: data[:snapshotChunkBytes]}); err != nil {
+		if err := stream.Send(&peerpb.SnapshotChunk{Sender: sender(identity), Data: data[:snapshotChunkBytes]}); err != nil {
 			return err
 		}
 		data = data[snapshotChunkBytes:]
 	}
-	return stream.Send(&peerpb.SnapshotChunk{Sender: sender(s.identity), Data: data, Checksum: checksum[:]})
+	return stream.Send(&peerpb.SnapshotChunk{Sender: sender(identity), Data: data, Checksum: checksum[:]})
 }
 
 func (s *server) Push(_ context.Context, in *peerpb.PushRequest) (*peerpb.PushResponse, error) {
--- a/internal/adapter/target/attempt.go
+++ b/internal/adapter/target/attempt.go
@@ -61,7 +61,9 @@
 	// RequestID, if set, is sent and compared with the one that the response
 	// carries, if any.
 	RequestID string
-	Statuses  Statuses
+	// ExpectTarget, if set, names the only target that may run the request.
+	ExpectTarget string
+	Statuses     Statuses
 	// MinBodyBytesPerSecond is the rate below which the caller is too slow;
 	// 0 disables the check.
 	MinBodyBytesPerSecond int64
@@ -97,6 +99,8 @@
 	BodyBytesRead int64
 	// Draining tells that the target announced that it is draining.
 	Draining bool
+	// Load is what the response said about the target's load, nil if nothing.
+	Load *Load
 }
 
 // validate refuses what would change the framing of the request.
--- a/internal/adapter/target/config.go
+++ b/internal/adapter/target/config.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 )
 
 // Config holds the settings of a Transport. Start from DefaultConfig.
@@ -52,6 +54,12 @@
 	// CrossRegionBytesPerSecond paces request bodies across regions, shared by
 	// all uploads of the host; default 0, no pacing.
 	CrossRegionBytesPerSecond int64
+	// BodyFlushWait is how long the rest of a request body may take after a
+	// complete response; the connection is closed when it takes longer.
+	// Default 1 s.
+	BodyFlushWait time.Duration
+	// Dialect is what targets speak; default the product's own.
+	Dialect dialect.Dialect
 	// Dial opens a connection; default TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -74,6 +82,8 @@
 		KeepAlive:          15 * time.Second,
 		UserTimeout:        5 * time.Second,
 		ProbeTimeout:       time.Second,
+		BodyFlushWait:      time.Second,
+		Dialect:            dialect.Own(),
 	}
 }
 
--- a/internal/adapter/target/conn.go
+++ b/internal/adapter/target/conn.go
@@ -3,6 +3,9 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,6 +26,9 @@
 	lastResponse time.Time
 	idleSince    time.Time
 	generation   uint64
+	// keepAlive is how long the target keeps the connection idle, as it said in
+	// its latest response; 0 if it did not.
+	keepAlive time.Duration
 
 	mu          sync.Mutex
 	interrupted bool
@@ -34,6 +40,21 @@
 	return c
 }
 
+// keepAliveReserve is how much earlier than the target a host gives up an idle
+// connection, so that no request meets the target's close.
+const keepAliveReserve = time.Second
+
+// readKeepAlive takes the idle timeout that a response announces.
+func (c *conn) readKeepAlive(h http.Header) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			c.keepAlive = max(time.Millisecond, time.Duration(seconds)*time.Second-keepAliveReserve)
+		}
+	}
+}
+
 // connReader feeds the buffer and enforces the bound of the response head.
 type connReader struct{ c *conn }
 
--- a/internal/adapter/target/header.go
+++ b/internal/adapter/target/header.go
@@ -7,14 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
-)
 
-// Headers of the protocol between hosts and targets.
-const (
-	headerRequestID = "Sapphirehaven-Request-Id"
-	headerDeadline  = "Sapphirehaven-Deadline-Ms"
-	headerDraining  = "Sapphirehaven-Draining"
-	headerTicket    = "Sapphirehaven-Ticket"
+	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 )
 
 // hopByHop lists headers that concern one connection (RFC 9110, section 7.6.1).
@@ -36,9 +30,9 @@
 
 // notForwarded tells whether a header of the caller is not sent: hop-by-hop
 // headers, and those that follow from the attempt.
-func notForwarded(name string) bool {
+func notForwarded(d *dialect.Dialect, name string) bool {
 	switch name {
-	case "Host", "Content-Length", "Expect", headerTicket, headerDeadline, headerRequestID:
+	case "Host", "Content-Length", "Expect", d.Ticket, d.Deadline, d.RequestID, d.ExpectTarget:
 		return true
 	}
 	return slices.Contains(hopByHop, name)
@@ -59,11 +53,11 @@
 
 // appendRequestHeader appends the header of an attempt, without Host. The
 // framing headers follow from the attempt and never from the caller.
-func appendRequestHeader(b []byte, a *Attempt, remaining time.Duration) []byte {
+func appendRequestHeader(b []byte, d *dialect.Dialect, a *Attempt, remaining time.Duration) []byte {
 	named := connectionHeaders(a.Header)
 	for name, values := range a.Header {
 		name = textproto.CanonicalMIMEHeaderKey(name)
-		if notForwarded(name) || slices.Contains(named, name) || name == "" || strings.ContainsFunc(name, notToken) {
+		if notForwarded(d, name) || slices.Contains(named, name) || name == "" || strings.ContainsFunc(name, notToken) {
 			continue
 		}
 		for _, value := range values {
@@ -74,10 +68,14 @@
 		b = appendHeader(b, "Via", a.Via)
 	}
 	if a.RequestID != "" {
-		b = appendHeader(b, headerRequestID, a.RequestID)
+		b = appendHeader(b, d.RequestID, a.RequestID)
+	}
+	if d.ExpectTarget != "" && a.ExpectTarget != "" {
+		b = appendHeader(b, d.ExpectTarget, a.ExpectTarget)
 	}
 	if remaining > 0 {
-		b = append(b, headerDeadline+": "...)
+		b = append(b, d.Deadline...)
+		b = append(b, ": "...)
 		b = strconv.AppendInt(b, max(1, remaining.Milliseconds()), 10)
 		b = append(b, "\r\n"...)
 	}
--- a/internal/adapter/target/pool.go
+++ b/internal/adapter/target/pool.go
@@ -96,6 +96,7 @@
 func (p *pool) expired(tp *targetPool, c *conn, now time.Time) bool {
 	return c.generation != tp.generation ||
 		now.Sub(c.idleSince) > p.cfg.IdleTimeout ||
+		(c.keepAlive > 0 && now.Sub(c.idleSince) > c.keepAlive) ||
 		now.Sub(c.openedAt) > p.cfg.MaxAge
 }
 
--- a/internal/adapter/target/probe.go
+++ b/internal/adapter/target/probe.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
@@ -79,6 +81,24 @@
 	return resp, body, resp.Finish()
 }
 
+// parseLoadHeader reads a load of the form "running,waiting,slots"; nil when the
+// value is absent or malformed.
+func parseLoadHeader(value string) *Load {
+	parts := strings.Split(value, ",")
+	if len(parts) != 3 {
+		return nil
+	}
+	var numbers [3]int
+	for i, part := range parts {
+		n, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || n < 0 {
+			return nil
+		}
+		numbers[i] = n
+	}
+	return &Load{InFlight: numbers[0] + numbers[1], Slots: numbers[2]}
+}
+
 // parseLoad checks a load report. Unknown fields are allowed, since targets
 // change without us.
 func parseLoad(body []byte) (Load, error) {
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -15,11 +15,18 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/outcome"
 )
 
-// maxInformational bounds the 1xx responses before a final one.
-const maxInformational = 8
+const (
+	// maxInformational bounds the 1xx responses before a final one.
+	maxInformational = 8
+	// maxStray bounds the late responses to earlier requests that are skipped
+	// before the awaited one, and maxStrayBytes the body of each.
+	maxStray      = 2
+	maxStrayBytes = 1 << 20
+)
 
 // receive reads the head of the final response.
 func (x *exchange) receive() (*Response, error) {
+	stray := 0
 	for range maxInformational {
 		head, err := x.readHead()
 		if err != nil {
@@ -28,9 +35,15 @@
 		if head.StatusCode == http.StatusSwitchingProtocols {
 			return nil, fmt.Errorf("%w: unexpected upgrade", ErrBadResponse)
 		}
-		if head.StatusCode >= 200 {
+		if head.StatusCode < 200 {
+			continue
+		}
+		if !x.otherRequest(head) {
 			return x.respond(head)
 		}
+		if stray++; !x.c.reused || stray > maxStray || !skipStray(head) {
+			return nil, ErrRequestIDMismatch
+		}
 	}
 	return nil, fmt.Errorf("%w: too many informational responses", ErrBadResponse)
 }
@@ -87,11 +100,26 @@
 	return fmt.Errorf("%w: %w", ErrBadResponse, err)
 }
 
+// otherRequest tells whether a response names another request than this one.
+func (x *exchange) otherRequest(head *http.Response) bool {
+	id := head.Header.Get(x.t.cfg.Dialect.RequestID)
+	return id != "" && x.a.RequestID != "" && id != x.a.RequestID
+}
+
+// skipStray reads the rest of a late response to an earlier request, so that the
+// awaited one can follow on the same connection. It fails when the end of that
+// response is not certain.
+func skipStray(head *http.Response) bool {
+	if head.Close || unverifiable(head) {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxStrayBytes+1))
+	return err == nil && n <= maxStrayBytes
+}
+
 // respond checks a final head and prepares the body.
 func (x *exchange) respond(head *http.Response) (*Response, error) {
-	if id := head.Header.Get(headerRequestID); id != "" && x.a.RequestID != "" && id != x.a.RequestID {
-		return nil, ErrRequestIDMismatch
-	}
+	d := &x.t.cfg.Dialect
 	if x.c.reused && head.StatusCode == http.StatusRequestTimeout && head.Close {
 		// The target timed out the idle connection while the request was sent.
 		// This is not the response to it.
@@ -99,20 +127,33 @@
 	}
 	r := &Response{
 		Status: head.StatusCode, Header: head.Header, ContentLength: head.ContentLength,
-		Draining:     strings.EqualFold(head.Header.Get(headerDraining), "true"),
-		Unverifiable: unverifiable(head),
-		x:            x, body: head.Body, close: head.Close,
+		Draining:     d.Draining != "" && strings.EqualFold(head.Header.Get(d.Draining), "true"),
+		Unverifiable: unverifiable(head) && !d.UnframedResponses,
+		x:            x, body: head.Body, close: head.Close || unverifiable(head),
+		identified: x.a.RequestID != "" && head.Header.Get(d.RequestID) == x.a.RequestID,
 	}
+	x.c.readKeepAlive(head.Header)
 	if x.a.Trace != nil {
 		x.a.Trace.Draining = r.Draining
+		x.a.Trace.Load = parseLoadHeader(head.Header.Get(d.Load))
 	}
 	r.meaning = meaning(r, x.a.Statuses)
+	if d.NotRun != "" && head.Header.Get(d.NotRun) != "" {
+		r.meaning.NotRun = true
+		if r.meaning.Kind == attempt.Answered {
+			r.meaning.Kind = attempt.Shed
+		}
+	}
+	if head.StatusCode == http.StatusMisdirectedRequest && d.ExpectTarget != "" && x.a.ExpectTarget != "" {
+		// Another target has taken over the address.
+		r.meaning.Kind, r.meaning.NotRun = attempt.Draining, true
+	}
 	r.Body = bodyReader{r}
 	removeHopByHop(r.Header)
 	if head.StatusCode >= 300 {
 		// The target refused or redirected the request before reading all of
 		// it. After an early 2xx the target may still read the body.
-		x.settleWriter(x.t.cfg.EarlyResponseWait)
+		x.settleWriter(x.t.cfg.BodyFlushWait)
 	}
 	if head.Body == http.NoBody {
 		r.complete()
--- a/internal/adapter/target/response.go
+++ b/internal/adapter/target/response.go
@@ -26,13 +26,15 @@
 	// Draining tells that the target announced that it is draining.
 	Draining bool
 
-	x       *exchange
-	body    io.ReadCloser
-	close   bool
-	meaning outcome.Meaning
-	done    bool
-	err     error
-	res     attempt.Result
+	x     *exchange
+	body  io.ReadCloser
+	close bool
+	// identified tells that the response names this request.
+	identified bool
+	meaning    outcome.Meaning
+	done       bool
+	err        error
+	res        attempt.Result
 }
 
 // errFinished is returned by reads after Finish.
@@ -79,18 +81,19 @@
 // connection if it can carry another request.
 func (r *Response) complete() {
 	x := r.x
-	if x.c.br.Buffered() > 0 {
+	extra := x.c.br.Buffered() > 0
+	if extra && !r.identified {
 		r.failed(ErrOverlong)
 		return
 	}
 	r.done, r.err = true, io.EOF
-	x.settleWriter(x.t.cfg.EarlyResponseWait)
+	x.settleWriter(x.t.cfg.BodyFlushWait)
 	whole := x.requestWritten()
 	detached := x.detach()
 	// The result is taken first: once the connection is in the pool, another
 	// attempt changes it.
 	r.res = x.end(outcome.Event{Kind: outcome.ResponseComplete, Meaning: r.meaning}, nil)
-	if whole && detached && !r.close && !r.Draining {
+	if whole && detached && !extra && !r.close && !r.Draining {
 		x.t.pool.put(x.c, time.Now())
 	} else {
 		x.t.pool.abandon(x.c, false)
--- a/internal/adapter/target/send.go
+++ b/internal/adapter/target/send.go
@@ -118,7 +118,7 @@
 	for _, part := range [...]string{a.Method, " ", a.URI, " HTTP/1.1\r\nHost: ", host, "\r\n"} {
 		b = append(b, part...)
 	}
-	return append(appendRequestHeader(b, a, remaining), "\r\n"...)
+	return append(appendRequestHeader(b, &x.t.cfg.Dialect, a, remaining), "\r\n"...)
 }
 
 // headOf returns the head in the connection's buffer.
--- a/internal/app/compile.go
+++ b/internal/app/compile.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
@@ -16,6 +17,7 @@
 		Balance:     s.Health.Balance,
 		QueueLength: orNone(s.Limits.QueueLength),
 		RetryBudget: orNone(s.Retry.Budget),
+		ByCost:      s.Selection == document.ExpectedCost,
 	}
 	if s.Health.ProbePath != "" {
 		// The serving hosts of a region share the probes of a target.
@@ -38,7 +40,10 @@
 			Floor:          c.Floor,
 			Deadline:       time.Duration(c.Deadline),
 			AttemptTimeout: time.Duration(c.AttemptTimeout),
-			MaxAttempts:    s.Retry.MaxAttempts,
+			MaxAttempts:    cmp.Or(c.MaxAttempts, s.Retry.MaxAttempts),
+			Objective:      time.Duration(c.Objective),
+			Priority:       c.Priority,
+			LargeBodies:    c.LargeBodies,
 		})
 	}
 	return cfg
--- /dev/null
+++ b/internal/app/gateway_config.go
@@ -0,0 +1,146 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/admin"
+	"github.com/sapphirehaven/sapphirehaven/internal/adminapi"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/route"
+	"github.com/sapphirehaven/sapphirehaven/internal/discovery"
+)
+
+const (
+	// retryReserve is the share of the allowed repeats that hosts use.
+	retryReserve = 0.8
+	// defaultConnections is the number of connections to a target when the
+	// configuration states none.
+	defaultConnections = 330
+)
+
+// compiled is the route table of a configuration. Targets change more often than
+// routes, which need not be compiled again for them.
+type compiled struct {
+	configuration *registry.Configuration
+	routes        *route.Table
+}
+
+// activateChanges puts each change of the registry in force.
+func (g *Gateway) activateChanges(ctx context.Context) {
+	for {
+		select {
+		case <-g.sync.Changed():
+			g.activate(g.sync.Snapshot())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gateway) activate(s discovery.Snapshot) {
+	g.mu.Lock()
+	g.roster.Learn(s.Hosts)
+	hosts := g.roster.ActiveCount()
+	g.mu.Unlock()
+	if !s.Complete {
+		return
+	}
+	c := s.Configuration
+	fresh := g.compiled.configuration != c
+	if fresh {
+		g.compiled = compiled{configuration: c, routes: route.New(c.Document.Routes)}
+	}
+	doc := withTargets(c.Document, s.Targets)
+	entries := map[ident.TargetID]registry.Entry{}
+	for _, e := range s.Targets {
+		entries[e.ID] = e
+	}
+	build := func(revision uint64, doc *document.Document, svc *document.Service) dispatch.Config {
+		cfg := dispatchConfig(revision, doc, svc)
+		cfg.RetryBudget = retryReserve * g.settings.RetryRatio
+		cfg.RetryWindow = g.settings.RetryWindow
+		cfg.RetryAllowance = retryReserve * g.settings.RetrySlack / float64(max(1, hosts))
+		for i := range cfg.Targets {
+			t := &cfg.Targets[i]
+			e := entries[t.ID]
+			t.Draining, t.Vanished, t.WarmUntil, t.Born = e.Draining, !e.GoneAt.IsZero(), e.WarmUntil, e.Born
+		}
+		return cfg
+	}
+	next := g.services.activateRoutes(c.Version, doc, g.compiled.routes, build)
+	g.callers.limit(c.Callers)
+	g.ingress.Activate(next)
+	if fresh {
+		g.inForceAt.Store(time.Now().UnixMicro())
+		g.timeline.Record(event.ConfigurationInForce, event.F("revision", c.Version), event.F("routes", len(doc.Routes)))
+	}
+}
+
+// withTargets returns a document with the registered targets of its services.
+func withTargets(doc *document.Document, entries []registry.Entry) *document.Document {
+	out := *doc
+	out.Services = make([]document.Service, len(doc.Services))
+	at := make(map[ident.ServiceName]int, len(doc.Services))
+	for i := range doc.Services {
+		out.Services[i] = doc.Services[i]
+		out.Services[i].Targets = nil
+		at[doc.Services[i].Name] = i
+	}
+	for _, e := range entries {
+		i, ok := at[e.Service]
+		if !ok {
+			continue
+		}
+		svc := &out.Services[i]
+		connections := svc.Connections
+		if connections <= 0 {
+			connections = defaultConnections
+		}
+		svc.Targets = append(svc.Targets, document.Target{Name: e.ID, Address: e.Address, Zone: e.Zone, Slots: e.Slots, Connections: connections})
+	}
+	return &out
+}
+
+// publishedDocuments shows the configuration that operators publish through the
+// platform. It takes none: the platform's store is the only way.
+type publishedDocuments struct{ gateway *Gateway }
+
+// errPublished explains why a document is not taken.
+var errPublished = errors.New("this host takes its configuration from the platform; publish it there")
+
+// Active implements admin.Documents.
+func (d *publishedDocuments) Active() (adminapi.Document, error) {
+	c := d.gateway.sync.Snapshot().Configuration
+	if c == nil {
+		return adminapi.Document{}, nil
+	}
+	text, err := yaml.Marshal(c.Document)
+	return adminapi.Document{Revision: c.Version, YAML: string(text)}, errors.Wrap(err, "document")
+}
+
+// Validate implements admin.Documents.
+func (d *publishedDocuments) Validate(text []byte) adminapi.ProposalResult {
+	if _, err := document.Parse(text); err != nil {
+		return invalid(err)
+	}
+	return adminapi.ProposalResult{Result: adminapi.ResultValid}
+}
+
+// Propose implements admin.Documents.
+func (d *publishedDocuments) Propose(context.Context, admin.Proposal) adminapi.ProposalResult {
+	return invalid(errPublished)
+}
+
+// Proposal implements admin.Documents.
+func (d *publishedDocuments) Proposal(string) adminapi.ProposalResult { return invalid(errPublished) }
+
+// History implements admin.Documents.
+func (d *publishedDocuments) History() []adminapi.HistoryEntry { return []adminapi.HistoryEntry{} }
--- /dev/null
+++ b/internal/app/gateway_fleet.go
@@ -0,0 +1,192 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/schedule"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+const (
+	// rosterTick is the time between two ticks of the roster.
+	rosterTick = 50 * time.Millisecond
+	// shareInterval is the time between two messages of observations, and
+	// urgentInterval while there is a failure to report.
+	shareInterval  = 150 * time.Millisecond
+	urgentInterval = 5 * time.Millisecond
+)
+
+// role implements discovery.Role.
+type role struct{ gateway *Gateway }
+
+// Coordinates implements discovery.Role.
+func (r role) Coordinates() bool {
+	r.gateway.mu.Lock()
+	defer r.gateway.mu.Unlock()
+	return r.gateway.roster.Coordinates(time.Now())
+}
+
+// Rank implements discovery.Role.
+func (r role) Rank() int {
+	r.gateway.mu.Lock()
+	defer r.gateway.mu.Unlock()
+	return r.gateway.roster.Rank()
+}
+
+// Coordinator implements discovery.Role.
+func (r role) Coordinator() string {
+	r.gateway.mu.Lock()
+	defer r.gateway.mu.Unlock()
+	h, ok := r.gateway.roster.Coordinator()
+	if !ok || h.ID == r.gateway.settings.Host {
+		return ""
+	}
+	return h.PeerAddress
+}
+
+// runRoster drives the roster until ctx ends.
+func (g *Gateway) runRoster(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.stepRoster(func(now time.Time, r *roster.Roster) []roster.Action {
+			r.SetRate(g.rate.measure(now, g.ingress.Requests()))
+			return r.Tick(now)
+		})
+		sleep(ctx, rosterTick)
+	}
+}
+
+// stepRoster runs one event under the lock and sends its messages after it.
+func (g *Gateway) stepRoster(step func(time.Time, *roster.Roster) []roster.Action) {
+	g.mu.Lock()
+	actions := step(time.Now(), g.roster)
+	g.mu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case roster.SendReport:
+			g.sent(g.fleet.SendReport(a.To.PeerAddress, a.Report))
+		case roster.SendBeacon:
+			b := roster.Beacon{From: g.self(), Active: a.Active, State: g.sync.State()}
+			for _, to := range a.To {
+				g.sent(g.fleet.SendBeacon(to.PeerAddress, b))
+			}
+		}
+	}
+}
+
+func (g *Gateway) sent(err error) {
+	if err != nil {
+		g.log.WithError(err).Debug("a datagram was not sent")
+	}
+}
+
+func (g *Gateway) leave() {
+	g.stepRoster(func(now time.Time, r *roster.Roster) []roster.Action { return r.Leave(now) })
+}
+
+// fleetHandler takes the datagrams of the other hosts.
+type fleetHandler struct {
+	gateway *Gateway
+	ctx     context.Context
+}
+
+// Report implements port.FleetHandler.
+func (h fleetHandler) Report(_ port.Caller, r roster.Report) {
+	h.gateway.sync.LearnHost(r.Host)
+	h.gateway.stepRoster(func(now time.Time, ro *roster.Roster) []roster.Action { return ro.ReceiveReport(now, r) })
+}
+
+// Beacon implements port.FleetHandler.
+func (h fleetHandler) Beacon(_ port.Caller, b roster.Beacon) {
+	h.gateway.stepRoster(func(now time.Time, ro *roster.Roster) []roster.Action {
+		ro.ReceiveBeacon(now, b)
+		return nil
+	})
+	h.gateway.sync.Offer(h.ctx, b.From.PeerAddress, b.State)
+}
+
+// Confirmation implements port.FleetHandler.
+func (h fleetHandler) Confirmation(from port.Caller, s roster.State) {
+	h.gateway.mu.Lock()
+	host, ok := h.gateway.roster.Host(from.Host)
+	h.gateway.mu.Unlock()
+	if ok {
+		h.gateway.sync.Offer(h.ctx, host.PeerAddress, s)
+	}
+}
+
+// Observations implements port.FleetHandler.
+func (h fleetHandler) Observations(from port.Caller, list []port.TargetObservation) {
+	active := h.gateway.services.current()
+	if active == nil {
+		return
+	}
+	byService := map[ident.ServiceName][]schedule.Observation{}
+	for _, o := range list {
+		byService[o.Service] = append(byService[o.Service], schedule.Observation{Target: o.Target, Successes: o.Successes, Failures: o.Failures, InFlight: o.InFlight})
+	}
+	for name, observed := range byService {
+		if backend := active.Backends[name]; backend != nil {
+			backend.Engine.Observe(from.Host, observed)
+		}
+	}
+}
+
+// shareObservations tells the other active hosts what this one sees at targets.
+func (g *Gateway) shareObservations(ctx context.Context) {
+	var last time.Time
+	for ctx.Err() == nil {
+		sleep(ctx, urgentInterval*4)
+		due := time.Since(last) >= shareInterval
+		if !due && !g.services.urgent() {
+			continue
+		}
+		list := g.services.takeObservations()
+		if len(list) == 0 {
+			continue
+		}
+		last = time.Now()
+		for _, to := range g.observers() {
+			g.sent(g.fleet.SendObservations(to.PeerAddress, list))
+		}
+	}
+}
+
+// observers returns the other active hosts of the region.
+func (g *Gateway) observers() []registry.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.Peers()
+}
+
+// rateMeter smooths the number of requests per second.
+type rateMeter struct {
+	at       time.Time
+	requests uint64
+	rate     float64
+}
+
+const (
+	// rateInterval is the time between two measurements, rateGain the weight of a
+	// new one.
+	rateInterval = 300 * time.Millisecond
+	rateGain     = 0.3
+)
+
+func (m *rateMeter) measure(now time.Time, requests uint64) float64 {
+	elapsed := now.Sub(m.at)
+	if m.at.IsZero() {
+		m.at, m.requests = now, requests
+		return 0
+	}
+	if elapsed < rateInterval {
+		return m.rate
+	}
+	rate := float64(requests-m.requests) / elapsed.Seconds()
+	m.rate += rateGain * (rate - m.rate)
+	m.at, m.requests = now, requests
+	return m.rate
+}
--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/route"
 	"github.com/sapphirehaven/sapphirehaven/internal/engine"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
 // services holds the dispatchers of a host and puts documents in force.
@@ -42,17 +43,22 @@
 // activate builds the configuration of a revision. Dispatchers of services that
 // stay keep their state.
 func (s *services) activate(revision uint64, doc *document.Document) *ingress.Active {
+	return s.activateRoutes(revision, doc, route.New(doc.Routes), dispatchConfig)
+}
+
+// activateRoutes builds the configuration of a revision whose routes are compiled.
+func (s *services) activateRoutes(revision uint64, doc *document.Document, routes *route.Table, config configBuilder) *ingress.Active {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	active := &ingress.Active{
 		Revision: revision,
-		Routes:   route.New(doc.Routes),
+		Routes:   routes,
 		Backends: make(map[ident.ServiceName]*ingress.Backend, len(doc.Services)),
 	}
 	regions := zoneRegions(doc)
 	for i := range doc.Services {
 		svc := &doc.Services[i]
-		active.Backends[svc.Name] = s.backend(revision, doc, svc, regions)
+		active.Backends[svc.Name] = s.backend(doc, svc, regions, config(revision, doc, svc))
 	}
 	for name, e := range s.engines {
 		if active.Backends[name] == nil {
@@ -82,7 +88,10 @@
 	return rate
 }
 
-func (s *services) backend(revision uint64, doc *document.Document, svc *document.Service, regions map[ident.Zone]ident.Region) *ingress.Backend {
+// configBuilder translates a service of the document for its decider.
+type configBuilder func(revision uint64, doc *document.Document, s *document.Service) dispatch.Config
+
+func (s *services) backend(doc *document.Document, svc *document.Service, regions map[ident.Zone]ident.Region, cfg dispatch.Config) *ingress.Backend {
 	b := &ingress.Backend{
 		Service: svc,
 		Targets: make(map[ident.TargetID]ingress.Endpoint, len(svc.Targets)),
@@ -94,7 +103,6 @@
 	for i := range svc.Classes {
 		b.Classes[svc.Classes[i].Name] = &svc.Classes[i]
 	}
-	cfg := dispatchConfig(revision, doc, svc)
 	b.Engine = s.engines[svc.Name]
 	if b.Engine == nil {
 		b.Engine = engine.NewService(cfg, s.self, seed(s.self.Host, svc.Name), s, s.recorder)
@@ -148,3 +156,28 @@
 		e.Close()
 	}
 }
+
+// urgent reports whether a failure at a target was not shared yet.
+func (s *services) urgent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		if e.Urgent() {
+			return true
+		}
+	}
+	return false
+}
+
+// takeObservations returns what the other hosts do not know yet.
+func (s *services) takeObservations() []port.TargetObservation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []port.TargetObservation
+	for name, e := range s.engines {
+		for _, o := range e.TakeObservations() {
+			list = append(list, port.TargetObservation{Service: name, Target: o.Target, Successes: o.Successes, Failures: o.Failures, InFlight: o.InFlight})
+		}
+	}
+	return list
+}
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -19,6 +19,10 @@
 
 // Settings are the settings of the daemon. Each comment gives the default.
 type Settings struct {
+	// Config is the path of the platform's settings file. With it, the host takes
+	// its addresses, the configuration and the targets from the platform, and of
+	// the settings below only LogLevel is used.
+	Config string
 	// HostID names this host; required.
 	HostID string
 	// Region and Zone are this host's location; required.
@@ -72,6 +76,7 @@
 }
 
 func (s *Settings) register(flags *flag.FlagSet) {
+	flags.StringVar(&s.Config, "config", s.Config, "`path` of the platform's settings file; with it only -log-level is used besides")
 	flags.StringVar(&s.HostID, "host-id", s.HostID, "`name` of this host, 1 to 128 letters, digits, '-', '_' or '.'; required")
 	flags.StringVar(&s.Region, "region", s.Region, "`region` of this host; required")
 	flags.StringVar(&s.Zone, "zone", s.Zone, "availability `zone` of this host; required")
@@ -134,6 +139,26 @@
 
 func (s *Settings) check() error {
 	e := &SettingsError{}
+	e.checkLevel(s.LogLevel)
+	if s.Config == "" {
+		s.checkOwn(e)
+	}
+	if len(e.Problems) > 0 {
+		return e
+	}
+	return nil
+}
+
+func (e *SettingsError) checkLevel(level string) {
+	switch level {
+	case "debug", "info", "warning", "error":
+	default:
+		e.add("log-level", "is %q, want debug, info, warning or error", level)
+	}
+}
+
+// checkOwn checks the settings of a host that does not run on the platform.
+func (s *Settings) checkOwn(e *SettingsError) {
 	e.checkName("host-id", s.HostID)
 	e.checkName("region", s.Region)
 	e.checkName("zone", s.Zone)
@@ -159,15 +184,6 @@
 	if s.MaxHeaderBytes < 1024 || s.MaxHeaderBytes > 1<<20 {
 		e.add("max-header-bytes", "is %d, want 1024 to 1048576", s.MaxHeaderBytes)
 	}
-	switch s.LogLevel {
-	case "debug", "info", "warning", "error":
-	default:
-		e.add("log-level", "is %q, want debug, info, warning or error", s.LogLevel)
-	}
-	if len(e.Problems) > 0 {
-		return e
-	}
-	return nil
 }
 
 func (e *SettingsError) add(flag, format string, args ...any) {
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -25,6 +25,16 @@
 	Slots int
 	// MaxConnections bounds open connections to the target, from all hosts.
 	MaxConnections int
+	// Draining tells that the registry shows the target as draining.
+	Draining bool
+	// Vanished tells that the target's entry in the registry is gone; it may be a
+	// lapse.
+	Vanished bool
+	// WarmUntil is the end of the time in which a target that has just started is
+	// slow.
+	WarmUntil time.Time
+	// Born tells lives of a target under the same ID apart, 0 if unknown.
+	Born int64
 }
 
 // Class is a request class of the service.
@@ -43,6 +53,12 @@
 	// MaxAttempts bounds the attempts of one request; 0 means
 	// DefaultMaxAttempts.
 	MaxAttempts int
+	// Objective is the latency objective, 0 if there is none.
+	Objective time.Duration
+	// Priority ranks the class, 0 is served first.
+	Priority int
+	// LargeBodies tells that a way to another zone or region costs more.
+	LargeBodies bool
 }
 
 // Defaults of settings that are zero.
@@ -63,6 +79,9 @@
 	// Balance weighs detection time against false ejections: 0 to 1, where 1
 	// weighs only detection time.
 	Balance float64
+	// ByCost tells that targets are selected by their expected cost, which package
+	// schedule does.
+	ByCost bool
 	// QueueLength bounds the requests that wait on this host, for a slot or for
 	// a retry; 0 means DefaultQueueLength, a negative value means no queue.
 	QueueLength int
@@ -73,6 +92,10 @@
 	// UploadShare is the fraction of the slots that uploads may occupy when the
 	// service has other classes too; 0 means DefaultUploadShare.
 	UploadShare float64
+	// RetryWindow, if set, bounds the retries in any span of this length to
+	// RetryBudget for each request and RetryAllowance on top.
+	RetryWindow    time.Duration
+	RetryAllowance float64
 	// ProbeInterval is the time between two probes of one target; 0 disables
 	// probes.
 	ProbeInterval time.Duration
--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -33,8 +33,25 @@
 	Retry   Retry             `yaml:"retry"`
 	// ServingHosts is the number of serving hosts in each region; default 4.
 	ServingHosts int `yaml:"serving_hosts"`
+	// Selection is how a target is selected; default LeastLoaded.
+	Selection Selection `yaml:"selection,omitempty" json:",omitempty"`
+	// Connections bounds the connections from all hosts to each target that
+	// registers itself; default 0, 330. Targets of the document have their own.
+	Connections int `yaml:"connections,omitempty" json:",omitempty"`
 }
 
+// Selection names a way to select a target.
+type Selection string
+
+// Ways to select a target.
+const (
+	// LeastLoaded selects the least loaded target among the nearest.
+	LeastLoaded Selection = ""
+	// ExpectedCost selects the target with the least expected cost of failure,
+	// distance and load.
+	ExpectedCost Selection = "expected_cost"
+)
+
 // Target is one upstream of a service.
 type Target struct {
 	Name ident.TargetID `yaml:"name"`
@@ -67,6 +84,19 @@
 	MaxBufferedAnswerBytes Size `yaml:"max_buffered_answer_bytes"`
 	// Upload marks large request bodies that stream.
 	Upload *Upload `yaml:"upload,omitempty"`
+	// LargeBodies tells that request bodies are large, so that a way to another
+	// zone or region costs more; default false.
+	LargeBodies bool `yaml:"large_bodies,omitempty" json:",omitempty"`
+	// Timeout bounds how long a request is kept waiting, whatever deadline its
+	// caller states; default 0, no bound.
+	Timeout Duration `yaml:"timeout,omitempty" json:",omitempty"`
+	// Objective is the latency objective; default 0, none.
+	Objective Duration `yaml:"objective,omitempty" json:",omitempty"`
+	// Priority ranks the class within its service, 0 is served first; default 0.
+	Priority int `yaml:"priority,omitempty" json:",omitempty"`
+	// MaxAttempts bounds the targets that one request is sent to; default 0, the
+	// service's retry.max_attempts.
+	MaxAttempts int `yaml:"max_attempts,omitempty" json:",omitempty"`
 }
 
 // Upload holds the rules for large request bodies.
@@ -121,4 +151,28 @@
 	Methods []string          `yaml:"methods"`
 	Service ident.ServiceName `yaml:"service"`
 	Class   ident.ClassName   `yaml:"class"`
+	// Host limits the route to requests for one host name; empty matches all.
+	// With a host, a prefix that ends with a slash matches only paths below it.
+	Host string `yaml:"host,omitempty" json:",omitempty"`
+	// Split distributes the requests among services in place of Service.
+	Split []Share `yaml:"split,omitempty" json:",omitempty"`
+}
+
+// Share is one service's part of a split route.
+type Share struct {
+	Service ident.ServiceName `yaml:"service"`
+	// Weight is relative to the other shares of the route.
+	Weight int `yaml:"weight"`
+}
+
+// Services returns the services that the route's requests may go to.
+func (r *Route) Services() []ident.ServiceName {
+	if len(r.Split) == 0 {
+		return []ident.ServiceName{r.Service}
+	}
+	names := make([]ident.ServiceName, 0, len(r.Split))
+	for _, s := range r.Split {
+		names = append(names, s.Service)
+	}
+	return names
 }
--- a/internal/core/document/fields.go
+++ b/internal/core/document/fields.go
@@ -65,6 +65,8 @@
 		"limits":        {Label: "Limits"},
 		"retry":         {Label: "Retries"},
 		"serving_hosts": {Label: "Serving hosts", Unit: "hosts in each region", Range: intRange(1, maxServingHosts)},
+		"selection":     {Label: "Selection", Range: "empty or " + string(ExpectedCost), Help: "empty selects the least loaded target"},
+		"connections":   {Label: "Connections", Unit: "connections from all hosts to a target that registers itself", Range: intRange(0, maxConnections)},
 	},
 	reflect.TypeFor[Target](): {
 		"name":        {Label: "Name", Range: rangeName},
@@ -91,7 +93,13 @@
 		"path_prefix": {Label: "Path prefix", Range: rangePath, Help: "matches whole path segments"},
 		"methods":     {Label: "Methods", Range: "a method in capitals such as GET", Help: "empty matches all"},
 		"service":     {Label: "Service", Help: "one of the services"},
-		"class":       {Label: "Class", Help: "a class of the service"},
+		"class":       {Label: "Class", Help: "a class of the service, or of each service of the split"},
+		"host":        {Label: "Host name", Help: "empty matches all"},
+		"split":       {Label: "Split", Entry: "share"},
+	},
+	reflect.TypeFor[Share](): {
+		"service": {Label: "Service", Help: "one of the services"},
+		"weight":  {Label: "Weight", Unit: "relative to the other shares", Range: intRange(1, maxWeight)},
 	},
 }
 
@@ -105,6 +113,11 @@
 	"max_request_bytes":         {Label: "Largest request body", Unit: "size such as 64KiB", Range: rangeBuffered, Help: "with upload rules up to " + Size(maxBody).String()},
 	"max_buffered_answer_bytes": {Label: "Largest buffered response", Unit: "size such as 64KiB", Range: rangeBuffered, Help: "responses up to this size are held back until they are whole"},
 	"upload":                    {Label: "Upload rules", Help: "for large request bodies that stream"},
+	"large_bodies":              {Label: "Large bodies", Range: "true or false", Help: "other zones and regions cost more"},
+	"timeout":                   {Label: "Timeout", Unit: "time such as 1.5s", Range: timeRange(0, maxDeadline), Help: "longest wait of a caller, 0 for none"},
+	"objective":                 {Label: "Latency objective", Unit: "time such as 800ms", Range: timeRange(0, maxDeadline), Help: "0 for none"},
+	"priority":                  {Label: "Priority", Range: intRange(0, maxPriority), Help: "0 is served first"},
+	"max_attempts":              {Label: "Maximum attempts", Unit: "targets that one request is sent to", Range: intRange(0, maxAttempts), Help: "0: as the service says"},
 }
 
 var healthInfos = map[string]FieldInfo{
--- a/internal/core/document/validate.go
+++ b/internal/core/document/validate.go
@@ -21,6 +21,8 @@
 	minProbe        = 100 * time.Millisecond
 	maxBuffered     = 64 << 20
 	maxBody         = 1 << 40
+	maxWeight       = 1_000_000
+	maxPriority     = 100
 )
 
 // Validate checks the ranges and references of a document. The error is of
@@ -148,6 +150,8 @@
 	v.between(at+".limits.queue_length", int64(s.Limits.QueueLength), 0, maxQueueLength)
 	v.fraction(at+".retry.budget", s.Retry.Budget)
 	v.between(at+".retry.max_attempts", int64(s.Retry.MaxAttempts), 1, maxAttempts)
+	v.check(at+".selection", s.Selection == LeastLoaded || s.Selection == ExpectedCost, "is %q, want %q or nothing", s.Selection, ExpectedCost)
+	v.between(at+".connections", int64(s.Connections), 0, maxConnections)
 	v.health(at+".health", &s.Health)
 	v.targets(at, s.Targets)
 	v.check(at+".classes", len(s.Classes) > 0, "the service has no request class")
@@ -204,6 +208,10 @@
 	v.statuses(at+".not_run_statuses", c.NotRunStatuses)
 	v.size(at+".max_request_bytes", c.MaxRequestBytes, 0, maxBody)
 	v.size(at+".max_buffered_answer_bytes", c.MaxBufferedAnswerBytes, 0, maxBuffered)
+	v.duration(at+".timeout", c.Timeout, 0, maxDeadline)
+	v.duration(at+".objective", c.Objective, 0, maxDeadline)
+	v.between(at+".priority", int64(c.Priority), 0, maxPriority)
+	v.between(at+".max_attempts", int64(c.MaxAttempts), 0, maxAttempts)
 	if c.Upload == nil {
 		v.size(at+".max_request_bytes", c.MaxRequestBytes, 0, maxBuffered)
 		return
@@ -227,32 +235,48 @@
 		if strings.HasPrefix(r.PathPrefix, ownPaths) {
 			v.errs.add(at.field("path_prefix"), "paths below %s belong to the hosts", ownPaths)
 		}
-		known, ok := v.classes[r.Service]
+		v.destinations(at, r)
+		v.methods(at, r, taken)
+	}
+}
+
+// destinations checks the services that a route leads to.
+func (v *validator) destinations(at item, r *Route) {
+	if len(r.Split) > 0 && r.Service != "" {
+		v.errs.add(at.field("service"), "is %q, but the route has a split", r.Service)
+	}
+	for i, s := range r.Split {
+		if s.Weight < 1 || s.Weight > maxWeight {
+			v.errs.add(at.field(fmt.Sprintf("split[%d].weight", i)), "is %d, want 1 to %d", s.Weight, maxWeight)
+		}
+	}
+	for _, name := range r.Services() {
+		known, ok := v.classes[name]
 		if !ok {
-			v.errs.add(at.field("service"), "there is no service %q", r.Service)
+			v.errs.add(at.field("service"), "there is no service %q", name)
 		} else if !known[r.Class] {
-			v.errs.add(at.field("class"), "service %q has no class %q", r.Service, r.Class)
+			v.errs.add(at.field("class"), "service %q has no class %q", name, r.Class)
 		}
-		v.methods(at, r, taken)
 	}
 }
 
 // ownPaths is the prefix of the paths that hosts answer themselves.
 const ownPaths = "/.sapphirehaven"
 
-// request is what one route matches: a method, empty for all, and a prefix.
-type request struct{ method, prefix string }
+// request is what one route matches: a host name and a method, empty for all, and
+// a prefix.
+type request struct{ host, method, prefix string }
 
 func (v *validator) methods(at item, r *Route, taken map[request]string) {
 	prefix := strings.TrimRight(r.PathPrefix, "/")
 	if len(r.Methods) == 0 {
-		v.take(at, r, request{"", prefix}, taken)
+		v.take(at, r, request{r.Host, "", prefix}, taken)
 	}
 	for j, m := range r.Methods {
 		if m == "" || m != strings.ToUpper(m) || strings.ContainsAny(m, " *") {
 			v.errs.add(at.field(fmt.Sprintf("methods[%d]", j)), "is %q, want a method in capitals such as GET", m)
 		}
-		v.take(at, r, request{m, prefix}, taken)
+		v.take(at, r, request{r.Host, m, prefix}, taken)
 	}
 }
 
--- a/internal/core/document/validate_change.go
+++ b/internal/core/document/validate_change.go
@@ -91,7 +91,7 @@
 	classes := map[ident.ServiceName]map[ident.ClassName]bool{}
 	for i := range d.Services {
 		s := &d.Services[i]
-		if !slices.ContainsFunc(routes, func(r Route) bool { return r.Service == s.Name }) {
+		if !slices.ContainsFunc(routes, func(r Route) bool { return slices.Contains(r.Services(), s.Name) }) {
 			continue
 		}
 		known := map[ident.ClassName]bool{}
@@ -127,6 +127,9 @@
 // sameMethods reports whether two routes of the same prefix match the same
 // requests. A route that names the method takes precedence over one for all methods.
 func (r *Route) sameMethods(o Route) bool {
+	if r.Host != o.Host {
+		return false
+	}
 	if len(r.Methods) == 0 || len(o.Methods) == 0 {
 		return len(r.Methods) == len(o.Methods)
 	}
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -26,6 +26,8 @@
 	TargetEjected        Kind = "target_ejected"
 	TargetReturned       Kind = "target_returned"
 	TargetDraining       Kind = "target_draining"
+	TargetAvoided        Kind = "target_avoided"
+	TargetTrusted        Kind = "target_trusted"
 	MemberJoined         Kind = "member_joined"
 	MemberSuspected      Kind = "member_suspected"
 	MemberFailed         Kind = "member_failed"
--- /dev/null
+++ b/internal/core/registry/hosts.go
@@ -0,0 +1,66 @@
+package registry
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+// Hosts is the list of hosts. It is not safe for concurrent use.
+type Hosts struct {
+	known map[ident.HostID]HostRecord
+	hash  uint64
+}
+
+// NewHosts returns an empty list.
+func NewHosts() *Hosts { return &Hosts{known: map[ident.HostID]HostRecord{}} }
+
+// Learn takes a record of a host. Of two records the later one in the store
+// wins, and one that a host sent about itself, which has no offset, wins over
+// both. It reports whether anything changed.
+func (l *Hosts) Learn(r HostRecord) bool {
+	old, ok := l.known[r.ID]
+	if ok && r.Offset > 0 && r.Offset <= old.Offset {
+		return false
+	}
+	r.Offset = max(r.Offset, old.Offset)
+	if ok && old.Host != nil && r.Host != nil && *old.Host == *r.Host {
+		l.known[r.ID] = r
+		return false
+	}
+	l.known[r.ID] = r
+	l.hash = l.compute()
+	return true
+}
+
+// Knows reports whether the list has a host.
+func (l *Hosts) Knows(id ident.HostID) bool { return l.known[id].Host != nil }
+
+// Hash identifies the known hosts by their addresses. It stays the same when a
+// host restarts, so that restarts cause no transfer of the list.
+func (l *Hosts) Hash() uint64 { return l.hash }
+
+// List returns the hosts, ordered by ID.
+func (l *Hosts) List() []Host {
+	list := make([]Host, 0, len(l.known))
+	for _, r := range l.known {
+		if r.Host != nil {
+			list = append(list, *r.Host)
+		}
+	}
+	slices.SortFunc(list, func(a, b Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+func (l *Hosts) compute() uint64 {
+	h := fnv.New64a()
+	for _, host := range l.List() {
+		for _, part := range []string{string(host.ID), host.CallerAddress, host.PeerAddress} {
+			h.Write([]byte(part))
+			h.Write([]byte{0})
+		}
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/core/roster/doc.go
@@ -0,0 +1,15 @@
+// Package roster decides which hosts of a region callers are sent to, and which
+// host coordinates that. It is pure: reports, beacons and ticks go in, messages
+// to send come out.
+//
+// Every host reports to the first hosts of its region in an order that all hosts
+// share: most processor first. The first one that lives coordinates: it knows
+// from the reports who lives, chooses the active hosts and tells all hosts of the
+// region in its beacons. It also reads the store for them. When its beacons stop,
+// the next host in the order takes over. Two coordinators at once do no harm:
+// nothing but the choice of hosts depends on it, and the first in the order wins
+// wherever both are heard.
+//
+// Few active hosts know their targets' health and load well and keep few
+// connections; they are as many as the measured load needs.
+package roster
--- a/internal/core/route/property_test.go
+++ b/internal/core/route/property_test.go
@@ -23,7 +23,7 @@
 		table := New(routes)
 		for range 5 {
 			path := "/" + paths.Draw(t, "path")
-			if got, want := table.Lookup("GET", path), scan(routes, "GET", path); got != want {
+			if got, want := table.Lookup("", "GET", path), scan(routes, "GET", path); got != want {
 				t.Fatalf("GET %s goes to %+v, want %+v", path, got, want)
 			}
 		}
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -20,7 +20,7 @@
 		{Name: "deep", PathPrefix: "/notices/archive/", Methods: []string{"GET"}},
 	})
 	datadriven.RunTest(t, "testdata/lookup.txt", func(t *testing.T, d *datadriven.TestData) string {
-		r := table.Lookup(d.CmdArgs[0].Key, d.CmdArgs[1].Key)
+		r := table.Lookup("", d.CmdArgs[0].Key, d.CmdArgs[1].Key)
 		if r == nil {
 			return "none"
 		}
@@ -55,7 +55,7 @@
 			runtime.ReadMemStats(&after)
 			path := routes[count/2].PathPrefix + "/item/7"
 			for b.Loop() {
-				if table.Lookup("GET", path) == nil {
+				if table.Lookup("", "GET", path) == nil {
 					b.Fatal("no route")
 				}
 			}
--- /dev/null
+++ b/internal/core/schedule/select.go
@@ -0,0 +1,151 @@
+package schedule
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/balance"
+)
+
+// Costs in lost requests.
+const (
+	// repeatCost is what a failure costs a request that gets another attempt.
+	repeatCost = 0.15
+	// loadCost is the cost of a target whose slots are all but one in use.
+	loadCost = 0.02
+	// lateCost is the cost of each multiple of the usual response time, up to
+	// maxLateCost.
+	lateCost    = 0.15
+	maxLateCost = 0.6
+	// warmUpFactor is how much slower a target is that has just started.
+	warmUpFactor = 2
+	// introduction is the bonus of a target that no host has used yet.
+	introduction = 0.05
+	// lastResort is the cost of a target that vanished from the registry.
+	lastResort = 0.5
+)
+
+// distanceCosts holds the cost of distance for small and large bodies.
+var distanceCosts = [...][2]float64{
+	balance.SameZone:    {0, 0},
+	balance.SameRegion:  {0.01, 0.05},
+	balance.OtherRegion: {0.10, 0.5},
+}
+
+// cost is the expected cost of sending a request to a target now.
+func (s *Scheduler) cost(now time.Time, r *request, t *target) float64 {
+	loss := 1.0
+	if r.idempotent && r.attempts+1 < r.class.MaxAttempts {
+		loss = repeatCost
+	}
+	large := 0
+	if r.class.LargeBodies {
+		large = 1
+	}
+	c := loss*t.belief.FailureProbability(now) + distanceCosts[t.distance][large]
+	c += loadCost * (float64(t.inFlight) + t.reported.At(now)) / float64(max(1, t.Slots))
+	factor := t.pace.Factor(now)
+	if now.Before(t.WarmUntil) {
+		factor *= warmUpFactor
+	}
+	c += min(maxLateCost, lateCost*max(0, factor-1))
+	if !t.seen && !now.Before(t.WarmUntil) {
+		c -= introduction
+	}
+	if t.Vanished {
+		c += lastResort
+	}
+	return c
+}
+
+// usable reports whether a target may get a request at all.
+func (t *target) usable(now time.Time) bool {
+	return !t.Draining && !now.Before(t.refusedUntil) && !t.limit.Paused(now)
+}
+
+// free is the number of requests that a target can take from this host now.
+func (t *target) free(now time.Time) int {
+	others := t.reported.Whole(now)
+	return min(t.limit.Limit(now), max(1, t.Slots-others)) - t.inFlight
+}
+
+// choice is the best target of a request.
+type choice struct {
+	target *target
+	cost   float64
+}
+
+// choose returns the cheapest target with a free slot, and the cheapest one
+// without. Targets that the request tried are left out if there is any other.
+func (s *Scheduler) choose(now time.Time, r *request) (free, busy choice) {
+	free, busy = s.scan(now, r, true)
+	if free.target == nil && busy.target == nil && len(r.tried) > 0 {
+		return s.scan(now, r, false)
+	}
+	return free, busy
+}
+
+func (s *Scheduler) scan(now time.Time, r *request, onlyUntried bool) (free, busy choice) {
+	for _, t := range s.order {
+		if !t.usable(now) || (onlyUntried && slices.Contains(r.tried, t.ID)) {
+			continue
+		}
+		c := s.cost(now, r, t)
+		best := &busy
+		if t.free(now) > 0 {
+			best = &free
+		}
+		if best.target == nil || c < best.cost {
+			*best = choice{t, c}
+		}
+	}
+	return free, busy
+}
+
+// place starts a request if it should not wait, and reports whether it did.
+func (s *Scheduler) place(now time.Time, r *request, ahead int) bool {
+	free, busy := s.choose(now, r)
+	if free.target == nil {
+		return false
+	}
+	if busy.target != nil && s.waitCost(now, r, busy, ahead)+busy.cost < free.cost {
+		return false
+	}
+	s.start(now, r, free.target)
+	return true
+}
+
+// waitCost is the cost of waiting until a target like busy has a free slot.
+func (s *Scheduler) waitCost(now time.Time, r *request, busy choice, ahead int) float64 {
+	mean := r.class.service.Mean(now)
+	if mean == 0 {
+		return math.Inf(1)
+	}
+	slots := 0
+	for _, t := range s.order {
+		if t.usable(now) && s.cost(now, r, t) <= busy.cost+loadCost {
+			slots += t.Slots
+		}
+	}
+	wait := mean * time.Duration(ahead+1) / time.Duration(max(1, slots))
+	left := r.Deadline.Sub(now)
+	if objective := r.class.Objective; objective > 0 {
+		left = min(left, r.arrived.Add(objective).Sub(now))
+	}
+	if left <= wait+mean {
+		return math.Inf(1)
+	}
+	return float64(wait) / float64(left)
+}
+
+// capacity is the number of slots that this host may use now.
+func (s *Scheduler) capacity(now time.Time) int {
+	sum := 0
+	for _, t := range s.order {
+		if t.usable(now) {
+			sum += max(0, t.free(now)) + t.inFlight
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/core/schedule/status.go
@@ -0,0 +1,52 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/health"
+)
+
+// Status returns the state of every target as of the last event. The score is the
+// probability in percent that the target is failing.
+func (s *Scheduler) Status() []dispatch.TargetStatus {
+	var list []dispatch.TargetStatus
+	for _, t := range s.order {
+		state := health.Healthy
+		switch {
+		case t.Draining:
+			state = health.Draining
+		case t.avoided:
+			state = health.Excluded
+		}
+		list = append(list, dispatch.TargetStatus{
+			Status:   health.Status{Target: t.ID, State: state, Weight: 1, Score: 100 * t.belief.Failing(s.now)},
+			InFlight: t.inFlight,
+			Limit:    t.free(s.now) + t.inFlight,
+			Others:   t.reported.At(s.now),
+			Paused:   t.limit.Paused(s.now),
+		})
+	}
+	return list
+}
+
+// ServiceStatus returns the state of the queue and the budget.
+func (s *Scheduler) ServiceStatus(now time.Time) dispatch.ServiceStatus {
+	status := dispatch.ServiceStatus{
+		Service:     s.cfg.Service,
+		Revision:    s.cfg.Revision,
+		InFlight:    len(s.attempts),
+		Waiting:     len(s.waiting),
+		QueueLength: max(0, s.cfg.QueueLength),
+		RetriesLeft: s.budget.Left(now),
+	}
+	for _, cc := range s.cfg.Classes {
+		c := s.classes[cc.Name]
+		status.Classes = append(status.Classes, dispatch.ClassStatus{
+			Class:       cc.Name,
+			Capacity:    s.capacity(now),
+			ServiceTime: c.service.Mean(now),
+		})
+	}
+	return status
+}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -10,6 +10,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/health"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/schedule"
 )
 
 // Prober sends a probe to a target and reports whether it passed.
@@ -41,15 +42,33 @@
 
 func steadyNow() time.Time { return steady(processStart, time.Now()) }
 
-// Service drives the dispatcher of one service. It is safe for concurrent use.
+// Decider decides about the requests of one service: a dispatch.Dispatcher or a
+// schedule.Scheduler. Every method takes the time and returns what is to be done.
+type Decider interface {
+	Configure(now time.Time, cfg dispatch.Config) []dispatch.Action
+	Arrive(now time.Time, r dispatch.Request) []dispatch.Action
+	Cancel(now time.Time, id ident.RequestID) []dispatch.Action
+	Finish(now time.Time, id ident.AttemptID, res dispatch.Result) []dispatch.Action
+	Commit(now time.Time, id ident.AttemptID)
+	LoadReport(now time.Time, r dispatch.LoadReport) []dispatch.Action
+	Tick(now time.Time) []dispatch.Action
+	NextTick(now time.Time) time.Time
+	Status() []dispatch.TargetStatus
+	ServiceStatus(now time.Time) dispatch.ServiceStatus
+}
+
+// Service drives the decider of one service. It is safe for concurrent use.
 type Service struct {
 	name     ident.ServiceName
 	prober   Prober
 	recorder Recorder
 	probes   chan struct{}
 
-	mu         sync.Mutex
+	mu      sync.Mutex
+	decider Decider
+	// dispatcher and scheduler are the decider by its type; the other is nil.
 	dispatcher *dispatch.Dispatcher
+	scheduler  *schedule.Scheduler
 	calls      map[ident.RequestID]*Call
 	timer      *time.Timer
 	dueAt      time.Time
@@ -67,16 +86,22 @@
 // and, when the request is canceled at the same time, its end.
 const stepBuffer = 4
 
-// NewService starts a dispatcher with its configuration.
+// NewService starts a decider with its configuration.
 func NewService(cfg dispatch.Config, self dispatch.Self, seed uint64, prober Prober, recorder Recorder) *Service {
 	now := steadyNow()
 	s := &Service{
-		name:       cfg.Service,
-		prober:     prober,
-		recorder:   recorder,
-		probes:     make(chan struct{}, maxProbes),
-		dispatcher: dispatch.New(now, cfg, self, seed),
-		calls:      map[ident.RequestID]*Call{},
+		name:     cfg.Service,
+		prober:   prober,
+		recorder: recorder,
+		probes:   make(chan struct{}, maxProbes),
+		calls:    map[ident.RequestID]*Call{},
+	}
+	if cfg.ByCost {
+		s.scheduler = schedule.New(now, cfg, self)
+		s.decider = s.scheduler
+	} else {
+		s.dispatcher = dispatch.New(now, cfg, self, seed)
+		s.decider = s.dispatcher
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -95,14 +120,14 @@
 
 // Configure puts a new revision in force.
 func (s *Service) Configure(cfg dispatch.Config) {
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Configure(now, cfg) })
+	s.step(func(now time.Time, d Decider) []dispatch.Action { return d.Configure(now, cfg) })
 }
 
 // Arrive hands a request to the dispatcher. The caller receives its steps from
 // Next until one of them ends the request.
 func (s *Service) Arrive(r dispatch.Request) *Call {
 	c := &Call{service: s, id: r.ID, steps: make(chan dispatch.Action, stepBuffer)}
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+	s.step(func(now time.Time, d Decider) []dispatch.Action {
 		s.calls[r.ID] = c
 		return d.Arrive(now, r)
 	})
@@ -136,7 +161,7 @@
 // has not seen yet is ended, so that its slot is free again.
 func (c *Call) Cancel() {
 	s := c.service
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+	s.step(func(now time.Time, d Decider) []dispatch.Action {
 		actions := d.Cancel(now, c.id)
 		delete(s.calls, c.id)
 		for len(c.steps) > 0 {
@@ -150,13 +175,13 @@
 
 // Finish reports the end of an attempt.
 func (s *Service) Finish(id ident.AttemptID, res dispatch.Result) {
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Finish(now, id, res) })
+	s.step(func(now time.Time, d Decider) []dispatch.Action { return d.Finish(now, id, res) })
 }
 
 // Commit tells that the response of an attempt is being passed on, so that its
 // request is not tried again.
 func (s *Service) Commit(id ident.AttemptID) {
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+	s.step(func(now time.Time, d Decider) []dispatch.Action {
 		d.Commit(now, id)
 		return nil
 	})
@@ -164,42 +189,79 @@
 
 // LoadReport reports a target's load.
 func (s *Service) LoadReport(r dispatch.LoadReport) {
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.LoadReport(now, r) })
+	s.step(func(now time.Time, d Decider) []dispatch.Action { return d.LoadReport(now, r) })
 }
 
 // Evidence returns the report for the other serving hosts.
 func (s *Service) Evidence() health.Evidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.dispatcher == nil {
+		return health.Evidence{}
+	}
 	return s.dispatcher.Evidence(steadyNow())
 }
 
 // Merge takes the report of another serving host.
 func (s *Service) Merge(e health.Evidence) {
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action { return d.Merge(now, e) })
+	s.step(func(now time.Time, _ Decider) []dispatch.Action {
+		if s.dispatcher == nil {
+			return nil
+		}
+		return s.dispatcher.Merge(now, e)
+	})
+}
+
+// Observe takes what another host saw at the service's targets.
+func (s *Service) Observe(from ident.HostID, list []schedule.Observation) {
+	s.step(func(now time.Time, _ Decider) []dispatch.Action {
+		if s.scheduler == nil {
+			return nil
+		}
+		return s.scheduler.Observe(now, from, list)
+	})
+}
+
+// TakeObservations returns what the other hosts do not know yet.
+func (s *Service) TakeObservations() []schedule.Observation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.scheduler == nil {
+		return nil
+	}
+	return s.scheduler.TakeObservations()
+}
+
+// Urgent reports whether an observation should reach the other hosts at once.
+func (s *Service) Urgent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler != nil && s.scheduler.Urgent()
 }
 
 // Status returns the state of the service and of every target.
 func (s *Service) Status() (dispatch.ServiceStatus, []dispatch.TargetStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatcher.ServiceStatus(steadyNow()), s.dispatcher.Status()
+	return s.decider.ServiceStatus(steadyNow()), s.decider.Status()
 }
 
 func (s *Service) tick() {
-	regularProbes := s.prober.Probes(s.name)
-	s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
-		d.SetRegularProbes(regularProbes)
+	regularProbes := s.dispatcher != nil && s.prober.Probes(s.name)
+	s.step(func(now time.Time, d Decider) []dispatch.Action {
+		if s.dispatcher != nil {
+			s.dispatcher.SetRegularProbes(regularProbes)
+		}
 		return d.Tick(now)
 	})
 }
 
 // step runs one event under the lock, hands out the actions and sets the timer.
-func (s *Service) step(event func(time.Time, *dispatch.Dispatcher) []dispatch.Action) {
+func (s *Service) step(event func(time.Time, Decider) []dispatch.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := steadyNow()
-	s.carryOutAll(now, event(now, s.dispatcher))
+	s.carryOutAll(now, event(now, s.decider))
 	s.schedule(now)
 }
 
@@ -207,7 +269,7 @@
 	if s.closed {
 		return
 	}
-	next := s.dispatcher.NextTick(now)
+	next := s.decider.NextTick(now)
 	if earliest := now.Add(minTick); next.Before(earliest) {
 		next = earliest
 	}
@@ -228,7 +290,7 @@
 	switch a := a.(type) {
 	case dispatch.Start:
 		if s.calls[a.Request] == nil {
-			s.carryOutAll(now, s.dispatcher.Finish(now, a.Attempt, notStarted))
+			s.carryOutAll(now, s.decider.Finish(now, a.Attempt, notStarted))
 			return
 		}
 		s.deliver(a.Request, a, false)
@@ -266,8 +328,8 @@
 	go func() {
 		ok, latency := s.prober.Probe(context.Background(), s.name, target)
 		<-s.probes
-		s.step(func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
-			return d.ProbeResult(now, target, ok, latency)
+		s.step(func(now time.Time, _ Decider) []dispatch.Action {
+			return s.dispatcher.ProbeResult(now, target, ok, latency)
 		})
 	}()
 }
--- /dev/null
+++ b/internal/port/fleet.go
@@ -0,0 +1,55 @@
+package port
+
+import (
+	"context"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
+)
+
+// TargetObservation is what a host saw at a target since its last message.
+type TargetObservation struct {
+	Service   ident.ServiceName
+	Target    ident.TargetID
+	Successes int
+	Failures  int
+	// InFlight is the number of the host's attempts at the target now.
+	InFlight int
+}
+
+// FleetHandler takes the datagrams of the other hosts of the region.
+type FleetHandler interface {
+	Report(from Caller, r roster.Report)
+	Beacon(from Caller, b roster.Beacon)
+	// Confirmation says that another host has read the store.
+	Confirmation(from Caller, s roster.State)
+	Observations(from Caller, list []TargetObservation)
+}
+
+// RegistryCopy is what a host knows of the registry beyond what another has.
+type RegistryCopy struct {
+	State roster.State
+	// Configuration is nil if it is not newer.
+	Configuration         *registry.Configuration
+	ConfigurationPosition int64
+	Targets               []registry.TargetRecord
+	TargetsPosition       int64
+	Hosts                 []registry.Host
+}
+
+// FleetServer serves the calls of the other hosts.
+type FleetServer interface {
+	// Copy returns what this host knows beyond a state.
+	Copy(have roster.State) RegistryCopy
+}
+
+// Fleet sends messages to the other hosts of the region.
+type Fleet interface {
+	SendReport(address string, r roster.Report) error
+	SendBeacon(address string, b roster.Beacon) error
+	SendConfirmation(address string, s roster.State) error
+	SendObservations(address string, list []TargetObservation) error
+	// Pull returns what the host at an address knows beyond a state.
+	Pull(ctx context.Context, address string, have roster.State) (RegistryCopy, error)
+}
--- a/internal/systemtest/target_test.go
+++ b/internal/systemtest/target_test.go
@@ -4,13 +4,12 @@
 
 import (
 	"fmt"
+	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
-
-	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
 )
 
 // countingTarget counts every request for work that reaches it. While it drains,
@@ -25,7 +24,7 @@
 func newCountingTarget(t *testing.T) *countingTarget {
 	c := &countingTarget{}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(ingress.HeaderRequestID, r.Header.Get(ingress.HeaderRequestID))
+		w.Header().Set(dialect.Own().RequestID, r.Header.Get(dialect.Own().RequestID))
 		switch r.URL.Path {
 		case "/healthz":
 			return
