Share the retry allowance among the active hosts of all regions

Cause: each host took the deployment's whole allowance divided by the active hosts of its own region, and at its start by one. Change: the allowance is divided by the active hosts of all regions, computed again when their number changes; hosts use 0.7 of ratio and allowance, since hosts that callers reach by old addresses repeat too.

--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -64,6 +64,7 @@
 		CallerAddress: own.CallerAddress,
 		PeerAddress:   own.PeerAddress,
 		AdminAddress:  own.AdminAddress,
+		Regions:       own.RegionCount(),
 		Seeds:         own.Seeds,
 		Millicores:    own.Millicores,
 		AddressMaxAge: min(addressMaxAge, own.Bounds.MaxAddressAge),
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -36,6 +36,8 @@
 	CallerAddress string
 	PeerAddress   string
 	AdminAddress  string
+	// Regions is the number of regions.
+	Regions int
 	// Seeds are peer addresses of some hosts, which may be down.
 	Seeds []string
 	// Millicores is the processor share in thousandths of a core.
@@ -70,6 +72,9 @@
 	inForceAt atomic.Int64
 	heapFloor []byte
 
+	// activeChanged receives a value when the number of active hosts changed.
+	activeChanged chan struct{}
+
 	mu     sync.Mutex
 	roster *roster.Roster
 	rate   rateMeter
@@ -79,7 +84,7 @@
 func NewGateway(settings GatewaySettings, store port.Registry, log logrus.FieldLogger) (*Gateway, error) {
 	now := time.Now()
 	incarnation := ident.Incarnation(now.UnixMicro())
-	g := &Gateway{settings: settings, log: log, heapFloor: newHeapFloor()}
+	g := &Gateway{settings: settings, log: log, heapFloor: newHeapFloor(), activeChanged: make(chan struct{}, 1)}
 	g.timeline = timeline.New(settings.Host, log)
 	g.identity = newIdentity(settings.Host, incarnation, g.timeline)
 	g.transport = target.New(gatewayTransport(settings.Dialect))
--- a/internal/app/gateway_config.go
+++ b/internal/app/gateway_config.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// retryReserve is the share of the allowed repeats that hosts use.
-	retryReserve = 0.8
+	// retryReserve is the share of the allowed repeats that the active hosts use.
+	// Others serve callers with old addresses.
+	retryReserve = 0.7
 	// defaultConnections is the number of connections to a target when the
 	// configuration states none.
 	defaultConnections = 330
@@ -38,17 +39,19 @@
 	for {
 		select {
 		case <-g.sync.Changed():
-			g.activate(g.sync.Snapshot())
+		case <-g.activeChanged:
 		case <-ctx.Done():
 			return
 		}
+		g.activate(g.sync.Snapshot())
 	}
 }
 
 func (g *Gateway) activate(s discovery.Snapshot) {
 	g.mu.Lock()
 	g.roster.Learn(s.Hosts)
-	hosts := g.roster.ActiveCount()
+	// The other regions have about as many active hosts.
+	hosts := g.roster.ActiveCount() * max(1, g.settings.Regions)
 	g.mu.Unlock()
 	if !s.Complete {
 		return
@@ -67,7 +70,7 @@
 		cfg := dispatchConfig(revision, doc, svc)
 		cfg.RetryBudget = retryReserve * g.settings.RetryRatio
 		cfg.RetryWindow = g.settings.RetryWindow
-		cfg.RetryAllowance = retryReserve * g.settings.RetrySlack / float64(max(1, hosts))
+		cfg.RetryAllowance = retryReserve * g.settings.RetrySlack / float64(hosts)
 		for i := range cfg.Targets {
 			t := &cfg.Targets[i]
 			e := entries[t.ID]
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -62,8 +62,16 @@
 // stepRoster runs one event under the lock and sends its messages after it.
 func (g *Gateway) stepRoster(step func(time.Time, *roster.Roster) []roster.Action) {
 	g.mu.Lock()
+	before := g.roster.ActiveCount()
 	actions := step(time.Now(), g.roster)
+	changed := g.roster.ActiveCount() != before
 	g.mu.Unlock()
+	if changed {
+		select {
+		case g.activeChanged <- struct{}{}:
+		default:
+		}
+	}
 	for _, a := range actions {
 		switch a := a.(type) {
 		case roster.SendReport:
