Learn how long targets fail; log decisions; keep attempts that are at work

Lookups took failing targets too lightly and used up the allowed repeats (142 repeats for 241 failures). One log line for each attempt and each refusal, bounded.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -27,6 +27,7 @@
 // the response was streamed to the caller, so that the request has ended.
 func (q *request) attempt(ctx context.Context, start dispatch.Start) bool {
 	began := time.Now()
+	q.began = began
 	defer func() { q.attempted += time.Since(began) }()
 	if end := began.Add(start.Timeout); end.Before(q.deadline) {
 		var cancel context.CancelFunc
@@ -120,6 +121,7 @@
 // dispatcher then starts nothing more there.
 func (q *request) end(start dispatch.Start, trace *target.Trace, result attempt.Result) {
 	q.metrics.results[result.Kind].Inc()
+	q.logAttempt(start, trace, result)
 	if trace.Draining {
 		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, Draining: true, ByResponse: true})
 	}
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -58,6 +58,9 @@
 	// when the body streams; attempted is the time spent in attempts since.
 	admittedAt time.Time
 	attempted  time.Duration
+	// began is the start of the running attempt, attempts their number.
+	began    time.Time
+	attempts int
 }
 
 // serveRequest serves one routed request. A returned problem has not been sent.
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 	"github.com/sapphirehaven/sapphirehaven/internal/engine"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
+	"github.com/sapphirehaven/sapphirehaven/internal/requestlog"
 )
 
 // Members tells which hosts can serve callers.
@@ -41,6 +42,8 @@
 	Recorder      engine.Recorder
 	// Dialect is what callers speak; default the product's own.
 	Dialect dialect.Dialect
+	// Log, if set, gets a line for each decision about a request.
+	Log *requestlog.Log
 	// WriteTimeout is the longest time in which a caller may accept no 64 KiB
 	// of its response; default 30 s.
 	WriteTimeout time.Duration
@@ -118,7 +121,9 @@
 		return
 	}
 	if problem := s.serveRequest(w, r, w); problem != nil {
-		s.events.note(problem, w.Header().Get(s.cfg.Dialect.RequestID))
+		id := w.Header().Get(s.cfg.Dialect.RequestID)
+		s.events.note(problem, id)
+		s.logProblem(problem, id)
 		s.refuse(w, problem)
 	}
 }
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 	"github.com/sapphirehaven/sapphirehaven/internal/discovery"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
+	"github.com/sapphirehaven/sapphirehaven/internal/requestlog"
 	"github.com/sapphirehaven/sapphirehaven/internal/timeline"
 )
 
@@ -65,6 +66,7 @@
 	fleet     *peer.Fleet
 	sync      *discovery.Sync
 	ingress   *ingress.Server
+	requests  *requestlog.Log
 	admin     *admin.Server
 	callers   *callerServer
 	compiled  compiled
@@ -104,6 +106,7 @@
 	}
 	g.fleet = fleet
 	g.sync = discovery.New(discovery.DefaultConfig(), store, fleet, role{g}, g.timeline, log)
+	g.requests = requestlog.New(log)
 	g.ingress = ingress.New(ingress.Config{
 		Host:        settings.Host,
 		Incarnation: incarnation,
@@ -111,6 +114,7 @@
 		Transport:   g.transport,
 		Recorder:    g.timeline,
 		Dialect:     settings.Dialect,
+		Log:         g.requests,
 	})
 	metrics.RegisterSet(g.ingress.Metrics())
 	g.admin = admin.New(g, &publishedDocuments{g}, "")
@@ -145,6 +149,7 @@
 		func(ctx context.Context) { g.sync.Run(ctx, g.self(), g.settings.Seeds) },
 		func(ctx context.Context) { g.fleet.Receive(ctx, fleetHandler{g, ctx}) },
 		g.runRoster,
+		g.requests.Run,
 		g.activateChanges,
 		g.shareObservations,
 		listeners.servePeers,
--- a/internal/app/gateway_config.go
+++ b/internal/app/gateway_config.go
@@ -19,9 +19,14 @@
 )
 
 const (
-	// retryReserve is the share of the allowed repeats that the active hosts use.
-	// Others serve callers with old addresses.
-	retryReserve = 0.7
+	// retryRatioShare is the share of the repeats allowed for each request that
+	// hosts use; a host that restarts forgets what it used.
+	retryRatioShare = 0.8
+	// activeShare and passiveShare are the shares of the allowance on top that
+	// the active hosts and the others use. The others serve callers with old
+	// addresses.
+	activeShare  = 0.45
+	passiveShare = 0.25
 	// defaultConnections is the number of connections to a target when the
 	// configuration states none.
 	defaultConnections = 330
@@ -50,8 +55,7 @@
 func (g *Gateway) activate(s discovery.Snapshot) {
 	g.mu.Lock()
 	g.roster.Learn(s.Hosts)
-	// The other regions have about as many active hosts.
-	hosts := g.roster.ActiveCount() * max(1, g.settings.Regions)
+	allowance := g.retryAllowance()
 	g.mu.Unlock()
 	if !s.Complete {
 		return
@@ -68,9 +72,9 @@
 	}
 	build := func(revision uint64, doc *document.Document, svc *document.Service) dispatch.Config {
 		cfg := dispatchConfig(revision, doc, svc)
-		cfg.RetryBudget = retryReserve * g.settings.RetryRatio
+		cfg.RetryBudget = retryRatioShare * g.settings.RetryRatio
 		cfg.RetryWindow = g.settings.RetryWindow
-		cfg.RetryAllowance = retryReserve * g.settings.RetrySlack / float64(hosts)
+		cfg.RetryAllowance = allowance
 		for i := range cfg.Targets {
 			t := &cfg.Targets[i]
 			e := entries[t.ID]
@@ -87,6 +91,16 @@
 	}
 }
 
+// retryAllowance is this host's part of the repeats that are allowed on top of
+// those for each request. The other regions have about as many active hosts. The
+// caller holds the lock.
+func (g *Gateway) retryAllowance() float64 {
+	if g.roster.IsActive() {
+		return activeShare * g.settings.RetrySlack / float64(g.roster.ActiveCount()*max(1, g.settings.Regions))
+	}
+	return passiveShare * g.settings.RetrySlack / float64(g.roster.Count())
+}
+
 // withTargets returns a document with the registered targets of its services.
 func withTargets(doc *document.Document, entries []registry.Entry) *document.Document {
 	out := *doc
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -62,9 +62,9 @@
 // stepRoster runs one event under the lock and sends its messages after it.
 func (g *Gateway) stepRoster(step func(time.Time, *roster.Roster) []roster.Action) {
 	g.mu.Lock()
-	before := g.roster.ActiveCount()
+	count, active := g.roster.ActiveCount(), g.roster.IsActive()
 	actions := step(time.Now(), g.roster)
-	changed := g.roster.ActiveCount() != before
+	changed := g.roster.ActiveCount() != count || g.roster.IsActive() != active
 	g.mu.Unlock()
 	if changed {
 		select {
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -163,11 +163,30 @@
 	Fresh bool
 	// Trial marks work sent to an ejected target to test its return.
 	Trial bool
+	// Why says what decided for the target, for the log.
+	Why Why
 	// SilentTimeout is the time after which an attempt on a reused connection is
 	// given up when no byte of a response has arrived; 0 if it is not.
 	SilentTimeout time.Duration
 }
 
+// Why holds the inputs of the selection of a target.
+type Why struct {
+	// Cost is the expected cost in lost requests, and Failure the probability that
+	// the attempt fails.
+	Cost    float64
+	Failure float64
+	// Unseen is the time since the last outcome at the target that is known.
+	Unseen time.Duration
+	// InFlight is the number of this host's attempts at the target, Others the
+	// load of others there, Slots the target's slots.
+	InFlight int
+	Others   float64
+	Slots    int
+	// Waited is the time since the request arrived at the scheduler.
+	Waited time.Duration
+}
+
 // Refuse ends a request that was not run.
 type Refuse struct {
 	Request    ident.RequestID
--- a/internal/core/gray/belief.go
+++ b/internal/core/gray/belief.go
@@ -5,16 +5,9 @@
 	"time"
 )
 
-// Parameters of the model.
-const (
-	// onsetPerSecond is the rate at which a target that is well starts to fail.
-	onsetPerSecond = 0.02
-	// recoveryPerSecond is the rate at which a failing target becomes well.
-	recoveryPerSecond = 0.15
-	// partialShare is the share of onsets after which a target fails part of its
-	// requests rather than nearly all.
-	partialShare = 0.5
-)
+// partialShare is the share of onsets after which a target fails part of its
+// requests rather than nearly all.
+const partialShare = 0.3
 
 // state is a hidden state of a target.
 type state int
@@ -27,23 +20,36 @@
 )
 
 // failureRate is the probability that a request fails in each state.
-var failureRate = [states]float64{well: 0.015, partial: 0.5, full: 0.95}
+var failureRate = [states]float64{well: 0.015, partial: 0.5, full: 0.9}
+
+// Lines between which a target stays what it was last taken for.
+const (
+	failingLine = 0.6
+	wellLine    = 0.3
+)
 
 // Belief is the probability of each hidden state of one target at a time.
 type Belief struct {
-	p  [states]float64
-	at time.Time
+	model *Model
+	p     [states]float64
+	at    time.Time
+	// seen is the time of the last outcome, and failing what the target was taken
+	// for then.
+	seen    time.Time
+	failing bool
 }
 
-// usual is the belief about a target of which nothing is known: the stationary
-// distribution of the model.
-func usual() [states]float64 {
-	failing := onsetPerSecond / (onsetPerSecond + recoveryPerSecond)
-	return [states]float64{well: 1 - failing, partial: failing * partialShare, full: failing * (1 - partialShare)}
+// NewBelief returns the belief about a target of which nothing is known.
+func NewBelief(now time.Time, m *Model) Belief {
+	return Belief{model: m, p: m.usual(), at: now, seen: now}
 }
 
-// NewBelief returns the belief about a target of which nothing is known.
-func NewBelief(now time.Time) Belief { return Belief{p: usual(), at: now} }
+// usual is the stationary distribution of the model.
+func (m *Model) usual() [states]float64 {
+	onset, recovery := m.onset(), m.recovery()
+	failing := onset / (onset + recovery)
+	return [states]float64{well: 1 - failing, partial: failing * partialShare, full: failing * (1 - partialShare)}
+}
 
 // advance moves the belief on to a later time.
 func (b *Belief) advance(now time.Time) {
@@ -54,8 +60,8 @@
 	b.at = now
 	// Both failing states recover at the same rate, so the belief approaches the
 	// usual one exponentially.
-	keep := math.Exp(-(onsetPerSecond + recoveryPerSecond) * elapsed)
-	rest := usual()
+	keep := math.Exp(-(b.model.onset() + b.model.recovery()) * elapsed)
+	rest := b.model.usual()
 	for s := range b.p {
 		b.p[s] = keep*b.p[s] + (1-keep)*rest[s]
 	}
@@ -76,6 +82,20 @@
 	for s := range b.p {
 		b.p[s] /= total
 	}
+	b.learn(now)
+}
+
+// learn tells the model what the target was and is taken for.
+func (b *Belief) learn(now time.Time) {
+	failing := b.failing
+	switch p := b.p[partial] + b.p[full]; {
+	case p > failingLine:
+		failing = true
+	case p < wellLine:
+		failing = false
+	}
+	b.model.learn(b.failing, failing, now.Sub(b.seen))
+	b.failing, b.seen = failing, now
 }
 
 // FailureProbability is the probability that a request sent now fails.
@@ -93,3 +113,6 @@
 	b.advance(now)
 	return b.p[partial] + b.p[full]
 }
+
+// Age is the time since the last outcome, or since the target was added.
+func (b *Belief) Age(now time.Time) time.Duration { return now.Sub(b.seen) }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -397,3 +397,6 @@
 	}
 	return list
 }
+
+// Count is the number of known hosts of all regions.
+func (r *Roster) Count() int { return len(r.hosts) }
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -23,9 +23,6 @@
 	// overdueFactor is the multiple of the mean response time after which an open
 	// attempt counts as a failure; few answers take as long.
 	overdueFactor = 5
-	// cutoffShare is the share of the time left after which an idempotent request
-	// that can be repeated is given up at its first target.
-	cutoffShare = 0.6
 )
 
 // Arrive admits a request or refuses it. A request whose ID is in use is ignored.
@@ -140,7 +137,17 @@
 	s.fail(r)
 }
 
-func (s *Scheduler) start(now time.Time, r *request, t *target) {
+func (s *Scheduler) start(now time.Time, r *request, c choice) {
+	t := c.target
+	why := dispatch.Why{
+		Cost:     c.cost,
+		Failure:  t.belief.FailureProbability(now),
+		Unseen:   t.belief.Age(now),
+		InFlight: t.inFlight,
+		Others:   t.reported.At(now),
+		Slots:    t.Slots,
+		Waited:   now.Sub(r.arrived),
+	}
 	s.lastID++
 	r.running = s.lastID
 	r.attempts++
@@ -148,21 +155,7 @@
 	t.inFlight++
 	t.changed = true
 	s.attempts[r.running] = &openAttempt{id: r.running, request: r, target: t, started: now}
-	s.emit(dispatch.Start{Request: r.ID, Attempt: r.running, Target: t.ID, Timeout: s.attemptTimeout(now, r)})
-}
-
-// attemptTimeout leaves time for another attempt when the request may have one.
-func (s *Scheduler) attemptTimeout(now time.Time, r *request) time.Duration {
-	left := r.Deadline.Sub(now)
-	if !r.idempotent || r.attempts >= r.class.MaxAttempts || len(s.order) < 2 {
-		return left
-	}
-	mean := r.class.service.Mean(now)
-	cutoff := max(time.Duration(cutoffShare*float64(left)), overdueFactor*mean)
-	if left-cutoff < mean {
-		return left
-	}
-	return cutoff
+	s.emit(dispatch.Start{Request: r.ID, Attempt: r.running, Target: t.ID, Timeout: r.Deadline.Sub(now), Why: why})
 }
 
 // Commit reports that the driver passes the response of a running attempt on to
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -32,6 +32,7 @@
 	order   []*target
 	classes map[ident.ClassName]*class
 	budget  *retry.Window
+	model   *gray.Model
 
 	requests map[ident.RequestID]*request
 	attempts map[ident.AttemptID]*openAttempt
@@ -107,6 +108,7 @@
 		targets:  map[ident.TargetID]*target{},
 		classes:  map[ident.ClassName]*class{},
 		budget:   retry.NewWindow(),
+		model:    gray.NewModel(),
 		requests: map[ident.RequestID]*request{},
 		attempts: map[ident.AttemptID]*openAttempt{},
 	}
@@ -171,7 +173,7 @@
 	for _, tc := range s.cfg.Targets {
 		t := old[tc.ID]
 		if t == nil || t.Born != tc.Born {
-			t = &target{since: now, belief: gray.NewBelief(now), limit: limit.NewAdaptive(now, tc.Slots)}
+			t = &target{since: now, belief: gray.NewBelief(now, s.model), limit: limit.NewAdaptive(now, tc.Slots)}
 		}
 		t.Target = tc
 		t.distance = balance.DistanceBetween(s.self.Location, tc.Location)
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -11,7 +11,10 @@
 // Costs in lost requests.
 const (
 	// repeatCost is what a failure costs a request that gets another attempt.
-	repeatCost = 0.15
+	repeatCost = 0.25
+	// scarceRetries is the number of allowed repeats below which a request cannot
+	// count on another attempt.
+	scarceRetries = 3
 	// loadCost is the cost of a target whose slots are all but one in use.
 	loadCost = 0.02
 	// lateCost is the cost of each multiple of the usual response time, up to
@@ -36,7 +39,7 @@
 // cost is the expected cost of sending a request to a target now.
 func (s *Scheduler) cost(now time.Time, r *request, t *target) float64 {
 	loss := 1.0
-	if r.idempotent && r.attempts+1 < r.class.MaxAttempts {
+	if r.idempotent && r.attempts+1 < r.class.MaxAttempts && s.budget.Left(now) >= scarceRetries {
 		loss = repeatCost
 	}
 	large := 0
@@ -112,7 +115,7 @@
 	if busy.target != nil && s.waitCost(now, r, busy, ahead)+busy.cost < free.cost {
 		return false
 	}
-	s.start(now, r, free.target)
+	s.start(now, r, free)
 	return true
 }
 
