Fewer calls to the store, fewer connections

Every host read the whole registry at its start, followers read the store because beacons left their copy up to 1.3 s old, and requests that only test a host's configuration opened a connection to any target. Change: a host that starts waits for the coordinator's copy before it reads itself and publishes itself only if it is not listed; the coordinator's beacon goes out with each change, followers read from 1.6 s on; a target without an idle connection costs a little more.

--- a/internal/app/gateway_config.go
+++ b/internal/app/gateway_config.go
@@ -14,6 +14,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/route"
 	"github.com/sapphirehaven/sapphirehaven/internal/discovery"
 )
@@ -49,6 +50,7 @@
 			return
 		}
 		g.activate(g.sync.Snapshot())
+		g.stepRoster(func(now time.Time, r *roster.Roster) []roster.Action { return r.Announce(now) })
 	}
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -179,6 +179,12 @@
 // SetRate sets the number of requests per second of this host.
 func (r *Roster) SetRate(rate float64) { r.rate = rate }
 
+// Announce makes this host send its next beacon at once, if it coordinates.
+func (r *Roster) Announce(now time.Time) []Action {
+	r.nextBeacon = now
+	return r.Tick(now)
+}
+
 // Leave makes this host tell the others that it takes no new callers.
 func (r *Roster) Leave(now time.Time) []Action {
 	r.leaving = true
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -153,6 +153,7 @@
 	r.attempts++
 	r.tried = append(r.tried, t.ID)
 	t.inFlight++
+	t.takeIdle(now)
 	t.changed = true
 	s.attempts[r.running] = &openAttempt{id: r.running, request: r, target: t, started: now}
 	s.emit(dispatch.Start{Request: r.ID, Attempt: r.running, Target: t.ID, Timeout: r.Deadline.Sub(now), Why: why})
@@ -217,6 +218,7 @@
 	took := now.Sub(a.started)
 	switch res.Kind {
 	case attempt.Answered:
+		t.idle = append(t.idle, now)
 		t.seen = true
 		t.successes++
 		t.belief.Observe(now, false)
@@ -224,6 +226,7 @@
 		a.request.class.service.Add(now, took)
 		t.limit.Answered()
 	case attempt.Shed:
+		t.idle = append(t.idle, now)
 		t.limit.Shed(now, res.RetryAfter)
 	case attempt.Draining:
 		t.refusedUntil = now.Add(refusedHold)
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -69,6 +69,9 @@
 	refusedUntil time.Time
 	avoided      bool
 	removed      bool
+	// idle holds the times since which connections to the target are idle, as far
+	// as this host can tell, the latest last.
+	idle []time.Time
 	// successes and failures are not yet reported to the other hosts; changed
 	// tells that the number in flight is not.
 	successes, failures int
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -23,6 +23,8 @@
 	maxLateCost = 0.6
 	// warmUpFactor is how much slower a target is that has just started.
 	warmUpFactor = 2
+	// connectionCost is the cost of a new connection.
+	connectionCost = 0.02
 	// introduction is the bonus of a target that no host has used yet.
 	introduction = 0.05
 	// lastResort is the cost of a target that vanished from the registry.
@@ -48,6 +50,9 @@
 	}
 	c := loss*t.belief.FailureProbability(now) + distanceCosts[t.distance][large]
 	c += loadCost * (float64(t.inFlight) + t.reported.At(now)) / float64(max(1, t.Slots))
+	if !t.hasIdle(now) {
+		c += connectionCost
+	}
 	factor := t.pace.Factor(now)
 	if now.Before(t.WarmUntil) {
 		factor *= warmUpFactor
@@ -62,6 +67,24 @@
 	return c
 }
 
+// connectionLife is how long an idle connection counts on; targets close theirs
+// soon after.
+const connectionLife = 8 * time.Second
+
+// hasIdle reports whether a request to the target would reuse a connection.
+func (t *target) hasIdle(now time.Time) bool {
+	return len(t.idle) > 0 && now.Sub(t.idle[len(t.idle)-1]) < connectionLife
+}
+
+// takeIdle notes that a request takes the connection that was used last.
+func (t *target) takeIdle(now time.Time) {
+	if t.hasIdle(now) {
+		t.idle = t.idle[:len(t.idle)-1]
+	} else {
+		t.idle = t.idle[:0]
+	}
+}
+
 // usable reports whether a target may get a request at all.
 func (t *target) usable(now time.Time) bool {
 	return !t.Draining && !now.Before(t.refusedUntil) && !t.limit.Paused(now)
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -123,25 +123,33 @@
 	}
 }
 
-// join publishes this host and reads the registry once. When the store does not
-// answer, other hosts are asked; it goes on until configuration and targets are
-// known.
+// join makes this host known and fetches the registry: from the coordinator, which
+// hears of this host by its reports, else from the store, else from the seeds. It
+// goes on until configuration and targets are known.
 func (s *Sync) join(ctx context.Context, self registry.Host, seeds []string) {
 	s.LearnHost(self)
-	go s.publish(ctx, self)
 	pause := backoff{cfg: &s.cfg}
+	started := time.Now()
+	known := false
 	for round := 0; ; round++ {
-		err := s.refreshHosts(ctx)
-		if err == nil {
-			err = s.refreshConfiguration(ctx, 0)
+		var err error
+		if !known {
+			err = s.introduce(ctx, self)
+			known = err == nil
 		}
-		if err == nil {
-			err = s.refreshTargets(ctx)
+		if err == nil && (s.role.Coordinates() || time.Since(started) >= s.cfg.JoinWait) {
+			err = s.refreshConfiguration(ctx, 0)
+			if err == nil {
+				err = s.refreshTargets(ctx)
+			}
 		}
 		if err != nil && len(seeds) > 0 {
 			s.pull(ctx, seeds[round%len(seeds)])
 		}
 		if s.Snapshot().Complete {
+			if !known {
+				go s.publish(ctx, self)
+			}
 			return
 		}
 		pause.result(err)
@@ -151,22 +159,43 @@
 	}
 }
 
-// refreshHosts reads the list of hosts.
-func (s *Sync) refreshHosts(ctx context.Context) error {
+// introduce reads the list of hosts and adds this one if it is missing or has
+// moved. It is added before the list is read again, so that of two hosts that start
+// together at least one sees the other.
+func (s *Sync) introduce(ctx context.Context, self registry.Host) error {
 	records, err := s.store.Hosts(ctx)
+	if err == nil && !listed(records, self) {
+		if err = s.store.Publish(ctx, self); err == nil {
+			records, err = s.store.Hosts(ctx)
+		}
+	}
 	s.contact(err)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	for _, r := range records {
-		s.hosts.Learn(r)
+		if r.ID != self.ID {
+			s.hosts.Learn(r)
+		}
 	}
 	s.mu.Unlock()
 	s.notify()
 	return nil
 }
 
+// listed reports whether the records have a host at its present addresses.
+func listed(records []registry.HostRecord, self registry.Host) bool {
+	for _, r := range records {
+		if r.ID == self.ID && r.Host != nil {
+			known := *r.Host
+			known.Incarnation = self.Incarnation
+			return known == self
+		}
+	}
+	return false
+}
+
 // publish records this host in the store, so that hosts that start later find it.
 func (s *Sync) publish(ctx context.Context, self registry.Host) {
 	pause := backoff{cfg: &s.cfg}
--- a/internal/discovery/sync.go
+++ b/internal/discovery/sync.go
@@ -22,10 +22,14 @@
 	// ConfigurationWait is how long a read of the configuration waits for a new
 	// one.
 	ConfigurationWait time.Duration
-	// FallbackAge is the age of the copy from which a host reads the store itself,
-	// and FallbackStep is added for each place in the order of coordination.
+	// FallbackAge is the age of the copy from which a host reads the store itself.
+	// FallbackStep is added for each place in the order of coordination, up to
+	// maxFallbackSteps.
 	FallbackAge  time.Duration
 	FallbackStep time.Duration
+	// JoinWait is how long a host that starts waits for another one's copy before
+	// it reads the whole registry itself.
+	JoinWait time.Duration
 	// MinBackoff and MaxBackoff bound the pause after a read that failed.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
@@ -36,10 +40,11 @@
 // DefaultConfig returns the default settings.
 func DefaultConfig() Config {
 	return Config{
-		ReadInterval:      500 * time.Millisecond,
+		ReadInterval:      700 * time.Millisecond,
 		ConfigurationWait: 800 * time.Millisecond,
-		FallbackAge:       1300 * time.Millisecond,
+		FallbackAge:       1600 * time.Millisecond,
 		FallbackStep:      80 * time.Millisecond,
+		JoinWait:          700 * time.Millisecond,
 		MinBackoff:        150 * time.Millisecond,
 		MaxBackoff:        2 * time.Second,
 		Tick:              50 * time.Millisecond,
@@ -202,9 +207,13 @@
 	s.mu.Lock()
 	age := s.age(now)
 	s.mu.Unlock()
-	return age >= s.cfg.FallbackAge+time.Duration(s.role.Rank())*s.cfg.FallbackStep
+	return age >= s.cfg.FallbackAge+time.Duration(min(s.role.Rank(), maxFallbackSteps))*s.cfg.FallbackStep
 }
 
+// maxFallbackSteps bounds the wait of hosts far down the order: every host has to
+// keep up within the time in which a change must be in force.
+const maxFallbackSteps = 5
+
 // readTargets reads the targets whenever it is this host's turn.
 func (s *Sync) readTargets(ctx context.Context) {
 	pause := backoff{cfg: &s.cfg}
