schedule: use most targets while requests fail

The cheapest targets took all requests; those that had failed were left alone even after they were well again. Change: while more than 0.08 of a host's requests to a service fail, the next request goes to a target of the region that was not used for 1.3 s, until 0.75 of them are; to one that is taken to be failing only above 0.12 and below 0.72.

--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -64,6 +64,7 @@
 }
 
 func (s *Scheduler) refuse(now time.Time, r *request, reason dispatch.RefuseReason) {
+	s.unserved.add(now, true)
 	delete(s.requests, r.ID)
 	wait := noTargetRetryAfter
 	if reason != dispatch.NoTarget {
@@ -134,7 +135,7 @@
 		s.refuse(now, r, reason)
 		return
 	}
-	s.fail(r)
+	s.fail(now, r)
 }
 
 func (s *Scheduler) start(now time.Time, r *request, c choice) {
@@ -153,6 +154,7 @@
 	r.attempts++
 	r.tried = append(r.tried, t.ID)
 	t.inFlight++
+	t.lastUsed = now
 	t.takeIdle(now)
 	t.changed = true
 	s.attempts[r.running] = &openAttempt{id: r.running, request: r, target: t, started: now}
@@ -200,14 +202,16 @@
 	case r.canceled:
 	case res.Kind == attempt.Answered:
 		delete(s.requests, r.ID)
+		s.unserved.add(now, false)
 		s.emit(dispatch.Complete{Request: r.ID, Attempt: a.id})
 	case !s.again(now, r, res):
-		s.fail(r)
+		s.fail(now, r)
 	}
 	return s.settle(now)
 }
 
-func (s *Scheduler) fail(r *request) {
+func (s *Scheduler) fail(now time.Time, r *request) {
+	s.unserved.add(now, true)
 	delete(s.requests, r.ID)
 	s.emit(dispatch.Fail{Request: r.ID, Attempt: r.last, Result: r.result, NotRun: !r.mayHaveRun})
 }
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -41,8 +41,11 @@
 	// that wait for another attempt, then by arrival.
 	waiting []*request
 	// urgent tells that an observation should reach the other hosts at once.
-	urgent  bool
-	actions []dispatch.Action
+	urgent bool
+	// unserved is the share of requests that ended without a target's answer or
+	// with a failure.
+	unserved share
+	actions  []dispatch.Action
 }
 
 // class is a request class with what is known of its response times.
@@ -62,8 +65,8 @@
 	reported balance.Reported
 	// seen tells that some host had a response of the target.
 	seen bool
-	// since is the time at which the target was added.
-	since time.Time
+	// lastUsed is the time of the latest request there that is known of.
+	lastUsed time.Time
 	// refusedUntil is the end of a hold after the target said that it drains or
 	// that its address belongs to another one.
 	refusedUntil time.Time
@@ -176,7 +179,7 @@
 	for _, tc := range s.cfg.Targets {
 		t := old[tc.ID]
 		if t == nil || t.Born != tc.Born {
-			t = &target{since: now, belief: gray.NewBelief(now, s.model), limit: limit.NewAdaptive(now, tc.Slots)}
+			t = &target{belief: gray.NewBelief(now, s.model), limit: limit.NewAdaptive(now, tc.Slots)}
 		}
 		t.Target = tc
 		t.distance = balance.DistanceBetween(s.self.Location, tc.Location)
@@ -214,6 +217,9 @@
 			t.belief.Observe(now, false)
 		}
 		t.seen = t.seen || o.Successes > 0
+		if o.Successes+o.Failures+o.InFlight > 0 {
+			t.lastUsed = now
+		}
 		t.reported.FromPeer(now, from, float64(min(o.InFlight, t.Slots)))
 		s.noteAvoided(now, t, "another host")
 	}
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -131,6 +131,10 @@
 
 // place starts a request if it should not wait, and reports whether it did.
 func (s *Scheduler) place(now time.Time, r *request, ahead int) bool {
+	if t := s.toCover(now, r); t != nil {
+		s.start(now, r, choice{t, s.cost(now, r, t)})
+		return true
+	}
 	free, busy := s.choose(now, r)
 	if free.target == nil {
 		return false
