schedule: keep targets that are not avoided in use all the time

Change: a target of the region that is not taken to be failing and was not used for 1.3 s costs 0.06 less; targets taken to be failing are covered, as before, only while more than 0.08 of the host's requests fail, callers that left counted.

--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -8,22 +8,21 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/balance"
 )
 
-// Parameters of the floor. While requests of the service fail, requests go to
-// most of its targets, so that those that are well again are found and no healthy
-// capacity stays out.
+// Parameters of the floor. Requests go to most of the region's targets all the
+// time, so that no healthy capacity stays out.
 const (
 	// floorWindow is the time in which a target counts as used.
 	floorWindow = 1300 * time.Millisecond
+	// floorBonus is the bonus of a target that was not used lately and is not taken
+	// to be failing.
+	floorBonus = 0.06
 	// floorShare is the share of the region's targets that are to be used while
-	// more than floorUnserved of the requests fail.
-	floorShare    = 0.75
+	// more than floorUnserved of the requests fail, those included that are taken
+	// to be failing: a request to one of them is probably lost.
+	floorShare    = 0.74
 	floorUnserved = 0.08
-	// failingShare and failingUnserved are the same for targets that are taken to
-	// be failing: a request to one of them is probably lost.
-	failingShare    = 0.72
-	failingUnserved = 0.12
 	// unservedTime is the time constant of the share of requests that fail.
-	unservedTime = 2 * time.Second
+	unservedTime = 1500 * time.Millisecond
 )
 
 // share is a smoothed share of events over time.
@@ -60,18 +59,23 @@
 // is known of.
 func (t *target) used(now time.Time) bool { return t.inFlight > 0 || now.Sub(t.lastUsed) < floorWindow }
 
-// toCover returns a target that is to get the next request so that the floor is
-// kept, nil if none.
+// inFloor reports whether the floor counts a target on this host. Hosts of the
+// other region keep the floor there.
+func (t *target) inFloor(now time.Time) bool {
+	return t.distance != balance.OtherRegion && t.usable(now) && !t.Vanished
+}
+
+// toCover returns a target taken to be failing that is to get the next request so
+// that the floor is kept, nil if none.
 func (s *Scheduler) toCover(now time.Time, r *request) *target {
-	unserved := s.unserved.value(now)
-	if unserved <= floorUnserved {
+	if s.unserved.value(now) <= floorUnserved {
 		return nil
 	}
 	used, all := 0, 0
 	var best *target
 	var lowest float64
 	for _, t := range s.order {
-		if t.distance == balance.OtherRegion || !t.usable(now) || t.Vanished {
+		if !t.inFloor(now) {
 			continue
 		}
 		all++
@@ -83,11 +87,7 @@
 			best, lowest = t, failing
 		}
 	}
-	have := float64(used) / float64(max(1, all))
-	if best == nil || have >= floorShare {
-		return nil
-	}
-	if best.avoided && (have >= failingShare || unserved <= failingUnserved) {
+	if float64(used) >= floorShare*float64(all) {
 		return nil
 	}
 	return best
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -177,6 +177,7 @@
 		return nil
 	}
 	delete(s.requests, id)
+	s.unserved.add(now, true)
 	r.canceled = true
 	s.dequeue(r)
 	if r.running != 0 {
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -61,6 +61,9 @@
 	if !t.seen && !now.Before(t.WarmUntil) {
 		c -= introduction
 	}
+	if !t.avoided && t.inFloor(now) && !t.used(now) {
+		c -= floorBonus
+	}
 	if t.Vanished {
 		c += lastResort
 	}
