Hosts that start: requests wait for the first configuration; only the coordinator reads

At its start every host took itself for the coordinator, since its roster did not know the hosts that it had just read, and read the whole registry. Change: a request waits up to 0.7 s for the first configuration; the roster learns hosts before the host asks who coordinates. A small request to another region costs 0.07 in place of 0.10, a large one to another zone 0.08 in place of 0.05, the bonus of an unused target is 0.04 in place of 0.06: from what bytes and lost requests weigh. sapphirectl explain merges what logs say about one request.

--- a/internal/adapter/ingress/dialect_test.go
+++ b/internal/adapter/ingress/dialect_test.go
@@ -5,9 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/core/route"
 	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 )
 
@@ -133,3 +137,26 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// TestRequestsWaitForFirstConfiguration guards against requests that are refused
+// by a host that gets its configuration a moment later: when all hosts lose power,
+// callers come back at the moment at which the hosts listen again.
+func TestRequestsWaitForFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Host: "h", Recorder: nothing{}, StartWait: time.Second})
+		serve := func() int {
+			w := httptest.NewRecorder()
+			s.ServeHTTP(w, httptest.NewRequest("GET", "/none", nil))
+			return w.Code
+		}
+		began := time.Now()
+		if status := serve(); status != 503 || time.Since(began) != time.Second {
+			t.Errorf("status %d after %s without a configuration", status, time.Since(began))
+		}
+		time.AfterFunc(300*time.Millisecond, func() { s.Activate(&Active{Routes: route.New(nil)}) })
+		began = time.Now()
+		if status := serve(); status != 404 || time.Since(began) != 300*time.Millisecond {
+			t.Errorf("status %d after %s with a configuration after 300 ms", status, time.Since(began))
+		}
+	})
+}
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -101,7 +101,7 @@
 // force.
 func (s *Server) newRequest(w http.ResponseWriter, r *http.Request, caller *callerWriter) (*request, *Problem) {
 	arrived := time.Now()
-	active := s.active.Load()
+	active := s.awaitActive(r.Context())
 	if active == nil {
 		return nil, s.noConfiguration()
 	}
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -1,9 +1,11 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +46,9 @@
 	Dialect dialect.Dialect
 	// Log, if set, gets a line for each decision about a request.
 	Log *requestlog.Log
+	// StartWait is how long a request waits for the first configuration of a host
+	// that has just started; default 0.
+	StartWait time.Duration
 	// WriteTimeout is the longest time in which a caller may accept no 64 KiB
 	// of its response; default 30 s.
 	WriteTimeout time.Duration
@@ -54,15 +59,18 @@
 
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
-	events   *problemEvents
-	cfg      Config
-	active   atomic.Pointer[Active]
-	draining atomic.Bool
-	inFlight atomic.Int64
-	arrived  atomic.Uint64
-	lastID   atomic.Uint64
-	metrics  *serverMetrics
-	splits   *splits
+	events *problemEvents
+	cfg    Config
+	active atomic.Pointer[Active]
+	// activated is closed when the first configuration is in force.
+	activated     chan struct{}
+	activatedOnce sync.Once
+	draining      atomic.Bool
+	inFlight      atomic.Int64
+	arrived       atomic.Uint64
+	lastID        atomic.Uint64
+	metrics       *serverMetrics
+	splits        *splits
 	// via and idPrefix are parts of every request to a target.
 	via, idPrefix string
 }
@@ -76,7 +84,7 @@
 	if cfg.Dialect == (dialect.Dialect{}) {
 		cfg.Dialect = dialect.Own()
 	}
-	s := &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder), metrics: newServerMetrics(), splits: newSplits(cfg.Host)}
+	s := &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder), metrics: newServerMetrics(), splits: newSplits(cfg.Host), activated: make(chan struct{})}
 	if cfg.Dialect.Via {
 		s.via = "1.1 " + string(cfg.Host)
 	}
@@ -86,7 +94,26 @@
 }
 
 // Activate puts a configuration in force for requests that arrive from now on.
-func (s *Server) Activate(a *Active) { s.active.Store(a) }
+func (s *Server) Activate(a *Active) {
+	s.active.Store(a)
+	s.activatedOnce.Do(func() { close(s.activated) })
+}
+
+// awaitActive returns the configuration in force, nil if there is none after
+// Config.StartWait.
+func (s *Server) awaitActive(ctx context.Context) *Active {
+	if a := s.active.Load(); a != nil || s.cfg.StartWait <= 0 {
+		return a
+	}
+	timer := time.NewTimer(s.cfg.StartWait)
+	defer timer.Stop()
+	select {
+	case <-s.activated:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return s.active.Load()
+}
 
 // Active returns the configuration in force, or nil.
 func (s *Server) Active() *Active { return s.active.Load() }
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -114,6 +114,7 @@
 		Transport:   g.transport,
 		Recorder:    g.timeline,
 		Dialect:     settings.Dialect,
+		StartWait:   startWait,
 		Log:         g.requests,
 	})
 	metrics.RegisterSet(g.ingress.Metrics())
@@ -121,6 +122,11 @@
 	return g, nil
 }
 
+// startWait is how long requests to a host that has just started wait for its
+// first configuration, which the coordinator or the store gives within a few
+// hundred milliseconds.
+const startWait = 700 * time.Millisecond
+
 // gatewayTransport returns the settings of connections to targets. Connections
 // are dear, and a target that does not answer a dial in a few round trips is not
 // worth the wait.
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -23,6 +23,13 @@
 // role implements discovery.Role.
 type role struct{ gateway *Gateway }
 
+// Learn implements discovery.Role.
+func (r role) Learn(hosts []registry.Host) {
+	r.gateway.mu.Lock()
+	defer r.gateway.mu.Unlock()
+	r.gateway.roster.Learn(hosts)
+}
+
 // Coordinates implements discovery.Role.
 func (r role) Coordinates() bool {
 	r.gateway.mu.Lock()
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -15,7 +15,7 @@
 	floorWindow = 1300 * time.Millisecond
 	// floorBonus is the bonus of a target that was not used lately and is not taken
 	// to be failing.
-	floorBonus = 0.06
+	floorBonus = 0.04
 	// floorShare is the share of the region's targets that are to be used while
 	// more than floorUnserved of the requests fail, those included that are taken
 	// to be failing: a request to one of them is probably lost.
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -34,8 +34,8 @@
 // distanceCosts holds the cost of distance for small and large bodies.
 var distanceCosts = [...][2]float64{
 	balance.SameZone:    {0, 0},
-	balance.SameRegion:  {0.01, 0.05},
-	balance.OtherRegion: {0.10, 0.5},
+	balance.SameRegion:  {0.01, 0.08},
+	balance.OtherRegion: {0.07, 0.5},
 }
 
 // cost is the expected cost of sending a request to a target now.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -32,6 +32,7 @@
   status                                       show the state of the hosts
   members                                      show which hosts know which
   timeline                                     merge the timelines of all hosts
+  explain                                      show what logs say about one request
   replay                                       replay traces against expected outcomes
   load                                         measure what a host adds to requests
 
@@ -55,6 +56,7 @@
 	"members":   runMembers,
 	"timeline":  runTimeline,
 	"load":      runLoad,
+	"explain":   runExplain,
 	"replay":    runReplay,
 }
 
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -179,8 +179,9 @@
 			s.hosts.Learn(r)
 		}
 	}
+	hosts := s.hosts.List()
 	s.mu.Unlock()
-	s.notify()
+	s.role.Learn(hosts)
 	return nil
 }
 
--- a/internal/discovery/sync.go
+++ b/internal/discovery/sync.go
@@ -53,6 +53,8 @@
 
 // Role tells which part this host has among the hosts of its region.
 type Role interface {
+	// Learn takes hosts from the registry; the part may change with it.
+	Learn(hosts []registry.Host)
 	// Coordinates reports whether this host reads the store for the others.
 	Coordinates() bool
 	// Rank is the host's place in the order of coordination.
--- a/internal/discovery/sync_test.go
+++ b/internal/discovery/sync_test.go
@@ -187,9 +187,10 @@
 	coordinator string
 }
 
-func (r *fakeRole) Coordinates() bool   { return r.rank == 0 }
-func (r *fakeRole) Rank() int           { return r.rank }
-func (r *fakeRole) Coordinator() string { return r.coordinator }
+func (r *fakeRole) Learn([]registry.Host) {}
+func (r *fakeRole) Coordinates() bool     { return r.rank == 0 }
+func (r *fakeRole) Rank() int             { return r.rank }
+func (r *fakeRole) Coordinator() string   { return r.coordinator }
 
 type nothing struct{}
 
