--- /dev/null
+++ b/internal/core/roster/query.go
@@ -0,0 +1,92 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+)
+
+func (r *Roster) Rank() int {
+	return slices.IndexFunc(r.order, func(p *peer) bool { return p.ID == r.self.ID })
+}
+
+func (r *Roster) Coordinator() (registry.Host, bool) {
+	p := r.hosts[r.coordinator]
+	if p == nil {
+		return registry.Host{}, false
+	}
+	return p.Host, true
+}
+
+func (r *Roster) Active(zone ident.Zone) []registry.Host {
+	var inZone, all []registry.Host
+	for _, id := range r.active {
+		p := r.hosts[id]
+		if p == nil || (id == r.self.ID && r.leaving) {
+			continue
+		}
+		all = append(all, p.Host)
+		if p.Location.Zone == zone {
+			inZone = append(inZone, p.Host)
+		}
+	}
+	switch {
+	case len(inZone) > 0:
+		return inZone
+	case len(all) > 0:
+		return all
+	}
+	return []registry.Host{r.self}
+}
+
+func (r *Roster) Peers() []registry.Host {
+	var list []registry.Host
+	for _, id := range r.active {
+		if p := r.hosts[id]; p != nil && id != r.self.ID {
+			list = append(list, p.Host)
+		}
+	}
+	return list
+}
+
+func (r *Roster) IsActive() bool { return slices.Contains(r.active, r.self.ID) }
+
+func (r *Roster) Self() registry.Host { return r.self }
+
+func (r *Roster) Host(id ident.HostID) (registry.Host, bool) {
+	if p := r.hosts[id]; p != nil {
+		return p.Host, true
+	}
+	return registry.Host{}, false
+}
+
+func (r *Roster) ActiveCount() int { return max(1, len(r.active)) }
+
+type Member struct {
+	registry.Host
+	// State is self, active, leaving, alive or silent.
+	State string
+}
+
+func (r *Roster) Members(now time.Time) []Member {
+	list := make([]Member, 0, len(r.order))
+	for _, p := range r.order {
+		state := "silent"
+		switch {
+		case p.ID == r.self.ID:
+			state = "self"
+		case p.leaving:
+			state = "leaving"
+		case slices.Contains(r.active, p.ID):
+			state = "active"
+		case r.alive(now, p):
+			state = "alive"
+		}
+		list = append(list, Member{p.Host, state})
+	}
+	return list
+}
+
+func (r *Roster) Count() int { return len(r.hosts) }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -269,19 +269,7 @@
 const maxTakeoverSteps = 5
 
 // Rank is this host's place in the order of coordination.
-func (r *Roster) Rank() int {
-	return slices.IndexFunc(r.order, func(p *peer) bool { return p.ID == r.self.ID })
-}
-
 // Coordinator returns the host that coordinates, as far as is known.
-func (r *Roster) Coordinator() (registry.Host, bool) {
-	p := r.hosts[r.coordinator]
-	if p == nil {
-		return registry.Host{}, false
-	}
-	return p.Host, true
-}
-
 // Tick advances the timers.
 func (r *Roster) Tick(now time.Time) []Action {
 	var actions []Action
@@ -342,81 +330,11 @@
 
 // Active returns the hosts that a caller in a zone should use: those of the zone,
 // else those of the region, else this host.
-func (r *Roster) Active(zone ident.Zone) []registry.Host {
-	var inZone, all []registry.Host
-	for _, id := range r.active {
-		p := r.hosts[id]
-		if p == nil || (id == r.self.ID && r.leaving) {
-			continue
-		}
-		all = append(all, p.Host)
-		if p.Location.Zone == zone {
-			inZone = append(inZone, p.Host)
-		}
-	}
-	switch {
-	case len(inZone) > 0:
-		return inZone
-	case len(all) > 0:
-		return all
-	}
-	return []registry.Host{r.self}
-}
-
 // Peers returns the other active hosts.
-func (r *Roster) Peers() []registry.Host {
-	var list []registry.Host
-	for _, id := range r.active {
-		if p := r.hosts[id]; p != nil && id != r.self.ID {
-			list = append(list, p.Host)
-		}
-	}
-	return list
-}
-
 // IsActive reports whether callers are sent to this host.
-func (r *Roster) IsActive() bool { return slices.Contains(r.active, r.self.ID) }
-
 // Self returns this host.
-func (r *Roster) Self() registry.Host { return r.self }
-
 // Host returns a known host.
-func (r *Roster) Host(id ident.HostID) (registry.Host, bool) {
-	if p := r.hosts[id]; p != nil {
-		return p.Host, true
-	}
-	return registry.Host{}, false
-}
-
 // ActiveCount is the number of active hosts of the region, at least 1.
-func (r *Roster) ActiveCount() int { return max(1, len(r.active)) }
-
 // Member is a host of the region with its state as this host sees it.
-type Member struct {
-	registry.Host
-	// State is self, active, leaving, alive or silent.
-	State string
-}
-
 // Members returns the hosts of the region in the order of coordination.
-func (r *Roster) Members(now time.Time) []Member {
-	list := make([]Member, 0, len(r.order))
-	for _, p := range r.order {
-		state := "silent"
-		switch {
-		case p.ID == r.self.ID:
-			state = "self"
-		case p.leaving:
-			state = "leaving"
-		case slices.Contains(r.active, p.ID):
-			state = "active"
-		case r.alive(now, p):
-			state = "alive"
-		}
-		list = append(list, Member{p.Host, state})
-	}
-	return list
-}
-
 // Count is the number of known hosts of all regions.
-func (r *Roster) Count() int { return len(r.hosts) }
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -22,8 +22,6 @@
 	// ExpectTarget is sent with the ID of the only target that may run the
 	// request.
 	ExpectTarget string
-	// TargetID is the response header in which a target names itself.
-	TargetID string
 	// NotRun is set on responses of a target that did not run the request.
 	NotRun string
 	// Load carries a target's load as "running,waiting,slots".
--- /dev/null
+++ b/internal/discovery/read.go
@@ -0,0 +1,174 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+func (s *Sync) due(last time.Time, interval time.Duration) bool {
+	now := time.Now()
+	if s.role.Coordinates() {
+		return now.Sub(last) >= interval
+	}
+	s.mu.Lock()
+	age := s.age(now)
+	s.mu.Unlock()
+	return age >= s.cfg.FallbackAge+time.Duration(min(s.role.Rank(), maxFallbackSteps))*s.cfg.FallbackStep
+}
+
+const maxFallbackSteps = 5
+
+func (s *Sync) readTargets(ctx context.Context) {
+	pause := backoff{cfg: &s.cfg}
+	var last time.Time
+	for sleep(ctx, max(s.cfg.Tick, pause.next())) {
+		if !s.due(last, s.cfg.ReadInterval) {
+			pause.reset()
+			continue
+		}
+		last = time.Now()
+		pause.result(s.refreshTargets(ctx))
+	}
+}
+
+func (s *Sync) readConfiguration(ctx context.Context) {
+	pause := backoff{cfg: &s.cfg}
+	for sleep(ctx, max(s.cfg.Tick/5, pause.next())) {
+		wait := time.Duration(0)
+		if s.role.Coordinates() {
+			wait = s.cfg.ConfigurationWait
+		} else if !s.due(time.Time{}, 0) {
+			pause.reset()
+			if !sleep(ctx, s.cfg.Tick) {
+				return
+			}
+			continue
+		}
+		pause.result(s.refreshConfiguration(ctx, wait))
+	}
+}
+
+func (s *Sync) refreshTargets(ctx context.Context) error {
+	s.mu.Lock()
+	position, known := s.targets.Position(), s.hasTargets
+	s.mu.Unlock()
+	asked := time.Now()
+	whole := !known
+	var records []registry.TargetRecord
+	var end int64
+	var err error
+	if known {
+		records, end, err = s.store.TargetsSince(ctx, position)
+		var gone *port.PositionGoneError
+		whole = errors.As(err, &gone)
+	}
+	if whole {
+		records, end, err = s.store.Targets(ctx)
+	}
+	s.contact(err)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	now := time.Now()
+	changed := false
+	if whole {
+		changed = s.targets.Replace(now, records, end)
+	} else {
+		changed = s.targets.Apply(now, records, end)
+	}
+	s.hasTargets = true
+	s.targetsAt = later(s.targetsAt, asked)
+	s.mu.Unlock()
+	if changed || !known {
+		s.notify()
+	}
+	s.confirm()
+	return nil
+}
+
+func (s *Sync) refreshConfiguration(ctx context.Context, wait time.Duration) error {
+	s.mu.Lock()
+	position := s.configPosition
+	s.mu.Unlock()
+	asked := time.Now()
+	var c *registry.Configuration
+	var err error
+	if position != positionUnknown {
+		c, position, err = s.store.ConfigurationSince(ctx, position, wait)
+		var gone *port.PositionGoneError
+		if errors.As(err, &gone) {
+			position = positionUnknown
+		}
+	}
+	if position == positionUnknown {
+		c, position, err = s.store.Configuration(ctx)
+	}
+	s.contact(err)
+	if err != nil {
+		return err
+	}
+	if wait > 0 {
+		// The store answered with nothing newer at the end of the wait.
+		asked = later(asked, time.Now().Add(-answerTime))
+	}
+	s.mu.Lock()
+	s.configPosition = max(s.configPosition, position)
+	changed := s.accept(c)
+	s.configAt = later(s.configAt, asked)
+	s.mu.Unlock()
+	if changed {
+		s.notify()
+	}
+	s.confirm()
+	return nil
+}
+
+const answerTime = 100 * time.Millisecond
+
+func (s *Sync) accept(c *registry.Configuration) bool {
+	if c == nil || (s.configuration != nil && c.Version <= s.configuration.Version) {
+		return false
+	}
+	s.configuration = c
+	return true
+}
+
+func (s *Sync) contact(err error) {
+	s.mu.Lock()
+	wasAway := s.away
+	s.away = err != nil
+	if wasAway && err == nil {
+		s.targets.StoreAway(time.Now())
+	}
+	s.mu.Unlock()
+	switch {
+	case err != nil && !wasAway:
+		s.recorder.Record(event.LogUnavailable, event.F("error", err))
+	case err == nil && wasAway:
+		s.recorder.Record(event.LogAvailable)
+	}
+}
+
+func (s *Sync) confirm() {
+	address := s.role.Coordinator()
+	if address == "" || s.role.Coordinates() {
+		return
+	}
+	if err := s.fleet.SendConfirmation(address, s.State()); err != nil {
+		s.log.WithError(err).Debug("the coordinator was not told of a read")
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
