--- a/internal/core/roster/query.go
+++ b/internal/core/roster/query.go
@@ -8,10 +8,12 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
 )
 
+// Rank is this host's place in the order of coordination.
 func (r *Roster) Rank() int {
 	return slices.IndexFunc(r.order, func(p *peer) bool { return p.ID == r.self.ID })
 }
 
+// Coordinator returns the host that coordinates, as far as is known.
 func (r *Roster) Coordinator() (registry.Host, bool) {
 	p := r.hosts[r.coordinator]
 	if p == nil {
@@ -20,6 +22,8 @@
 	return p.Host, true
 }
 
+// Active returns the hosts that a caller in a zone should use: those of the zone,
+// else those of the region, else this host.
 func (r *Roster) Active(zone ident.Zone) []registry.Host {
 	var inZone, all []registry.Host
 	for _, id := range r.active {
@@ -41,6 +45,7 @@
 	return []registry.Host{r.self}
 }
 
+// Peers returns the other active hosts.
 func (r *Roster) Peers() []registry.Host {
 	var list []registry.Host
 	for _, id := range r.active {
@@ -51,10 +56,13 @@
 	return list
 }
 
+// IsActive reports whether callers are sent to this host.
 func (r *Roster) IsActive() bool { return slices.Contains(r.active, r.self.ID) }
 
+// Self returns this host.
 func (r *Roster) Self() registry.Host { return r.self }
 
+// Host returns a known host.
 func (r *Roster) Host(id ident.HostID) (registry.Host, bool) {
 	if p := r.hosts[id]; p != nil {
 		return p.Host, true
@@ -62,14 +70,17 @@
 	return registry.Host{}, false
 }
 
+// ActiveCount is the number of active hosts of the region, at least 1.
 func (r *Roster) ActiveCount() int { return max(1, len(r.active)) }
 
+// Member is a host of the region with its state as this host sees it.
 type Member struct {
 	registry.Host
 	// State is self, active, leaving, alive or silent.
 	State string
 }
 
+// Members returns the hosts of the region in the order of coordination.
 func (r *Roster) Members(now time.Time) []Member {
 	list := make([]Member, 0, len(r.order))
 	for _, p := range r.order {
@@ -89,4 +100,5 @@
 	return list
 }
 
+// Count is the number of known hosts of all regions.
 func (r *Roster) Count() int { return len(r.hosts) }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -268,8 +268,6 @@
 // before it are gone for good.
 const maxTakeoverSteps = 5
 
-// Rank is this host's place in the order of coordination.
-// Coordinator returns the host that coordinates, as far as is known.
 // Tick advances the timers.
 func (r *Roster) Tick(now time.Time) []Action {
 	var actions []Action
@@ -327,14 +325,3 @@
 	// Hosts have not reported to a new coordinator yet.
 	return p.ID != r.silent && now.Sub(r.tookOver) < r.cfg.SilenceLimit
 }
-
-// Active returns the hosts that a caller in a zone should use: those of the zone,
-// else those of the region, else this host.
-// Peers returns the other active hosts.
-// IsActive reports whether callers are sent to this host.
-// Self returns this host.
-// Host returns a known host.
-// ActiveCount is the number of active hosts of the region, at least 1.
-// Member is a host of the region with its state as this host sees it.
-// Members returns the hosts of the region in the order of coordination.
-// Count is the number of known hosts of all regions.
--- a/internal/discovery/read.go
+++ b/internal/discovery/read.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
+// due reports whether this host reads the store now.
 func (s *Sync) due(last time.Time, interval time.Duration) bool {
 	now := time.Now()
 	if s.role.Coordinates() {
@@ -22,8 +23,11 @@
 	return age >= s.cfg.FallbackAge+time.Duration(min(s.role.Rank(), maxFallbackSteps))*s.cfg.FallbackStep
 }
 
+// maxFallbackSteps bounds the wait of hosts far down the order: every host has to
+// keep up within the time in which a change must be in force.
 const maxFallbackSteps = 5
 
+// readTargets reads the targets whenever it is this host's turn.
 func (s *Sync) readTargets(ctx context.Context) {
 	pause := backoff{cfg: &s.cfg}
 	var last time.Time
@@ -37,6 +41,8 @@
 	}
 }
 
+// readConfiguration reads the configuration whenever it is this host's turn. The
+// coordinator's reads wait for a new one.
 func (s *Sync) readConfiguration(ctx context.Context) {
 	pause := backoff{cfg: &s.cfg}
 	for sleep(ctx, max(s.cfg.Tick/5, pause.next())) {
@@ -54,6 +60,7 @@
 	}
 }
 
+// refreshTargets reads what is new among the targets.
 func (s *Sync) refreshTargets(ctx context.Context) error {
 	s.mu.Lock()
 	position, known := s.targets.Position(), s.hasTargets
@@ -93,6 +100,7 @@
 	return nil
 }
 
+// refreshConfiguration reads the newest configuration.
 func (s *Sync) refreshConfiguration(ctx context.Context, wait time.Duration) error {
 	s.mu.Lock()
 	position := s.configPosition
@@ -130,8 +138,10 @@
 	return nil
 }
 
+// answerTime bounds the time that an answer of the store is on its way.
 const answerTime = 100 * time.Millisecond
 
+// accept puts a configuration in force if it is newer. The caller holds the lock.
 func (s *Sync) accept(c *registry.Configuration) bool {
 	if c == nil || (s.configuration != nil && c.Version <= s.configuration.Version) {
 		return false
@@ -140,6 +150,7 @@
 	return true
 }
 
+// contact notes whether the store answered.
 func (s *Sync) contact(err error) {
 	s.mu.Lock()
 	wasAway := s.away
@@ -156,6 +167,7 @@
 	}
 }
 
+// confirm tells the coordinator that this host has read the store.
 func (s *Sync) confirm() {
 	address := s.role.Coordinator()
 	if address == "" || s.role.Coordinates() {
--- a/internal/discovery/sync.go
+++ b/internal/discovery/sync.go
@@ -199,18 +199,6 @@
 	}
 }
 
-// due reports whether this host reads the store now.
-// maxFallbackSteps bounds the wait of hosts far down the order: every host has to
-// keep up within the time in which a change must be in force.
-// readTargets reads the targets whenever it is this host's turn.
-// readConfiguration reads the configuration whenever it is this host's turn. The
-// coordinator's reads wait for a new one.
-// refreshTargets reads what is new among the targets.
-// refreshConfiguration reads the newest configuration.
-// answerTime bounds the time that an answer of the store is on its way.
-// accept puts a configuration in force if it is newer. The caller holds the lock.
-// contact notes whether the store answered.
-// confirm tells the coordinator that this host has read the store.
 // sleep waits and reports whether ctx goes on.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
