--- a/internal/adapter/ingress/problem.go
+++ b/internal/adapter/ingress/problem.go
@@ -22,7 +22,7 @@
 
 // Problem is an error in the form of RFC 9457 with the outcome of the request.
 type Problem struct {
-	// Type is a short name of the error, listed in docs/operations.md.
+	// Type is a short name of the error, listed in docs/OPERATIONS.md.
 	Type    string `json:"type"`
 	Title   string `json:"title"`
 	Status  int    `json:"status"`
