ingress: no resources of our own on the platform; tests of a whole gateway

Cause: a caller's request for an address of the product's own interface met a missing list of members on the platform and ended in a panic of its connection (TestNoOwnResources fails without the change). Change: without members these paths are routed like all others. A gateway is run whole in tests, with a registry in memory: it serves, it stops without cutting a request, and the parts of the retry allowance stay within the whole. The place of a waiting request is found without a copy of the queue.

--- a/internal/adapter/ingress/dialect_test.go
+++ b/internal/adapter/ingress/dialect_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/route"
 	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 )
@@ -102,6 +104,18 @@
 	}
 }
 
+// TestNoOwnResources guards against a host that fails when a caller asks for a
+// resource that this deployment does not have.
+func TestNoOwnResources(t *testing.T) {
+	s := New(Config{Host: "h", Recorder: nothing{}, Dialect: foreign()})
+	s.Activate(&Active{Routes: route.New(nil), Backends: map[ident.ServiceName]*Backend{"s": {Service: &document.Service{Name: "s"}}}})
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest("GET", pathPrefix+"addresses?service=s", nil))
+	if w.Code != http.StatusNotFound {
+		t.Errorf("status %d", w.Code)
+	}
+}
+
 // TestLateResponseIsSkipped guards against an order that fails because a late
 // response to an earlier request stands before its own on the connection, and
 // against the delivery of that response.
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -39,9 +39,11 @@
 	// AddressMaxAge is how long a caller may keep an address answer.
 	AddressMaxAge time.Duration
 	Transport     *target.Transport
-	Members       Members
-	Tickets       Tickets
-	Recorder      engine.Recorder
+	// Members and Tickets serve the product's own resources; without Members the
+	// host has none, and their paths are routed like all others.
+	Members  Members
+	Tickets  Tickets
+	Recorder engine.Recorder
 	// Dialect is what callers speak; default the product's own.
 	Dialect dialect.Dialect
 	// Log, if set, gets a line for each decision about a request.
@@ -143,7 +145,7 @@
 		s.refuse(w, s.undecided(notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required"), r))
 		return
 	}
-	if name, ok := strings.CutPrefix(r.URL.Path, pathPrefix); ok {
+	if name, ok := strings.CutPrefix(r.URL.Path, pathPrefix); ok && s.cfg.Members != nil {
 		s.serveOwn(w, r, name)
 		return
 	}
--- /dev/null
+++ b/internal/app/gateway_test.go
@@ -0,0 +1,225 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
+)
+
+// memoryRegistry is a registry that holds one configuration and one list of targets.
+type memoryRegistry struct {
+	mu      sync.Mutex
+	config  *registry.Configuration
+	targets []registry.TargetRecord
+	hosts   []registry.HostRecord
+}
+
+func (m *memoryRegistry) Configuration(context.Context) (*registry.Configuration, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.config, 1, nil
+}
+
+func (m *memoryRegistry) ConfigurationSince(ctx context.Context, position int64, wait time.Duration) (*registry.Configuration, int64, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(wait):
+		return nil, position, nil
+	}
+}
+
+func (m *memoryRegistry) Targets(context.Context) ([]registry.TargetRecord, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.targets, int64(len(m.targets)), nil
+}
+
+func (m *memoryRegistry) TargetsSince(_ context.Context, position int64) ([]registry.TargetRecord, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.targets[position:], int64(len(m.targets)), nil
+}
+
+func (m *memoryRegistry) Hosts(context.Context) ([]registry.HostRecord, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hosts, nil
+}
+
+func (m *memoryRegistry) Publish(_ context.Context, h registry.Host) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hosts = append(m.hosts, registry.HostRecord{ID: h.ID, Offset: int64(len(m.hosts)), Host: &h})
+	return nil
+}
+
+// gatewayConfiguration is a configuration with one service and one route.
+func gatewayConfiguration() *registry.Configuration {
+	class := document.Class{Name: "order", Deadline: document.Duration(20 * time.Second), Timeout: document.Duration(20 * time.Second), MaxAttempts: 2, MaxRequestBytes: 1 << 20, MaxBufferedAnswerBytes: 1 << 20}
+	return &registry.Configuration{Version: 1, Document: &document.Document{
+		Regions:  []document.Region{{Name: "r", Zones: []ident.Zone{"z"}}},
+		Services: []document.Service{{Name: "s", Selection: document.ExpectedCost, Classes: []document.Class{class}}},
+		Routes:   []document.Route{{Name: "orders", Host: "a.example", PathPrefix: "/x/", Service: "s", Class: "order"}},
+	}}
+}
+
+func freeAddress(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+// runGateway starts a gateway with one target and waits until it is ready.
+func runGateway(t *testing.T, target http.HandlerFunc) (g *Gateway, stop func() error) {
+	t.Helper()
+	srv := httptest.NewServer(target)
+	t.Cleanup(srv.Close)
+	store := &memoryRegistry{config: gatewayConfiguration(), targets: []registry.TargetRecord{{ID: "t", Target: &registry.Target{
+		ID: "t", Service: "s", Address: strings.TrimPrefix(srv.URL, "http://"), Zone: "z", Slots: 4,
+	}}}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g, err := NewGateway(GatewaySettings{
+		Host: "h", Location: ident.Location{Region: "r", Zone: "z"}, Regions: 1, Millicores: 320,
+		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), AdminAddress: freeAddress(t),
+		AddressMaxAge: 100 * time.Millisecond, Grace: 6 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second,
+		Dialect: dialect.Dialect{RequestID: "X-Id", CallerNamesRequests: true, Deadline: "X-Left", StatusTellsOutcome: true},
+	}, store, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	for !g.Ready() {
+		select {
+		case err := <-done:
+			t.Fatalf("the gateway ended: %v", err)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return g, func() error {
+		cancel()
+		return <-done
+	}
+}
+
+func order(g *Gateway) (status int, body string, err error) {
+	req, err := http.NewRequest("POST", "http://"+g.settings.CallerAddress+"/x/1", strings.NewReader("body"))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Id", "id-1")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(data), err
+}
+
+// TestGatewayServes guards against a host that is ready without a way from a caller
+// to a target, or that sends callers nowhere.
+func TestGatewayServes(t *testing.T) {
+	g, stop := runGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		fmt.Fprintf(w, "%s %s %s", r.Host, r.RequestURI, body)
+	})
+	if status, body, err := order(g); status != 200 || body != "a.example /x/1 body" || err != nil {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	if list, age := g.Addresses("z"); len(list) != 1 || list[0] != g.settings.CallerAddress || age != g.settings.AddressMaxAge {
+		t.Errorf("addresses %v for %s", list, age)
+	}
+	if s := g.Status(); s.Revision != 1 || len(s.Services) != 1 || len(s.Services[0].Targets) != 1 {
+		t.Errorf("%+v", s)
+	}
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestGatewayStopsGracefully guards against a planned stop that cuts a request at
+// which its target is at work, and against a host that counts as ready meanwhile.
+func TestGatewayStopsGracefully(t *testing.T) {
+	arrived, finish := make(chan struct{}), make(chan struct{})
+	g, stop := runGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-finish
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		_, _ = io.WriteString(w, "done")
+	})
+	type result struct {
+		status int
+		body   string
+		err    error
+	}
+	results := make(chan result, 1)
+	go func() {
+		status, body, err := order(g)
+		results <- result{status, body, err}
+	}()
+	<-arrived
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	for g.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	close(finish)
+	if r := <-results; r.status != 200 || r.body != "done" || r.err != nil {
+		t.Errorf("the request in flight got %+v", r)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestRetryAllowance guards against hosts that together repeat more than the
+// deployment allows: the parts of all hosts must not exceed the whole.
+func TestRetryAllowance(t *testing.T) {
+	g, stop := runGateway(t, func(http.ResponseWriter, *http.Request) {})
+	defer func() { _ = stop() }()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	active := g.retryAllowance()
+	if active <= 0 || active+passiveShare*g.settings.RetrySlack > g.settings.RetrySlack {
+		t.Errorf("the only active host may use %v of %v, and all passive ones %v", active, g.settings.RetrySlack, passiveShare*g.settings.RetrySlack)
+	}
+}
+
+// TestRateMeter guards against a rate that follows a single burst at once or never.
+func TestRateMeter(t *testing.T) {
+	var m rateMeter
+	now := time.Unix(1_700_000_000, 0)
+	requests := uint64(0)
+	for range 20 {
+		m.measure(now, requests)
+		now = now.Add(rateInterval)
+		requests += 30
+	}
+	if rate := m.measure(now, requests); rate < 95 || rate > 105 {
+		t.Errorf("%.0f requests per second, want about 100", rate)
+	}
+}
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -74,11 +74,11 @@
 }
 
 // ahead is the number of waiting requests that are served before a new one.
-func (s *Scheduler) ahead(r *request) int { return s.position(r) }
-
-// position is where a request belongs among the waiting ones.
-func (s *Scheduler) position(r *request) int {
-	return slices.IndexFunc(append(slices.Clone(s.waiting), nil), func(o *request) bool { return o == nil || r.before(o) })
+func (s *Scheduler) ahead(r *request) int {
+	if at := slices.IndexFunc(s.waiting, r.before); at >= 0 {
+		return at
+	}
+	return len(s.waiting)
 }
 
 func (r *request) before(o *request) bool {
@@ -93,12 +93,12 @@
 
 // waitEstimate is the expected time in the queue of a new request.
 func (s *Scheduler) waitEstimate(now time.Time, r *request) time.Duration {
-	return limit.Wait(r.class.service.Mean(now), s.position(r), s.capacity(now))
+	return limit.Wait(r.class.service.Mean(now), s.ahead(r), s.capacity(now))
 }
 
 func (s *Scheduler) enqueue(r *request) {
 	r.queued = true
-	s.waiting = slices.Insert(s.waiting, s.position(r), r)
+	s.waiting = slices.Insert(s.waiting, s.ahead(r), r)
 }
 
 func (s *Scheduler) dequeue(r *request) {
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -18,7 +18,7 @@
 )
 
 // config has targets t0, t1, ... at the given places, with two slots each, and
-// three classes: order, lookup (idempotent, urgent last) and scan.
+// three classes: order, lookup (idempotent, of lower priority) and scan.
 func config(places ...ident.Location) dispatch.Config {
 	cfg := dispatch.Config{
 		Service: "s", RetryWindow: 10 * time.Second, RetryBudget: 0.2, RetryAllowance: 20, QueueLength: 64,
