--- a/internal/core/dispatch/table_test.go
+++ b/internal/core/dispatch/table_test.go
@@ -123,7 +123,9 @@
 			continue
 		}
 		name := strings.TrimPrefix(fmt.Sprintf("%T", a), "dispatch.")
-		fmt.Fprintf(&tb.out, "%v %s%+v\n", tb.now.Sub(epoch).Round(time.Millisecond), name, a)
+		// A dispatcher gives no reasons; one that does shows in the table.
+		text := strings.Replace(fmt.Sprintf("%+v", a), fmt.Sprintf("Why:%+v ", Why{}), "", 1)
+		fmt.Fprintf(&tb.out, "%v %s%s\n", tb.now.Sub(epoch).Round(time.Millisecond), name, text)
 	}
 }
 
