gateway, schedule: shorter functions, no unused field

Cause: read as a newcomer, activate did three things, a field of the scheduler's targets was written and never read, and a constant's name is also one of the platform's fields. Change: the builder of a service's configuration stands by itself; the field is gone; the constant is ownPrefix. No change of behaviour.

--- a/internal/adapter/ingress/dialect_test.go
+++ b/internal/adapter/ingress/dialect_test.go
@@ -110,7 +110,7 @@
 	s := New(Config{Host: "h", Recorder: nothing{}, Dialect: foreign()})
 	s.Activate(&Active{Routes: route.New(nil), Backends: map[ident.ServiceName]*Backend{"s": {Service: &document.Service{Name: "s"}}}})
 	w := httptest.NewRecorder()
-	s.ServeHTTP(w, httptest.NewRequest("GET", pathPrefix+"addresses?service=s", nil))
+	s.ServeHTTP(w, httptest.NewRequest("GET", ownPrefix+"addresses?service=s", nil))
 	if w.Code != http.StatusNotFound {
 		t.Errorf("status %d", w.Code)
 	}
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -56,8 +56,8 @@
 	WriteTimeout time.Duration
 }
 
-// pathPrefix is the path below which the host answers itself.
-const pathPrefix = "/.sapphirehaven/v1/"
+// ownPrefix is the path below which the host answers itself.
+const ownPrefix = "/.sapphirehaven/v1/"
 
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
@@ -145,7 +145,7 @@
 		s.refuse(w, s.undecided(notRun(http.StatusHTTPVersionNotSupported, "http_version", "HTTP/1.1 is required"), r))
 		return
 	}
-	if name, ok := strings.CutPrefix(r.URL.Path, pathPrefix); ok && s.cfg.Members != nil {
+	if name, ok := strings.CutPrefix(r.URL.Path, ownPrefix); ok && s.cfg.Members != nil {
 		s.serveOwn(w, r, name)
 		return
 	}
@@ -170,7 +170,7 @@
 	case "tickets":
 		s.serveTickets(w, r)
 	default:
-		s.refuse(w, notRun(http.StatusNotFound, "unknown_resource", "the host has no resource "+pathPrefix+name))
+		s.refuse(w, notRun(http.StatusNotFound, "unknown_resource", "the host has no resource "+ownPrefix+name))
 	}
 }
 
--- a/internal/app/gateway_config.go
+++ b/internal/app/gateway_config.go
@@ -54,6 +54,7 @@
 	}
 }
 
+// activate puts a copy of the registry in force.
 func (g *Gateway) activate(s discovery.Snapshot) {
 	g.mu.Lock()
 	g.roster.Learn(s.Hosts)
@@ -68,11 +69,23 @@
 		g.compiled = compiled{configuration: c, routes: route.New(c.Document.Routes)}
 	}
 	doc := withTargets(c.Document, s.Targets)
-	entries := map[ident.TargetID]registry.Entry{}
-	for _, e := range s.Targets {
+	next := g.services.activateRoutes(c.Version, doc, g.compiled.routes, g.configBuilder(s.Targets, allowance))
+	g.callers.limit(c.Callers)
+	g.ingress.Activate(next)
+	if fresh {
+		g.inForceAt.Store(time.Now().UnixMicro())
+		g.timeline.Record(event.ConfigurationInForce, event.F("revision", c.Version), event.F("routes", len(doc.Routes)))
+	}
+}
+
+// configBuilder adds to a service's configuration what the registry says of its
+// targets, and this host's part of the allowed repeats.
+func (g *Gateway) configBuilder(targets []registry.Entry, allowance float64) configBuilder {
+	entries := make(map[ident.TargetID]registry.Entry, len(targets))
+	for _, e := range targets {
 		entries[e.ID] = e
 	}
-	build := func(revision uint64, doc *document.Document, svc *document.Service) dispatch.Config {
+	return func(revision uint64, doc *document.Document, svc *document.Service) dispatch.Config {
 		cfg := dispatchConfig(revision, doc, svc)
 		cfg.RetryBudget = retryRatioShare * g.settings.RetryRatio
 		cfg.RetryWindow = g.settings.RetryWindow
@@ -84,13 +97,6 @@
 		}
 		return cfg
 	}
-	next := g.services.activateRoutes(c.Version, doc, g.compiled.routes, build)
-	g.callers.limit(c.Callers)
-	g.ingress.Activate(next)
-	if fresh {
-		g.inForceAt.Store(time.Now().UnixMicro())
-		g.timeline.Record(event.ConfigurationInForce, event.F("revision", c.Version), event.F("routes", len(doc.Routes)))
-	}
 }
 
 // retryAllowance is this host's part of the repeats that are allowed on top of
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -70,8 +70,8 @@
 	// refusedUntil is the end of a hold after the target said that it drains or
 	// that its address belongs to another one.
 	refusedUntil time.Time
-	avoided      bool
-	removed      bool
+	// avoided tells that the target is taken to be failing.
+	avoided bool
 	// idle holds the times since which connections to the target are idle, as far
 	// as this host can tell, the latest last.
 	idle []time.Time
@@ -187,9 +187,6 @@
 		s.targets[tc.ID] = t
 		s.order = append(s.order, t)
 	}
-	for id, t := range old {
-		t.removed = s.targets[id] != t
-	}
 }
 
 func (s *Scheduler) emit(a dispatch.Action) { s.actions = append(s.actions, a) }
