schedule: the floor counts sound targets, and its bonus is above what time adds

When some targets start to fail while others become well, the floor counted the ones that had just failed as used. Change: targets that failed in the last 2 s do not count; below the floor an unused target costs 0.15 less.

--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -8,19 +8,22 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/balance"
 )
 
-// Parameters of the floor. Requests go to most of the region's targets all the
-// time, so that no healthy capacity stays out.
+// Parameters of the floor. Requests go to most of the region's sound targets all
+// the time, so that no healthy capacity stays out.
 const (
 	// floorWindow is the time in which a target counts as used.
 	floorWindow = 1300 * time.Millisecond
 	// floorBonus is the bonus of a target that was not used lately and is not taken
-	// to be failing.
-	floorBonus = 0.04
-	// floorShare is the share of the region's targets that are to be used while
-	// more than floorUnserved of the requests fail, those included that are taken
-	// to be failing: a request to one of them is probably lost.
+	// to be failing, while fewer than floorShare are used.
+	floorBonus = 0.15
+	// floorShare is the share of the region's sound targets that are to be used.
+	// Those that are taken to be failing are included while more than
+	// floorUnserved of the requests fail: a request to one of them is probably
+	// lost.
 	floorShare    = 0.74
 	floorUnserved = 0.08
+	// soundAfter is the time after a failure in which a target does not count.
+	soundAfter = 2 * time.Second
 	// unservedTime is the time constant of the share of requests that fail.
 	unservedTime = 1500 * time.Millisecond
 )
@@ -59,21 +62,15 @@
 // is known of.
 func (t *target) used(now time.Time) bool { return t.inFlight > 0 || now.Sub(t.lastUsed) < floorWindow }
 
-// inFloor reports whether the floor counts a target on this host. Hosts of the
-// other region keep the floor there.
+// inFloor reports whether the floor counts a target on this host: a sound one of
+// the region. Hosts of the other region keep the floor there.
 func (t *target) inFloor(now time.Time) bool {
-	return t.distance != balance.OtherRegion && t.usable(now) && !t.Vanished
+	return t.distance != balance.OtherRegion && t.usable(now) && !t.Vanished && now.Sub(t.failedAt) >= soundAfter
 }
 
-// toCover returns a target taken to be failing that is to get the next request so
-// that the floor is kept, nil if none.
-func (s *Scheduler) toCover(now time.Time, r *request) *target {
-	if s.unserved.value(now) <= floorUnserved {
-		return nil
-	}
+// belowFloor reports whether too few of the sound targets are used.
+func (s *Scheduler) belowFloor(now time.Time) bool {
 	used, all := 0, 0
-	var best *target
-	var lowest float64
 	for _, t := range s.order {
 		if !t.inFloor(now) {
 			continue
@@ -81,14 +78,26 @@
 		all++
 		if t.used(now) {
 			used++
+		}
+	}
+	return float64(used) < floorShare*float64(all)
+}
+
+// toCover returns the target that is to get the next request so that the floor is
+// kept while requests fail, nil if none.
+func (s *Scheduler) toCover(now time.Time, r *request) *target {
+	if !s.short || s.unserved.value(now) <= floorUnserved {
+		return nil
+	}
+	var best *target
+	var lowest float64
+	for _, t := range s.order {
+		if !t.inFloor(now) || t.used(now) {
 			continue
 		}
 		if failing := t.belief.Failing(now); t.free(now) > 0 && !slices.Contains(r.tried, t.ID) && (best == nil || failing < lowest) {
 			best, lowest = t, failing
 		}
 	}
-	if float64(used) >= floorShare*float64(all) {
-		return nil
-	}
 	return best
 }
--- a/internal/core/schedule/load_test.go
+++ b/internal/core/schedule/load_test.go
@@ -149,3 +149,46 @@
 		}
 	}
 }
+
+// TestFloorCountsSoundTargets answers the moment at which some targets start to fail
+// while others are well again (errata-desk-grown quiet-1): it guards against a floor
+// that counts the targets that have just failed in place of those that are avoided
+// although they are well.
+func TestFloorCountsSoundTargets(t *testing.T) {
+	f := newFixture(t, config(here, here, here, here, here, here, here, here, here, here))
+	failing := map[ident.TargetID]bool{"t0": true, "t1": true, "t2": true}
+	usedAt := map[ident.TargetID]time.Time{}
+	requests := 0
+	serve := func(until time.Duration, leaves bool) {
+		for f.now.Before(epoch.Add(until)) {
+			r := f.arrive("order")
+			at := f.started(r)
+			usedAt[at] = f.now
+			if requests++; leaves && requests%5 == 0 {
+				// The caller leaves: the request is not served, which says nothing about
+				// the target.
+				f.take(f.Cancel(f.now, r))
+				f.finish(r, dispatch.Result{Kind: attempt.Canceled})
+				continue
+			}
+			res := answered
+			if failing[at] {
+				res = serverError
+			}
+			f.wait(25 * time.Millisecond)
+			f.finish(r, res)
+		}
+	}
+	serve(12*time.Second, false)
+	failing = map[ident.TargetID]bool{"t7": true, "t8": true, "t9": true}
+	serve(15*time.Second, true)
+	used := 0
+	for i := range 7 {
+		if f.now.Sub(usedAt[id(i)]) < 2*time.Second {
+			used++
+		}
+	}
+	if used < 5 {
+		t.Errorf("%d of the 7 targets that are well were used in the last 2 s, want 5", used)
+	}
+}
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -248,6 +248,7 @@
 // the other hosts, which may have another way.
 func (s *Scheduler) failed(now time.Time, t *target, atTarget bool) {
 	t.belief.Observe(now, true)
+	t.failedAt = now
 	if atTarget {
 		t.failures++
 		s.urgent = true
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -45,7 +45,9 @@
 	// unserved is the share of requests that ended without a target's answer or
 	// with a failure.
 	unserved share
-	actions  []dispatch.Action
+	// short tells that too few sound targets are used, as of the last selection.
+	short   bool
+	actions []dispatch.Action
 }
 
 // class is a request class with what is known of its response times.
@@ -67,6 +69,8 @@
 	seen bool
 	// lastUsed is the time of the latest request there that is known of.
 	lastUsed time.Time
+	// failedAt is the time of the latest failure there that is known of.
+	failedAt time.Time
 	// refusedUntil is the end of a hold after the target said that it drains or
 	// that its address belongs to another one.
 	refusedUntil time.Time
@@ -209,6 +213,7 @@
 		}
 		for range min(o.Failures, maxReported) {
 			t.belief.Observe(now, true)
+			t.failedAt = now
 		}
 		for range min(o.Successes, maxReported) {
 			t.belief.Observe(now, false)
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -61,7 +61,7 @@
 	if !t.seen && !now.Before(t.WarmUntil) {
 		c -= introduction
 	}
-	if !t.avoided && t.inFloor(now) && !t.used(now) {
+	if s.short && !t.avoided && t.inFloor(now) && !t.used(now) {
 		c -= floorBonus
 	}
 	if t.Vanished {
@@ -134,6 +134,7 @@
 
 // place starts a request if it should not wait, and reports whether it did.
 func (s *Scheduler) place(now time.Time, r *request, ahead int) bool {
+	s.short = s.belowFloor(now)
 	if t := s.toCover(now, r); t != nil {
 		s.start(now, r, choice{t, s.cost(now, r, t)})
 		return true
