--- a/internal/adapter/ingress/log.go
+++ b/internal/adapter/ingress/log.go
@@ -39,6 +39,7 @@
 		"waited_ms":     why.Waited.Milliseconds(),
 		"p_failure":     round(why.Failure),
 		"cost":          round(why.Cost),
+		"covers":        why.Covers,
 		"unseen_ms":     why.Unseen.Milliseconds(),
 		"in_flight":     why.InFlight,
 		"others":        round(why.Others),
--- a/internal/adapter/peer/convert_fleet.go
+++ b/internal/adapter/peer/convert_fleet.go
@@ -59,6 +59,9 @@
 	for _, id := range pb.GetActive() {
 		b.Active = append(b.Active, ident.HostID(id))
 	}
+	for _, id := range pb.GetRemote() {
+		b.Remote = append(b.Remote, ident.HostID(id))
+	}
 	return b
 }
 
@@ -71,6 +74,7 @@
 		pb.Targets = append(pb.Targets, &peerpb.TargetObservation{
 			Service:   string(o.Service),
 			Target:    string(o.Target),
+			Started:   uint32(o.Started),
 			Successes: uint32(o.Successes),
 			Failures:  uint32(o.Failures),
 			InFlight:  uint32(o.InFlight),
@@ -92,6 +96,7 @@
 		out.Targets = append(out.Targets, port.TargetObservation{
 			Service:   ident.ServiceName(o.GetService()),
 			Target:    ident.TargetID(o.GetTarget()),
+			Started:   int(o.GetStarted()),
 			Successes: int(o.GetSuccesses()),
 			Failures:  int(o.GetFailures()),
 			InFlight:  int(o.GetInFlight()),
--- a/internal/adapter/peer/fleet.go
+++ b/internal/adapter/peer/fleet.go
@@ -52,6 +52,9 @@
 	for _, id := range b.Active {
 		pb.Active = append(pb.Active, string(id))
 	}
+	for _, id := range b.Remote {
+		pb.Remote = append(pb.Remote, string(id))
+	}
 	return f.send(address, &peerpb.FleetMessage{Beacon: pb})
 }
 
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -133,7 +133,7 @@
 func gatewayTransport(d dialect.Dialect) target.Config {
 	cfg := target.DefaultConfig()
 	cfg.Dialect = d
-	cfg.DialTimeout = 350 * time.Millisecond
+	cfg.DialTimeout = 250 * time.Millisecond
 	cfg.IdleTimeout = 9 * time.Second
 	cfg.NonIdempotentReuse = 8 * time.Second
 	cfg.MaxIdle = 16
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
@@ -18,6 +19,9 @@
 	// urgentInterval while there is a failure to report.
 	shareInterval  = 150 * time.Millisecond
 	urgentInterval = 5 * time.Millisecond
+	// remoteShareInterval is the time between two messages of observations to the
+	// other regions, where bytes are dear.
+	remoteShareInterval = 600 * time.Millisecond
 )
 
 // role implements discovery.Role.
@@ -69,10 +73,15 @@
 // stepRoster runs one event under the lock and sends its messages after it.
 func (g *Gateway) stepRoster(step func(time.Time, *roster.Roster) []roster.Action) {
 	g.mu.Lock()
-	count, active := g.roster.ActiveCount(), g.roster.IsActive()
+	before, active := g.roster.ActiveHosts(), g.roster.IsActive()
 	actions := step(time.Now(), g.roster)
-	changed := g.roster.ActiveCount() != count || g.roster.IsActive() != active
+	after := g.roster.ActiveHosts()
+	became := g.roster.IsActive() && !active
+	changed := len(after) != len(before) || g.roster.IsActive() != active
 	g.mu.Unlock()
+	if became || lostMany(before, after) {
+		g.services.unsettle()
+	}
 	if changed {
 		select {
 		case g.activeChanged <- struct{}{}:
@@ -84,7 +93,7 @@
 		case roster.SendReport:
 			g.sent(g.fleet.SendReport(a.To.PeerAddress, a.Report))
 		case roster.SendBeacon:
-			b := roster.Beacon{From: g.self(), Active: a.Active, State: g.sync.State()}
+			b := roster.Beacon{From: g.self(), Active: a.Active, Remote: a.Remote, State: g.sync.State()}
 			for _, to := range a.To {
 				g.sent(g.fleet.SendBeacon(to.PeerAddress, b))
 			}
@@ -92,6 +101,21 @@
 	}
 }
 
+// lostShare is the share of the active hosts whose loss leaves too many requests
+// unserved for the outcomes to tell how the targets are.
+const lostShare = 0.1
+
+// lostMany reports whether many of the active hosts are not active any more.
+func lostMany(before, after []ident.HostID) bool {
+	lost := 0
+	for _, id := range before {
+		if !slices.Contains(after, id) {
+			lost++
+		}
+	}
+	return float64(lost) > lostShare*float64(len(before))
+}
+
 func (g *Gateway) sent(err error) {
 	if err != nil {
 		g.log.WithError(err).Debug("a datagram was not sent")
@@ -120,6 +144,9 @@
 		ro.ReceiveBeacon(now, b)
 		return nil
 	})
+	if b.From.Location.Region != h.gateway.settings.Location.Region {
+		return
+	}
 	h.gateway.sync.Offer(h.ctx, b.From.PeerAddress, b.State)
 }
 
@@ -147,7 +174,7 @@
 	}
 	for _, t := range o.Targets {
 		seen := byService[t.Service]
-		seen.Targets = append(seen.Targets, schedule.Observation{Target: t.Target, Successes: t.Successes, Failures: t.Failures, InFlight: t.InFlight})
+		seen.Targets = append(seen.Targets, schedule.Observation{Target: t.Target, Started: t.Started, Successes: t.Successes, Failures: t.Failures, InFlight: t.InFlight})
 		byService[t.Service] = seen
 	}
 	for name, seen := range byService {
@@ -159,7 +186,8 @@
 
 // shareObservations tells the other active hosts what this one sees at targets.
 func (g *Gateway) shareObservations(ctx context.Context) {
-	var last time.Time
+	var last, lastRemote time.Time
+	var remote port.Observations
 	for ctx.Err() == nil {
 		sleep(ctx, urgentInterval*4)
 		due := time.Since(last) >= shareInterval
@@ -171,17 +199,28 @@
 			continue
 		}
 		last = time.Now()
-		for _, to := range g.observers() {
-			g.sent(g.fleet.SendObservations(to.PeerAddress, seen))
+		near, far := g.observers()
+		g.sendObservations(near, seen)
+		remote.Add(seen)
+		if time.Since(lastRemote) >= remoteShareInterval {
+			g.sendObservations(far, remote)
+			lastRemote, remote = time.Now(), port.Observations{}
 		}
 	}
 }
 
-// observers returns the other active hosts of the region.
-func (g *Gateway) observers() []registry.Host {
+func (g *Gateway) sendObservations(to []registry.Host, o port.Observations) {
+	for _, h := range to {
+		g.sent(g.fleet.SendObservations(h.PeerAddress, o))
+	}
+}
+
+// observers returns the other active hosts of the region and those of the other
+// regions.
+func (g *Gateway) observers() (near, far []registry.Host) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.roster.Peers()
+	return g.roster.Peers(), g.roster.RemotePeers()
 }
 
 // rateMeter smooths the number of requests per second.
--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -169,6 +169,15 @@
 	return false
 }
 
+// unsettle tells the engines that hosts were lost.
+func (s *services) unsettle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		e.Unsettle()
+	}
+}
+
 // takeObservations returns what the other hosts do not know yet.
 func (s *services) takeObservations() port.Observations {
 	s.mu.Lock()
@@ -180,7 +189,7 @@
 			out.Services = append(out.Services, port.ServiceOutcomes{Service: name, Ended: seen.Ended, Unserved: seen.Unserved})
 		}
 		for _, o := range seen.Targets {
-			out.Targets = append(out.Targets, port.TargetObservation{Service: name, Target: o.Target, Successes: o.Successes, Failures: o.Failures, InFlight: o.InFlight})
+			out.Targets = append(out.Targets, port.TargetObservation{Service: name, Target: o.Target, Started: o.Started, Successes: o.Successes, Failures: o.Failures, InFlight: o.InFlight})
 		}
 	}
 	return out
--- a/internal/core/balance/reported.go
+++ b/internal/core/balance/reported.go
@@ -18,6 +18,9 @@
 // Reported is the load that others put on a target, as the target's load
 // endpoint reports it and as other hosts report their own attempts.
 type Reported struct {
+	// Lifetime is the time over which a report decays, ReportLifetime if 0.
+	Lifetime time.Duration
+
 	target sample
 	peers  []peerSample
 }
@@ -55,7 +58,7 @@
 func (r *Reported) dropExpired(now time.Time) {
 	kept := r.peers[:0]
 	for _, p := range r.peers {
-		if now.Sub(p.at) < ReportLifetime {
+		if now.Sub(p.at) < r.lifetime() {
 			kept = append(kept, p)
 		}
 	}
@@ -66,27 +69,34 @@
 // selection. Reports of hosts are left out there: all hosts get nearly the same
 // ones, select the same targets and fill them, see
 // docs/decisions/006-selection.md.
-func (r *Reported) ByTarget(now time.Time) float64 { return r.target.decayed(now) }
+func (r *Reported) ByTarget(now time.Time) float64 { return r.target.decayed(now, r.lifetime()) }
 
 // At returns the decayed load of others for limits: from the target's report or,
 // without a recent one, from the reports of hosts.
 func (r *Reported) At(now time.Time) float64 {
-	if now.Sub(r.target.at) < ReportLifetime {
-		return r.target.decayed(now)
+	if now.Sub(r.target.at) < r.lifetime() {
+		return r.target.decayed(now, r.lifetime())
 	}
 	peers := 0.0
 	for _, p := range r.peers {
-		peers += p.decayed(now)
+		peers += p.decayed(now, r.lifetime())
 	}
 	return peers
 }
 
-func (s sample) decayed(now time.Time) float64 {
+func (r *Reported) lifetime() time.Duration {
+	if r.Lifetime > 0 {
+		return r.Lifetime
+	}
+	return ReportLifetime
+}
+
+func (s sample) decayed(now time.Time, lifetime time.Duration) float64 {
 	age := now.Sub(s.at)
-	if s.requests <= 0 || age >= ReportLifetime {
+	if s.requests <= 0 || age >= lifetime {
 		return 0
 	}
-	return s.requests * (1 - max(0, age.Seconds())/ReportLifetime.Seconds())
+	return s.requests * (1 - max(0, age.Seconds())/lifetime.Seconds())
 }
 
 // decaySteps is the number of steps in which limits follow the decay.
@@ -98,7 +108,7 @@
 	if r.At(now) <= 0 {
 		return time.Time{}, false
 	}
-	return now.Add(ReportLifetime / decaySteps), true
+	return now.Add(r.lifetime() / decaySteps), true
 }
 
 // Whole returns At rounded up to whole requests.
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -185,6 +185,8 @@
 	Slots    int
 	// Waited is the time since the request arrived at the scheduler.
 	Waited time.Duration
+	// Covers tells that the target was chosen to keep the floor.
+	Covers bool
 }
 
 // Refuse ends a request that was not run.
--- a/internal/core/roster/query.go
+++ b/internal/core/roster/query.go
@@ -70,6 +70,10 @@
 	return registry.Host{}, false
 }
 
+// ActiveHosts returns the hosts of the region that callers are sent to. The caller
+// must not change the list.
+func (r *Roster) ActiveHosts() []ident.HostID { return r.active }
+
 // ActiveCount is the number of active hosts of the region, at least 1.
 func (r *Roster) ActiveCount() int { return max(1, len(r.active)) }
 
--- /dev/null
+++ b/internal/core/roster/remote.go
@@ -0,0 +1,71 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+)
+
+// remoteRegion is what a coordinator of another region said.
+type remoteRegion struct {
+	coordinator ident.HostID
+	active      []ident.HostID
+	at          time.Time
+}
+
+// remoteBeacon tells the coordinators of the other regions which hosts are active
+// here, now and then. Until a coordinator is heard of, the first hosts of its
+// region in the order of coordination get it.
+func (r *Roster) remoteBeacon() []Action {
+	r.beacons++
+	if r.beacons%r.cfg.RemoteEvery != 0 {
+		return nil
+	}
+	first := map[ident.Region][]registry.Host{}
+	for _, p := range r.hosts {
+		if region := p.Location.Region; region != r.self.Location.Region {
+			first[region] = append(first[region], p.Host)
+		}
+	}
+	var to []registry.Host
+	for region, hosts := range first {
+		slices.SortFunc(hosts, func(a, b registry.Host) int { return before(&a, &b) })
+		n := min(len(hosts), r.cfg.ReportTo)
+		for i, h := range hosts {
+			if i < n || h.ID == r.regions[region].coordinator {
+				to = append(to, h)
+			}
+		}
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	slices.SortFunc(to, func(a, b registry.Host) int { return before(&a, &b) })
+	return []Action{SendBeacon{To: to, Active: r.active}}
+}
+
+// remoteActive returns the active hosts of the other regions as their coordinators
+// said lately.
+func (r *Roster) remoteActive(now time.Time) []ident.HostID {
+	var list []ident.HostID
+	for _, region := range r.regions {
+		if now.Sub(region.at) < r.cfg.RemoteLimit {
+			list = append(list, region.active...)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// RemotePeers returns the active hosts of the other regions.
+func (r *Roster) RemotePeers() []registry.Host {
+	var list []registry.Host
+	for _, id := range r.remote {
+		if p := r.hosts[id]; p != nil {
+			list = append(list, p.Host)
+		}
+	}
+	return list
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -29,6 +29,11 @@
 	MinPerZone int
 	// LoadDecay is what is left of a zone's peak load after one interval.
 	LoadDecay float64
+	// RemoteEvery is the number of beacons of which one goes to other regions.
+	RemoteEvery int
+	// RemoteLimit is the time without a beacon of another region from which its
+	// active hosts are not known any more.
+	RemoteLimit time.Duration
 }
 
 // DefaultConfig returns the default settings.
@@ -41,6 +46,8 @@
 		RatePerCore:  200,
 		MinPerZone:   1,
 		LoadDecay:    0.995,
+		RemoteEvery:  4,
+		RemoteLimit:  5 * time.Second,
 	}
 }
 
@@ -66,6 +73,8 @@
 type Beacon struct {
 	From   registry.Host
 	Active []ident.HostID
+	// Remote holds the active hosts of the other regions.
+	Remote []ident.HostID
 	State  State
 }
 
@@ -83,6 +92,7 @@
 type SendBeacon struct {
 	To     []registry.Host
 	Active []ident.HostID
+	Remote []ident.HostID
 }
 
 func (SendReport) action() {}
@@ -111,6 +121,12 @@
 	order []*peer
 	// active holds the hosts that callers are sent to, as the coordinator says.
 	active []ident.HostID
+	// remote holds the active hosts of the other regions, and regions what their
+	// coordinators said, if this host coordinates.
+	remote  []ident.HostID
+	regions map[ident.Region]remoteRegion
+	// beacons counts the beacons that this host sent.
+	beacons int
 	// coordinator sent the latest beacon from the first host in the order. silent
 	// is the one before this host took over.
 	coordinator ident.HostID
@@ -126,7 +142,7 @@
 // New returns a roster that knows only this host.
 func New(now time.Time, cfg Config, self registry.Host) *Roster {
 	r := &Roster{
-		cfg: cfg, self: self, hosts: map[ident.HostID]*peer{}, peaks: map[ident.Zone]float64{},
+		cfg: cfg, self: self, hosts: map[ident.HostID]*peer{}, peaks: map[ident.Zone]float64{}, regions: map[ident.Region]remoteRegion{},
 		tookOver: now, beaconAt: now, nextReport: now, nextBeacon: now,
 	}
 	r.Learn([]registry.Host{self})
@@ -228,6 +244,10 @@
 		r.Learn([]registry.Host{b.From})
 	}
 	from := r.hosts[id]
+	if region := b.From.Location.Region; region != r.self.Location.Region {
+		r.regions[region] = remoteRegion{coordinator: id, active: b.Active, at: now}
+		return false
+	}
 	current := r.hosts[r.coordinator]
 	if current != nil && id != r.coordinator && before(&current.Host, &from.Host) < 0 && now.Sub(r.beaconAt) < r.cfg.SilenceLimit {
 		return false
@@ -237,7 +257,7 @@
 	}
 	r.coordinator, r.beaconAt = id, now
 	from.heard = now
-	r.active = b.Active
+	r.active, r.remote = b.Active, b.Remote
 	return true
 }
 
@@ -279,6 +299,7 @@
 		r.nextBeacon = now.Add(r.cfg.Interval)
 		if r.Coordinates(now) {
 			actions = append(actions, r.beacon(now))
+			actions = append(actions, r.remoteBeacon()...)
 		}
 	}
 	return actions
@@ -304,8 +325,8 @@
 		r.silent, r.tookOver = r.coordinator, now
 	}
 	r.coordinator, r.beaconAt = r.self.ID, now
-	r.active = r.choose(now)
-	b := SendBeacon{Active: r.active}
+	r.active, r.remote = r.choose(now), r.remoteActive(now)
+	b := SendBeacon{Active: r.active, Remote: r.remote}
 	for _, p := range r.order {
 		if p.ID != r.self.ID {
 			b.To = append(b.To, p.Host)
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -12,12 +12,13 @@
 // out.
 const (
 	// floorWindow is the time in which a target counts as used.
-	floorWindow = 1300 * time.Millisecond
+	floorWindow = 1500 * time.Millisecond
 	// floorBonus is the bonus of a target that was not used lately and is not taken
 	// to be failing, while fewer than floorShare are used.
 	floorBonus = 0.15
-	// floorShare is the share of the region's sound targets that are to be used.
-	floorShare = 0.74
+	// floorShare is the share of the region's sound targets that are to be used. It
+	// leaves room for targets that only seem sound from here.
+	floorShare = 0.8
 	// floorUnserved and floorCeiling bound the share of unserved requests at which
 	// the floor holds; above, no choice of targets would help.
 	floorUnserved = 0.08
@@ -25,13 +26,15 @@
 	// floorFailures is the number of unserved requests below which their share
 	// says nothing.
 	floorFailures = 4
+	// unsettledTime is the time in which the floor binds after hosts were lost.
+	unsettledTime = 3 * time.Second
 	// soundAfter is the time after a failure in which a target does not count.
 	soundAfter = 2 * time.Second
 )
 
 // used reports whether a request reached the target lately, from any host that
 // is known of.
-func (t *target) used(now time.Time) bool { return t.inFlight > 0 || now.Sub(t.lastUsed) < floorWindow }
+func (t *target) used(now time.Time) bool { return now.Sub(t.lastUsed) < floorWindow }
 
 // inFloor reports whether the floor counts a target on this host: a sound one of
 // the region. Hosts of the other region keep the floor there.
@@ -42,6 +45,9 @@
 // floorBinds reports whether so many requests of the region are not served that
 // the floor is to be kept.
 func (s *Scheduler) floorBinds(now time.Time) bool {
+	if now.Before(s.unsettledUntil) {
+		return true
+	}
 	n := s.outcomes.sum(now)
 	if n.unserved < floorFailures {
 		return false
@@ -50,6 +56,10 @@
 	return unserved > floorUnserved && unserved < floorCeiling
 }
 
+// Unsettle makes the floor bind for a while: hosts were lost with the requests that
+// they served, which no outcome tells.
+func (s *Scheduler) Unsettle(now time.Time) { s.unsettledUntil = now.Add(unsettledTime) }
+
 // belowFloor reports whether the floor binds and too few of the sound targets are
 // used.
 func (s *Scheduler) belowFloor(now time.Time) bool {
@@ -92,7 +102,7 @@
 // well: one that can be repeated, and any other only where too few can.
 func (s *Scheduler) mayCover(now time.Time, r *request) bool {
 	if r.idempotent {
-		return r.attempts+1 < r.class.MaxAttempts
+		return r.attempts-r.unsent+1 < r.class.MaxAttempts
 	}
 	return s.outcomes.sum(now).idempotent < len(s.order)
 }
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/balance"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/limit"
@@ -15,6 +16,12 @@
 	// refusedHold is how long a target gets no work after it refused a request
 	// because it drains or its address belongs to another target.
 	refusedHold = 5 * time.Second
+	// dialHold is how long a target gets no work after a connection could not be
+	// opened. It doubles with each further failure up to maxDialHold.
+	dialHold    = 200 * time.Millisecond
+	maxDialHold = 3 * time.Second
+	// maxUnsent bounds the attempts of a request of which no byte was sent.
+	maxUnsent = 3
 	// noTargetRetryAfter is the wait suggested when no target is known.
 	noTargetRetryAfter = 300 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the wait suggested from the queue.
@@ -67,7 +74,7 @@
 }
 
 func (s *Scheduler) refuse(now time.Time, r *request, reason dispatch.RefuseReason) {
-	s.count(now, false)
+	s.count(now, r, false)
 	delete(s.requests, r.ID)
 	wait := noTargetRetryAfter
 	if reason != dispatch.NoTarget {
@@ -151,12 +158,14 @@
 		Others:   t.reported.At(now),
 		Slots:    t.Slots,
 		Waited:   now.Sub(r.arrived),
+		Covers:   r.covers && r.attempts == 0,
 	}
 	s.lastID++
 	r.running = s.lastID
 	r.attempts++
 	r.tried = append(r.tried, t.ID)
 	t.inFlight++
+	t.started++
 	t.lastUsed = now
 	t.takeIdle(now)
 	t.changed = true
@@ -180,7 +189,7 @@
 		return nil
 	}
 	delete(s.requests, id)
-	s.count(now, false)
+	s.count(now, r, false)
 	r.canceled = true
 	s.dequeue(r)
 	if r.running != 0 {
@@ -201,12 +210,15 @@
 	s.learn(now, a, res)
 	r := a.request
 	r.running, r.last, r.result = 0, a.id, res
+	if res.NotSent {
+		r.unsent++
+	}
 	r.mayHaveRun = r.mayHaveRun || !retry.DidNotRun(res)
 	switch {
 	case r.canceled:
 	case res.Kind == attempt.Answered:
 		delete(s.requests, r.ID)
-		s.count(now, true)
+		s.count(now, r, true)
 		s.emit(dispatch.Complete{Request: r.ID, Attempt: a.id})
 	case !s.again(now, r, res):
 		s.fail(now, r)
@@ -215,16 +227,20 @@
 }
 
 func (s *Scheduler) fail(now time.Time, r *request) {
-	s.count(now, false)
+	s.count(now, r, false)
 	delete(s.requests, r.ID)
 	s.emit(dispatch.Fail{Request: r.ID, Attempt: r.last, Result: r.result, NotRun: !r.mayHaveRun})
 }
 
-// count counts a request that ended.
-func (s *Scheduler) count(now time.Time, served bool) {
+// count counts a request that ended. One that was lost to keep the floor does not
+// count: the floor would bind for its own sake.
+func (s *Scheduler) count(now time.Time, r *request, served bool) {
 	unserved := 1
-	if served {
+	switch {
+	case served:
 		unserved = 0
+	case r.covers:
+		return
 	}
 	s.ended++
 	s.unserved += unserved
@@ -243,6 +259,7 @@
 		t.belief.Observe(now, false)
 		t.pace.Observe(now, took, a.request.class.service.Mean(now))
 		a.request.class.service.Add(now, took)
+		t.reported.Lifetime = min(balance.ReportLifetime, reportedFactor*a.request.class.service.Mean(now))
 		t.limit.Answered()
 	case attempt.Shed:
 		t.idle = append(t.idle, now)
@@ -251,13 +268,27 @@
 		t.refusedUntil = now.Add(refusedHold)
 	case attempt.ServerError, attempt.BadAnswer, attempt.ConnectionLost:
 		s.failed(now, t, !res.NotSent)
-	case attempt.TimedOut, attempt.DialFailed:
+	case attempt.DialFailed:
+		t.refusedUntil = now.Add(min(maxDialHold, dialHold<<min(t.dialFailures, maxDialDoublings)))
+		t.dialFailures++
+		s.failed(now, t, false)
+	case attempt.TimedOut:
 		if !a.overdue {
 			s.failed(now, t, false)
 		}
 	}
+	if res.FirstByte > 0 {
+		t.dialFailures = 0
+	}
 }
 
+// reportedFactor is the multiple of the mean response time over which the load of
+// others decays.
+const reportedFactor = 3
+
+// maxDialDoublings keeps the shift above from overflowing.
+const maxDialDoublings = 6
+
 // failed counts a failure. Failures of the way to the target are not reported to
 // the other hosts, which may have another way.
 func (s *Scheduler) failed(now time.Time, t *target, atTarget bool) {
@@ -276,12 +307,16 @@
 	state := retry.State{
 		Idempotent:  r.idempotent,
 		Committed:   r.committed,
-		Attempts:    r.attempts,
+		Attempts:    r.attempts - r.unsent,
 		MaxAttempts: r.class.MaxAttempts,
 		Remaining:   r.Deadline.Sub(now),
 		Needed:      r.class.service.Fast(now),
 	}
-	if !retry.Allowed(state, res) || len(s.order) == 0 || !s.budget.Take(now) {
+	if !retry.Allowed(state, res) || len(s.order) == 0 || r.unsent > maxUnsent {
+		return false
+	}
+	// What was not sent is no repeat for the targets.
+	if !res.NotSent && !s.budget.Take(now) {
 		return false
 	}
 	if s.ahead(r) == 0 && s.place(now, r, 0) {
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -16,7 +17,9 @@
 // Observation is the outcomes of a host's requests at a target since its last
 // message, and the number of its requests that are running there.
 type Observation struct {
-	Target    ident.TargetID
+	Target ident.TargetID
+	// Started is the number of attempts that began.
+	Started   int
 	Successes int
 	Failures  int
 	InFlight  int
@@ -52,6 +55,9 @@
 	urgent bool
 	// outcomes counts the requests that ended, those of other hosts included.
 	outcomes tally
+	// unsettledUntil is the end of a time in which the outcomes that are known say
+	// too little.
+	unsettledUntil time.Time
 	// ended and unserved are not yet reported to the other hosts: the requests that
 	// ended here, and those of them that were not served.
 	ended, unserved int
@@ -79,6 +85,8 @@
 	reported balance.Reported
 	// seen tells that some host had a response of the target.
 	seen bool
+	// affinity orders targets that are alike, differently on each host: 0 to 1.
+	affinity float64
 	// joined tells that the target was added while others were in use.
 	joined bool
 	// lastUsed is the time of the latest request there that is known of.
@@ -86,8 +94,10 @@
 	// failedAt is the time of the latest failure there that is known of.
 	failedAt time.Time
 	// refusedUntil is the end of a hold after the target said that it drains or
-	// that its address belongs to another one.
+	// that its address belongs to another one, or could not be reached.
 	refusedUntil time.Time
+	// dialFailures counts the failed connections since the last response.
+	dialFailures int
 	// avoided tells that the target is taken to be failing.
 	avoided bool
 	// idle holds the times since which connections to the target are idle, as far
@@ -95,8 +105,8 @@
 	idle []time.Time
 	// successes and failures are not yet reported to the other hosts; changed
 	// tells that the number in flight is not.
-	successes, failures int
-	changed             bool
+	started, successes, failures int
+	changed                      bool
 }
 
 type request struct {
@@ -104,15 +114,19 @@
 	class      *class
 	idempotent bool
 	attempts   int
+	// unsent is the number of attempts of which no byte was sent.
+	unsent     int
 	tried      []ident.TargetID
 	mayHaveRun bool
 	committed  bool
 	canceled   bool
-	queued     bool
-	arrived    time.Time
-	running    ident.AttemptID
-	last       ident.AttemptID
-	result     dispatch.Result
+	// covers tells that it was sent to a target to keep the floor.
+	covers  bool
+	queued  bool
+	arrived time.Time
+	running ident.AttemptID
+	last    ident.AttemptID
+	result  dispatch.Result
 }
 
 type openAttempt struct {
@@ -197,7 +211,7 @@
 	for _, tc := range s.cfg.Targets {
 		t := old[tc.ID]
 		if t == nil || t.Born != tc.Born {
-			t = &target{belief: gray.NewBelief(now, s.model), limit: limit.NewAdaptive(now, tc.Slots), joined: s.proven}
+			t = &target{belief: gray.NewBelief(now, s.model), limit: limit.NewAdaptive(now, tc.Slots), joined: s.proven, affinity: affinity(s.self.Host, tc.ID)}
 		}
 		t.Target = tc
 		t.distance = balance.DistanceBetween(s.self.Location, tc.Location)
@@ -207,6 +221,18 @@
 	}
 }
 
+// affinity is a hash of a host and a target, 0 to 1.
+func affinity(host ident.HostID, target ident.TargetID) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(host))
+	h.Write([]byte{0})
+	h.Write([]byte(target))
+	// The low bits of this hash mix better than the high ones.
+	return float64(h.Sum64()%affinitySteps) / affinitySteps
+}
+
+const affinitySteps = 1 << 16
+
 func (s *Scheduler) emit(a dispatch.Action) { s.actions = append(s.actions, a) }
 
 // settle starts what can be started after an event and returns the actions.
@@ -235,7 +261,7 @@
 		}
 		t.seen = t.seen || o.Successes > 0
 		s.proven = s.proven || o.Successes > 0
-		if o.Successes+o.Failures+o.InFlight > 0 {
+		if o.Started > 0 {
 			t.lastUsed = now
 		}
 		t.reported.FromPeer(now, from, float64(min(o.InFlight, t.Slots)))
@@ -258,8 +284,8 @@
 		if t.successes == 0 && t.failures == 0 && !t.changed {
 			continue
 		}
-		out.Targets = append(out.Targets, Observation{Target: t.ID, Successes: t.successes, Failures: t.failures, InFlight: t.inFlight})
-		t.successes, t.failures, t.changed = 0, 0, false
+		out.Targets = append(out.Targets, Observation{Target: t.ID, Started: t.started, Successes: t.successes, Failures: t.failures, InFlight: t.inFlight})
+		t.started, t.successes, t.failures, t.changed = 0, 0, 0, false
 	}
 	s.urgent = false
 	return out
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -23,6 +23,8 @@
 	maxLateCost = 0.6
 	// warmUpFactor is how much slower a target is that has just started.
 	warmUpFactor = 2
+	// affinityCost is the largest cost of a target that other hosts prefer.
+	affinityCost = 0.04
 	// connectionCost is the cost of a new connection.
 	connectionCost = 0.02
 	// introduction is the bonus of a target that joined and was not used yet.
@@ -41,7 +43,7 @@
 // cost is the expected cost of sending a request to a target now.
 func (s *Scheduler) cost(now time.Time, r *request, t *target) float64 {
 	loss := 1.0
-	if r.idempotent && r.attempts+1 < r.class.MaxAttempts && s.budget.Left(now) >= scarceRetries {
+	if s.repeatable(now, r) {
 		loss = repeatCost
 	}
 	large := 0
@@ -50,6 +52,7 @@
 	}
 	c := loss*t.belief.FailureProbability(now) + distanceCosts[t.distance][large]
 	c += loadCost * (float64(t.inFlight) + t.reported.At(now)) / float64(max(1, t.Slots))
+	c += affinityCost * t.affinity
 	if !t.hasIdle(now) {
 		c += connectionCost
 	}
@@ -95,7 +98,7 @@
 
 // free is the number of requests that a target can take from this host now.
 func (t *target) free(now time.Time) int {
-	others := t.reported.Whole(now)
+	others := int(t.reported.At(now) + 0.5)
 	return min(t.limit.Limit(now), max(1, t.Slots-others)) - t.inFlight
 }
 
@@ -136,6 +139,7 @@
 func (s *Scheduler) place(now time.Time, r *request, ahead int) bool {
 	s.short = s.belowFloor(now)
 	if t := s.toCover(now, r); t != nil {
+		r.covers = true
 		s.start(now, r, choice{t, s.cost(now, r, t)})
 		return true
 	}
@@ -143,13 +147,28 @@
 	if free.target == nil {
 		return false
 	}
-	if busy.target != nil && s.waitCost(now, r, busy, ahead)+busy.cost < free.cost {
+	if busy.target != nil && s.waits(now, r, free, busy, ahead) {
 		return false
 	}
 	s.start(now, r, free)
 	return true
 }
 
+// waits reports whether a request should wait for the busy target rather than go to
+// the free one. If it fails there and is repeated, it has to wait all the same.
+func (s *Scheduler) waits(now time.Time, r *request, free, busy choice, ahead int) bool {
+	wait := s.waitCost(now, r, busy, ahead)
+	if s.repeatable(now, r) && !math.IsInf(wait, 1) {
+		wait *= 1 - free.target.belief.FailureProbability(now)
+	}
+	return wait+busy.cost < free.cost
+}
+
+// repeatable reports whether a request can count on another attempt.
+func (s *Scheduler) repeatable(now time.Time, r *request) bool {
+	return r.idempotent && r.attempts-r.unsent+1 < r.class.MaxAttempts && s.budget.Left(now) >= scarceRetries
+}
+
 // waitCost is the cost of waiting until a target like busy has a free slot.
 func (s *Scheduler) waitCost(now time.Time, r *request, busy choice, ahead int) float64 {
 	mean := r.class.service.Mean(now)
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -222,6 +222,16 @@
 	})
 }
 
+// Unsettle tells that hosts were lost with the requests that they served.
+func (s *Service) Unsettle() {
+	s.step(func(now time.Time, _ Decider) []dispatch.Action {
+		if s.scheduler != nil {
+			s.scheduler.Unsettle(now)
+		}
+		return nil
+	})
+}
+
 // TakeObservations returns what the other hosts do not know yet.
 func (s *Service) TakeObservations() schedule.Observations {
 	s.mu.Lock()
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
@@ -10,8 +11,10 @@
 
 // TargetObservation is what a host saw at a target since its last message.
 type TargetObservation struct {
-	Service   ident.ServiceName
-	Target    ident.TargetID
+	Service ident.ServiceName
+	Target  ident.TargetID
+	// Started is the number of attempts that began.
+	Started   int
 	Successes int
 	Failures  int
 	// InFlight is the number of the host's attempts at the target now.
@@ -35,7 +38,34 @@
 // Empty reports whether there is nothing to tell.
 func (o Observations) Empty() bool { return len(o.Targets) == 0 && len(o.Services) == 0 }
 
-// FleetHandler takes the datagrams of the other hosts of the region.
+// Add takes a later message of the same host into this one.
+func (o *Observations) Add(later Observations) {
+	for _, t := range later.Targets {
+		i := slices.IndexFunc(o.Targets, func(known TargetObservation) bool {
+			return known.Service == t.Service && known.Target == t.Target
+		})
+		if i < 0 {
+			o.Targets = append(o.Targets, t)
+			continue
+		}
+		known := &o.Targets[i]
+		known.Started += t.Started
+		known.Successes += t.Successes
+		known.Failures += t.Failures
+		known.InFlight = t.InFlight
+	}
+	for _, s := range later.Services {
+		i := slices.IndexFunc(o.Services, func(known ServiceOutcomes) bool { return known.Service == s.Service })
+		if i < 0 {
+			o.Services = append(o.Services, s)
+			continue
+		}
+		o.Services[i].Ended += s.Ended
+		o.Services[i].Unserved += s.Unserved
+	}
+}
+
+// FleetHandler takes the datagrams of the other hosts.
 type FleetHandler interface {
 	Report(from Caller, r roster.Report)
 	Beacon(from Caller, b roster.Beacon)
