schedule: a split route's outcomes count for all of its services

Change: the outcome of a request of a split route counts for the floor of all of the route's services; a target that pauses after a refusal counts as well; the time in which the floor binds after hosts were lost begins with the next request; only counts of outcomes cross regions.

Ruled out: that the hosts of the other region saw nothing of it (outcomes had crossed).

--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -33,7 +33,9 @@
 	active  *Active
 	backend *Backend
 	class   *document.Class
-	id      ident.RequestID
+	// split holds the parts of a split route, of which backend is one.
+	split []document.Share
+	id    ident.RequestID
 	// wireID is the request ID that targets and callers see.
 	wireID   string
 	deadline time.Time
@@ -128,6 +130,7 @@
 		active:  active,
 		backend: backend,
 		class:   backend.Classes[rt.Class],
+		split:   rt.Split,
 		id:      id,
 		wireID:  wireID,
 		metrics: s.metrics.class(service, rt.Class),
@@ -279,6 +282,8 @@
 		BodyBytes:     q.r.ContentLength,
 		NotRepeatable: !q.class.Idempotent,
 	})
+	served := false
+	defer func() { q.countForSplit(served) }()
 	for {
 		action, err := q.call.Next(ctx)
 		if err != nil {
@@ -287,11 +292,13 @@
 		switch a := action.(type) {
 		case dispatch.Start:
 			if q.attempt(work, a) {
+				served = true
 				return nil
 			}
 		case dispatch.Refuse:
 			return q.refused(a)
 		case dispatch.Complete:
+			served = true
 			return q.passOn(a.Attempt)
 		case dispatch.Fail:
 			return q.failed(a)
@@ -299,6 +306,17 @@
 	}
 }
 
+// countForSplit counts the outcome for the other services of a split route: its
+// requests are theirs as well, and one service that refuses its part is a reason for
+// the others to use all of their capacity.
+func (q *request) countForSplit(served bool) {
+	for _, share := range q.split {
+		if b := q.active.Backends[share.Service]; b != nil && b != q.backend {
+			b.Engine.CountOther(served)
+		}
+	}
+}
+
 // abandon ends a request whose deadline passed or whose caller left while no
 // attempt was running.
 func (q *request) abandon() *Problem {
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -19,8 +19,8 @@
 	// urgentInterval while there is a failure to report.
 	shareInterval  = 150 * time.Millisecond
 	urgentInterval = 5 * time.Millisecond
-	// remoteShareInterval is the time between two messages of observations to the
-	// other regions, where bytes are dear.
+	// remoteShareInterval is the time between two messages to the other regions.
+	// They count outcomes only, since bytes are dear there.
 	remoteShareInterval = 600 * time.Millisecond
 )
 
@@ -201,7 +201,7 @@
 		last = time.Now()
 		near, far := g.observers()
 		g.sendObservations(near, seen)
-		remote.Add(seen)
+		remote.AddServices(seen.Services)
 		if time.Since(lastRemote) >= remoteShareInterval {
 			g.sendObservations(far, remote)
 			lastRemote, remote = time.Now(), port.Observations{}
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -39,7 +39,7 @@
 // inFloor reports whether the floor counts a target on this host: a sound one of
 // the region. Hosts of the other region keep the floor there.
 func (t *target) inFloor(now time.Time) bool {
-	return t.distance != balance.OtherRegion && t.usable(now) && !t.Vanished && now.Sub(t.failedAt) >= soundAfter
+	return t.distance != balance.OtherRegion && t.reachable(now) && !t.Vanished && now.Sub(t.failedAt) >= soundAfter
 }
 
 // floorBinds reports whether so many requests of the region are not served that
@@ -56,9 +56,9 @@
 	return unserved > floorUnserved && unserved < floorCeiling
 }
 
-// Unsettle makes the floor bind for a while: hosts were lost with the requests that
-// they served, which no outcome tells.
-func (s *Scheduler) Unsettle(now time.Time) { s.unsettledUntil = now.Add(unsettledTime) }
+// Unsettle makes the floor bind for a while from the next request on: hosts were
+// lost with the requests that they served, which no outcome tells.
+func (s *Scheduler) Unsettle() { s.unsettled = true }
 
 // belowFloor reports whether the floor binds and too few of the sound targets are
 // used.
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -50,6 +50,9 @@
 	if r.idempotent {
 		s.outcomes.at(now).idempotent++
 	}
+	if s.unsettled {
+		s.unsettled, s.unsettledUntil = false, now.Add(unsettledTime)
+	}
 	switch {
 	case r.tooShort(now, 0):
 		s.refuse(now, r, dispatch.DeadlineTooShort)
@@ -242,6 +245,20 @@
 	case r.covers:
 		return
 	}
+	s.tell(now, unserved)
+}
+
+// CountOther counts a request of a split route that another service got.
+func (s *Scheduler) CountOther(now time.Time, served bool) {
+	if served {
+		s.tell(now, 0)
+		return
+	}
+	s.tell(now, 1)
+}
+
+// tell counts a request here and for the next message to the other hosts.
+func (s *Scheduler) tell(now time.Time, unserved int) {
 	s.ended++
 	s.unserved += unserved
 	s.outcomes.add(now, 1, unserved)
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -55,8 +55,9 @@
 	urgent bool
 	// outcomes counts the requests that ended, those of other hosts included.
 	outcomes tally
-	// unsettledUntil is the end of a time in which the outcomes that are known say
-	// too little.
+	// unsettled tells that the outcomes that are known say too little, until some
+	// time after the next request, which is unsettledUntil.
+	unsettled      bool
 	unsettledUntil time.Time
 	// ended and unserved are not yet reported to the other hosts: the requests that
 	// ended here, and those of them that were not served.
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -91,10 +91,12 @@
 	}
 }
 
-// usable reports whether a target may get a request at all.
-func (t *target) usable(now time.Time) bool {
-	return !t.Draining && !now.Before(t.refusedUntil) && !t.limit.Paused(now)
-}
+// reachable reports whether a target takes requests, as far as is known.
+func (t *target) reachable(now time.Time) bool { return !t.Draining && !now.Before(t.refusedUntil) }
+
+// usable reports whether a target may get a request now: it takes requests and did
+// not refuse one for lack of room just before.
+func (t *target) usable(now time.Time) bool { return t.reachable(now) && !t.limit.Paused(now) }
 
 // free is the number of requests that a target can take from this host now.
 func (t *target) free(now time.Time) int {
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -222,14 +222,23 @@
 	})
 }
 
+// CountOther counts the outcome of a request that a split route gave to another
+// service.
+func (s *Service) CountOther(served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.scheduler != nil {
+		s.scheduler.CountOther(steadyNow(), served)
+	}
+}
+
 // Unsettle tells that hosts were lost with the requests that they served.
 func (s *Service) Unsettle() {
-	s.step(func(now time.Time, _ Decider) []dispatch.Action {
-		if s.scheduler != nil {
-			s.scheduler.Unsettle(now)
-		}
-		return nil
-	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.scheduler != nil {
+		s.scheduler.Unsettle()
+	}
 }
 
 // TakeObservations returns what the other hosts do not know yet.
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -38,23 +38,9 @@
 // Empty reports whether there is nothing to tell.
 func (o Observations) Empty() bool { return len(o.Targets) == 0 && len(o.Services) == 0 }
 
-// Add takes a later message of the same host into this one.
-func (o *Observations) Add(later Observations) {
-	for _, t := range later.Targets {
-		i := slices.IndexFunc(o.Targets, func(known TargetObservation) bool {
-			return known.Service == t.Service && known.Target == t.Target
-		})
-		if i < 0 {
-			o.Targets = append(o.Targets, t)
-			continue
-		}
-		known := &o.Targets[i]
-		known.Started += t.Started
-		known.Successes += t.Successes
-		known.Failures += t.Failures
-		known.InFlight = t.InFlight
-	}
-	for _, s := range later.Services {
+// AddServices takes the counts of a later message of the same host.
+func (o *Observations) AddServices(later []ServiceOutcomes) {
+	for _, s := range later {
 		i := slices.IndexFunc(o.Services, func(known ServiceOutcomes) bool { return known.Service == s.Service })
 		if i < 0 {
 			o.Services = append(o.Services, s)
