schedule: well targets stay in use, avoided ones are tested by requests that can be repeated

Change: a target that is not avoided has a bonus at all times while too few are in use, one of which nothing is known only while at most 3% of the requests fail, and one that is avoided only for requests that can be repeated. TestLargeBodiesStayNear says now that the other host also began its request, which observations did not tell before.

--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -7,15 +7,17 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/balance"
 )
 
-// Parameters of the floor: while a notable part of the requests fails, requests
-// go to most of the region's sound targets, so that no healthy capacity stays
-// out.
+// Parameters of the floor. Requests go to most of the region's sound targets: to
+// those that are taken to be well at all times, and to the others while a notable
+// part of the requests fails, so that no healthy capacity stays out.
 const (
 	// floorWindow is the time in which a target counts as used.
 	floorWindow = 1500 * time.Millisecond
 	// floorBonus is the bonus of a target that was not used lately and is not taken
 	// to be failing, while fewer than floorShare are used.
 	floorBonus = 0.15
+	// retestBonus is the bonus of an avoided one for a request that can be repeated.
+	retestBonus = 0.25
 	// floorShare is the share of the region's sound targets that are to be used. It
 	// leaves room for targets that only seem sound from here.
 	floorShare = 0.8
@@ -23,6 +25,9 @@
 	// the floor holds; above, no choice of targets would help.
 	floorUnserved = 0.08
 	floorCeiling  = 0.6
+	// calmShare is the share of unserved requests up to which targets are tried of
+	// which nothing is known.
+	calmShare = 0.03
 	// floorFailures is the number of unserved requests below which their share
 	// says nothing.
 	floorFailures = 4
@@ -60,12 +65,8 @@
 // lost with the requests that they served, which no outcome tells.
 func (s *Scheduler) Unsettle() { s.unsettled = true }
 
-// belowFloor reports whether the floor binds and too few of the sound targets are
-// used.
+// belowFloor reports whether too few of the sound targets are used.
 func (s *Scheduler) belowFloor(now time.Time) bool {
-	if !s.floorBinds(now) {
-		return false
-	}
 	used, all := 0, 0
 	for _, t := range s.order {
 		if !t.inFloor(now) {
@@ -79,10 +80,31 @@
 	return float64(used) < floorShare*float64(all)
 }
 
+// bonus is what a request is worth that reaches a target because too few are used.
+// All hosts may lose power at any moment, and what is in use then is all that
+// the requests of the last seconds reached. A target of which nothing is known is
+// tried only while few requests fail, one that is avoided only by requests that can
+// be repeated.
+func (s *Scheduler) bonus(now time.Time, r *request, t *target) float64 {
+	if !s.short || t.used(now) || !t.inFloor(now) {
+		return 0
+	}
+	if t.avoided {
+		if s.repeatable(now, r) && r.attempts == 0 {
+			return retestBonus
+		}
+		return 0
+	}
+	if n := s.outcomes.sum(now); !t.seen && float64(n.unserved) > calmShare*float64(n.ended) {
+		return 0
+	}
+	return floorBonus
+}
+
 // toCover returns the target that is to get the request so that the floor is kept,
 // nil if none.
 func (s *Scheduler) toCover(now time.Time, r *request) *target {
-	if !s.short || !s.mayCover(now, r) {
+	if !s.short || !s.floorBinds(now) || !s.mayCover(now, r) {
 		return nil
 	}
 	var best *target
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -358,7 +358,7 @@
 	f.take(f.Observe(f.now, "other", Observations{Targets: []Observation{{Target: "t0", Successes: 1}}}))
 	for i := range 20 {
 		// The near target is the one that was seen last.
-		f.take(f.Observe(f.now, "other", Observations{Targets: []Observation{{Target: "t1", Successes: 1}, {Target: "t2", Successes: 1}}}))
+		f.take(f.Observe(f.now, "other", Observations{Targets: []Observation{{Target: "t1", Started: 1, Successes: 1}, {Target: "t2", Started: 1, Successes: 1}}}))
 		if at := f.serve("scan", 50*time.Millisecond, answered); at != "t0" {
 			t.Fatalf("upload %d went to %s", i, at)
 		}
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -64,9 +64,7 @@
 	if t.joined && !t.seen && !now.Before(t.WarmUntil) {
 		c -= introduction
 	}
-	if s.short && !t.avoided && t.inFloor(now) && !t.used(now) {
-		c -= floorBonus
-	}
+	c -= s.bonus(now, r, t)
 	if t.Vanished {
 		c += lastResort
 	}
