schedule: one request at a time to a target that could not be reached

Cause: TestUnreachableTargetIsHeld: when a hold ended, as many requests as the target has slots tried to connect at once (5 connections in 2 s, 4 follow from the holds). Change: one request finds out.

--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -99,6 +99,10 @@
 // free is the number of requests that a target can take from this host now.
 func (t *target) free(now time.Time) int {
 	others := int(t.reported.At(now) + 0.5)
+	if t.dialFailures > 0 {
+		// One request at a time finds out whether the target can be reached again.
+		return 1 - t.inFlight
+	}
 	return min(t.limit.Limit(now), max(1, t.Slots-others)) - t.inFlight
 }
 
