discovery, registry: no host takes over a list that may lack changes; delayed records

Change: a host that has read the whole list offers no targets for 3 s, or until another host's copy has taken its place; records of one start of a target are ordered by their sequence.

--- a/internal/adapter/peer/convert_fleet.go
+++ b/internal/adapter/peer/convert_fleet.go
@@ -153,7 +153,7 @@
 	if t := r.Target; t != nil {
 		pb.Service, pb.Address, pb.Zone, pb.Version = string(t.Service), t.Address, string(t.Zone), t.Version
 		pb.Slots, pb.Draining = int32(t.Slots), t.Draining
-		pb.WarmUpLeftMs, pb.BornMs = t.WarmUpLeft.Milliseconds(), t.Born
+		pb.WarmUpLeftMs, pb.BornMs, pb.Sequence = t.WarmUpLeft.Milliseconds(), t.Born, t.Sequence
 	}
 	return pb
 }
@@ -174,6 +174,7 @@
 		Draining:   pb.GetDraining(),
 		WarmUpLeft: time.Duration(pb.GetWarmUpLeftMs()) * time.Millisecond,
 		Born:       pb.GetBornMs(),
+		Sequence:   pb.GetSequence(),
 	}
 	return r
 }
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -44,6 +44,17 @@
 	// epoch, 0 if unknown. A later start under the same ID knows nothing of the
 	// earlier one.
 	Born int64
+	// Sequence counts the records of one start.
+	Sequence int64
+}
+
+// olderThan tells whether a record was written before another one of the same
+// target, although it may stand behind it in the store: a write that was delayed.
+func (t Target) olderThan(o Target) bool {
+	if t.Born == 0 || o.Born == 0 {
+		return false
+	}
+	return t.Born < o.Born || (t.Born == o.Born && t.Sequence < o.Sequence)
 }
 
 // sameAs tells whether two records differ in nothing that decisions depend on.
@@ -51,6 +62,7 @@
 func (t Target) sameAs(o Target) bool {
 	warm, otherWarm := t.WarmUpLeft > 0, o.WarmUpLeft > 0
 	t.WarmUpLeft, o.WarmUpLeft = 0, 0
+	t.Sequence, o.Sequence = 0, 0
 	return t == o && warm == otherWarm
 }
 
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -168,3 +168,38 @@
 		t.Error("a new address is no change")
 	}
 }
+
+// TestDelayedRecord guards against a heartbeat that the store takes late, after the
+// target said that it drains or was removed, and that brings it back
+// (errata-desk-grown trouble-2 at 14.5 s).
+func TestDelayedRecord(t *testing.T) {
+	write := func(r TargetRecord, born, sequence int64) TargetRecord {
+		r.Target.Born, r.Target.Sequence = born, sequence
+		return r
+	}
+	for _, merge := range []bool{false, true} {
+		l := NewTargets()
+		take := func(r TargetRecord) {
+			if merge {
+				l.Merge(epoch, []TargetRecord{r}, r.Offset+1)
+				return
+			}
+			l.Apply(epoch, []TargetRecord{r}, r.Offset+1)
+		}
+		take(write(ready("a", 0), 7, 1))
+		take(write(draining("a", 1), 7, 3))
+		take(write(ready("a", 2), 7, 2))
+		if !l.Usable()[0].Draining {
+			t.Errorf("merge %v: a delayed heartbeat ended the draining", merge)
+		}
+		take(gone("a", 3))
+		take(write(ready("a", 4), 7, 2))
+		if list := ids(l.Usable()); len(list) > 0 {
+			t.Errorf("merge %v: a delayed heartbeat brought back %v", merge, list)
+		}
+		take(write(ready("a", 5), 8, 0))
+		if list := l.Usable(); len(list) != 1 || list[0].Draining || list[0].Born != 8 {
+			t.Errorf("merge %v: the next start of the target is %+v", merge, list)
+		}
+	}
+}
--- a/internal/core/registry/targets.go
+++ b/internal/core/registry/targets.go
@@ -122,7 +122,11 @@
 	if r.Target == nil {
 		return l.remove(now, e, r)
 	}
+	if e != nil && r.Target.olderThan(e.Target) {
+		return false
+	}
 	if e != nil && e.GoneAt.IsZero() && e.Target.sameAs(*r.Target) {
+		e.Sequence = r.Target.Sequence
 		return false
 	}
 	next := &Entry{Target: *r.Target, Offset: r.Offset, WarmUntil: now.Add(r.Target.WarmUpLeft)}
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -59,7 +59,7 @@
 		s.hostsPause = min(maxHostsPause, max(minHostsPause, 2*s.hostsPause))
 		newer = true
 	}
-	if theirs.ConfigVersion == mine.ConfigVersion && theirs.TargetsChanged == mine.TargetsChanged {
+	if theirs.ConfigVersion == mine.ConfigVersion && theirs.TargetsChanged == mine.TargetsChanged && mine.TargetsChanged != nothingToOffer {
 		s.confirmed(now.Add(-theirs.Age))
 	}
 	if !newer || s.pulling {
@@ -76,7 +76,8 @@
 
 // pull takes over what another host knows.
 func (s *Sync) pull(ctx context.Context, address string) {
-	c, err := s.fleet.Pull(ctx, address, s.State())
+	have := s.State()
+	c, err := s.fleet.Pull(ctx, address, have)
 	s.mu.Lock()
 	s.pulling = false
 	s.mu.Unlock()
@@ -84,10 +85,11 @@
 		s.log.WithError(err).WithField("peer", address).Debug("the registry was not pulled")
 		return
 	}
-	s.merge(c)
+	s.merge(have, c)
 }
 
-func (s *Sync) merge(c port.RegistryCopy) {
+// merge takes over what another host knows beyond what this one had.
+func (s *Sync) merge(have roster.State, c port.RegistryCopy) {
 	s.mu.Lock()
 	now := time.Now()
 	if s.age(now) > awayAge {
@@ -97,8 +99,19 @@
 	if c.ConfigurationPosition > s.configPosition && s.configuration != nil && s.configuration.Version == c.State.ConfigVersion {
 		s.configPosition = c.ConfigurationPosition
 	}
-	if c.State.Age < unknownAge {
-		changed = s.targets.Merge(now, c.Targets, c.TargetsPosition) || !s.hasTargets || changed
+	// A list that may lack changes is better than none.
+	useful := c.State.TargetsChanged != nothingToOffer || !s.hasTargets
+	if c.State.Age < unknownAge && useful {
+		position := c.TargetsPosition
+		switch {
+		case c.State.TargetsChanged == nothingToOffer:
+			position = 0
+		case have.TargetsChanged == nothingToOffer:
+			// The other host's copy is whole, this one's may not be.
+			s.targets = registry.NewTargets()
+			s.listedAt = time.Time{}
+		}
+		changed = s.targets.Merge(now, c.Targets, position) || !s.hasTargets || changed
 		s.hasTargets = true
 		s.confirmed(now.Add(-c.State.Age))
 	}
--- a/internal/discovery/read.go
+++ b/internal/discovery/read.go
@@ -87,6 +87,9 @@
 	changed := false
 	if whole {
 		changed = s.targets.Replace(now, records, end)
+		if !known {
+			s.listedAt = now
+		}
 	} else {
 		changed = s.targets.Apply(now, records, end)
 	}
--- a/internal/discovery/sync.go
+++ b/internal/discovery/sync.go
@@ -83,6 +83,9 @@
 	configPosition int64
 	targets        *registry.Targets
 	hosts          *registry.Hosts
+	// listedAt is the time at which the whole list of targets was read, zero once
+	// another host's copy has taken its place.
+	listedAt time.Time
 	// hasTargets tells that the list of targets was read once.
 	hasTargets bool
 	// configAt and targetsAt are the times at which the store confirmed that there
@@ -157,12 +160,25 @@
 
 func (s *Sync) state(now time.Time) roster.State {
 	st := roster.State{TargetsChanged: s.targets.Changed(), HostsHash: s.hosts.Hash(), Age: s.age(now)}
+	if now.Sub(s.listedAt) < listedHold {
+		st.TargetsChanged = nothingToOffer
+	}
 	if s.configuration != nil {
 		st.ConfigVersion = s.configuration.Version
 	}
 	return st
 }
 
+const (
+	// listedHold is how long a host offers no targets after it has read the whole
+	// list, unless another host has completed its copy. The list comes in pages that
+	// are no snapshot: a change between two of them may be missing, and hosts that
+	// took the copy over would never read that change.
+	listedHold = 3 * time.Second
+	// nothingToOffer is the newest change that such a host tells of.
+	nothingToOffer = -1
+)
+
 // unknownAge is the age of a copy that was never confirmed.
 const unknownAge = time.Hour
 
--- a/internal/discovery/sync_test.go
+++ b/internal/discovery/sync_test.go
@@ -366,7 +366,7 @@
 		p.atCoordinator.setConfig(4)
 		old := newSync(newFakeStore(), p.fleet, &fakeRole{rank: 1})
 		old.configuration = &registry.Configuration{Version: 3, Document: &document.Document{}}
-		p.follower.merge(old.Copy(roster.State{}))
+		p.follower.merge(roster.State{}, old.Copy(roster.State{}))
 		time.Sleep(2 * time.Second)
 		if p.version(t, p.follower) != 5 || p.version(t, p.coordinator) != 5 {
 			t.Errorf("versions %d and %d after an older one", p.version(t, p.follower), p.version(t, p.coordinator))
@@ -406,3 +406,39 @@
 		running.Wait()
 	})
 }
+
+// TestListOfStartingHostIsNotTakenOver answers hosts that restart while targets are
+// replaced (errata-desk-grown trouble-2 at 14.5 s): it guards against a follower that
+// takes over a list in which a change is missing, because the store's pages are no
+// snapshot, and so never learns that a target drains; and against the starting host
+// keeping that list.
+func TestListOfStartingHostIsNotTakenOver(t *testing.T) {
+	runPair(t, func(p *pair) {
+		starting := newSync(newFakeStore(), p.fleet, &fakeRole{rank: 2, coordinator: "rank0"})
+		p.fleet.hosts["rank2"] = starting
+		starting.configuration = p.coordinator.Snapshot().Configuration
+		// The list that the host reads has a later change of b, and lacks that a drains.
+		incomplete := []registry.TargetRecord{
+			{ID: "a", Offset: 0, Target: &registry.Target{ID: "a"}},
+			{ID: "b", Offset: 60, Target: &registry.Target{ID: "b"}},
+		}
+		starting.targets.Replace(time.Now(), incomplete, 61)
+		starting.hasTargets, starting.listedAt = true, time.Now()
+		starting.targetsAt, starting.configAt = time.Now(), time.Now()
+		p.follower.Offer(t.Context(), "rank2", starting.State())
+		time.Sleep(100 * time.Millisecond)
+		if got := targetIDs(p.follower); len(got) != 1 {
+			t.Errorf("the follower took over %v from a host that has just started", got)
+		}
+		p.atCoordinator.add("a", false)
+		time.Sleep(1500 * time.Millisecond)
+		starting.Offer(t.Context(), "rank0", p.coordinator.State())
+		time.Sleep(100 * time.Millisecond)
+		if got, want := targetIDs(starting), targetIDs(p.coordinator); len(got) != len(want) || starting.State().TargetsChanged != p.coordinator.State().TargetsChanged {
+			t.Errorf("the starting host lists %v, the coordinator %v", got, want)
+		}
+		if got := targetIDs(p.follower); len(got) != 0 {
+			t.Errorf("the follower lists %v, which the store removed", got)
+		}
+	})
+}
