--- a/internal/core/schedule/fleet_test.go
+++ b/internal/core/schedule/fleet_test.go
@@ -33,19 +33,12 @@
 // fleetResult is what callers saw on a day.
 type fleetResult struct {
 	requests, unserved, late, refused int
-	// tried counts the attempts at targets that were failing, known the ones of
-	// them that followed a failure there within the last 2 s.
+	// tried counts the requests that a failing target failed.
 	tried int
 	// belowFloor is the number of spans of 2 s in which the floor was broken.
 	belowFloor int
 }
 
-func (r fleetResult) String() string {
-	n := float64(max(1, r.requests))
-	return fmt.Sprintf("%d requests: unserved %.4f, late %.4f, refused %.4f, attempts at failing targets %.4f, spans below the floor %d",
-		r.requests, float64(r.unserved)/n, float64(r.late)/n, float64(r.refused)/n, float64(r.tried)/n, r.belowFloor)
-}
-
 // fleetEvent is something that happens at a time.
 type fleetEvent struct {
 	at  time.Duration
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -47,7 +47,7 @@
 	return t.distance != balance.OtherRegion && t.reachable(now) && !t.Vanished && now.Sub(t.failedAt) >= soundAfter
 }
 
-// floorBinds reports whether so many requests of the region are not served that
+// floorBinds reports whether so many of the latest requests were not served that
 // the floor is to be kept.
 func (s *Scheduler) floorBinds(now time.Time) bool {
 	if now.Before(s.unsettledUntil) {
