--- a/internal/discovery/sync_test.go
+++ b/internal/discovery/sync_test.go
@@ -415,7 +415,6 @@
 func TestListOfStartingHostIsNotTakenOver(t *testing.T) {
 	runPair(t, func(p *pair) {
 		starting := newSync(newFakeStore(), p.fleet, &fakeRole{rank: 2, coordinator: "rank0"})
-		p.fleet.hosts["rank2"] = starting
 		starting.configuration = p.coordinator.Snapshot().Configuration
 		// The list that the host reads has a later change of b, and lacks that a drains.
 		incomplete := []registry.TargetRecord{
@@ -425,6 +424,9 @@
 		starting.targets.Replace(time.Now(), incomplete, 61)
 		starting.hasTargets, starting.listedAt = true, time.Now()
 		starting.targetsAt, starting.configAt = time.Now(), time.Now()
+		p.fleet.mu.Lock()
+		p.fleet.hosts["rank2"] = starting
+		p.fleet.mu.Unlock()
 		p.follower.Offer(t.Context(), "rank2", starting.State())
 		time.Sleep(100 * time.Millisecond)
 		if got := targetIDs(p.follower); len(got) != 1 {
