--- a/internal/core/schedule/tally.go
+++ b/internal/core/schedule/tally.go
@@ -10,7 +10,8 @@
 )
 
 // tally counts the requests for a service that ended within the last tallySpan, at
-// all active hosts of the region that are heard of.
+// this host and at the active hosts of all regions that it hears of, and the requests
+// that can be repeated which arrived here.
 type tally struct {
 	parts   [tallyParts]tallyPart
 	current int64
