--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -23,6 +24,11 @@
 // leave a host that is gone.
 const addressMaxAge = time.Second
 
+// memoryShare is the share of the process's memory that the runtime may use before it
+// collects garbage more often. The rest is for bytes that are received and not read,
+// which the platform counts as well.
+const memoryShare = 0.75
+
 // runOnPlatform runs a host with the platform's store.
 func runOnPlatform(settings app.Settings) error {
 	own, err := platform.LoadSettings(settings.Config)
@@ -33,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	if own.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(own.MemoryBytes)))
+	}
 	ctx, stop := untilStopped()
 	defer stop()
 	gateway, err := app.NewGateway(gatewaySettings(own), platform.NewStore(own, log), log)
--- a/internal/adapter/peer/convert_fleet.go
+++ b/internal/adapter/peer/convert_fleet.go
@@ -1,7 +1,11 @@
 package peer
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/json"
+	"io"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,15 +58,22 @@
 	}
 }
 
-func fromBeacon(pb *peerpb.Beacon) roster.Beacon {
-	b := roster.Beacon{From: fromRegisteredHost(pb.GetHost()), State: fromState(pb.GetState())}
-	for _, id := range pb.GetActive() {
-		b.Active = append(b.Active, ident.HostID(id))
+func fromReport(pb *peerpb.HostReport) roster.Report {
+	return roster.Report{
+		Host:        fromRegisteredHost(pb.GetHost()),
+		Leaving:     pb.GetLeaving(),
+		Ready:       pb.GetReady(),
+		Rate:        pb.GetRate(),
+		Coordinator: ident.HostID(pb.GetCoordinator()),
 	}
-	for _, id := range pb.GetRemote() {
-		b.Remote = append(b.Remote, ident.HostID(id))
+}
+
+func fromWelcome(pb *peerpb.Welcome) roster.Welcome {
+	w := roster.Welcome{Coordinator: ident.HostID(pb.GetCoordinator())}
+	for _, h := range pb.GetHosts() {
+		w.Hosts = append(w.Hosts, fromRegisteredHost(h))
 	}
-	return b
+	return w
 }
 
 func toObservations(in port.Observations) *peerpb.Observations {
@@ -105,16 +116,16 @@
 	return out
 }
 
-func toRegistry(c port.RegistryCopy) (*peerpb.Registry, error) {
+func toRegistry(c port.RegistryCopy, cache *configurationCache) (*peerpb.Registry, error) {
 	pb := &peerpb.Registry{
 		State:                 toState(c.State),
 		TargetsPosition:       c.TargetsPosition,
 		ConfigurationPosition: c.ConfigurationPosition,
 	}
 	if c.Configuration != nil {
-		data, err := json.Marshal(c.Configuration)
+		data, err := cache.encode(c.Configuration)
 		if err != nil {
-			return nil, errors.Wrap(err, "peer: configuration")
+			return nil, err
 		}
 		pb.Configuration = data
 	}
@@ -134,10 +145,11 @@
 		ConfigurationPosition: pb.GetConfigurationPosition(),
 	}
 	if len(pb.GetConfiguration()) > 0 {
-		c.Configuration = &registry.Configuration{}
-		if err := json.Unmarshal(pb.GetConfiguration(), c.Configuration); err != nil {
-			return c, errors.Wrap(err, "peer: configuration")
+		configuration, err := decodeConfiguration(pb.GetConfiguration())
+		if err != nil {
+			return c, err
 		}
+		c.Configuration = configuration
 	}
 	for _, t := range pb.GetTargets() {
 		c.Targets = append(c.Targets, fromRegisteredTarget(t))
@@ -178,3 +190,48 @@
 	}
 	return r
 }
+
+// configurationCache holds the encoding of the configuration that was asked for last:
+// many hosts pull a change at once. It is safe for concurrent use.
+type configurationCache struct {
+	mu   sync.Mutex
+	of   *registry.Configuration
+	data []byte
+}
+
+func (c *configurationCache) encode(configuration *registry.Configuration) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.of == configuration {
+		return c.data, nil
+	}
+	var data bytes.Buffer
+	packed, err := flate.NewWriter(&data, flate.BestSpeed)
+	if err == nil {
+		err = json.NewEncoder(packed).Encode(configuration)
+	}
+	if err == nil {
+		err = packed.Close()
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: configuration")
+	}
+	c.of, c.data = configuration, data.Bytes()
+	return c.data, nil
+}
+
+// maxConfigurationBytes bounds a configuration; 70,000 routes take about 18 MB.
+const maxConfigurationBytes = 64 << 20
+
+// decodeConfiguration is the reverse of configurationCache.encode.
+func decodeConfiguration(data []byte) (*registry.Configuration, error) {
+	c := &registry.Configuration{}
+	unpacked := io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxConfigurationBytes)
+	if err := json.NewDecoder(unpacked).Decode(c); err != nil {
+		return nil, errors.Wrap(err, "peer: configuration")
+	}
+	if c.Document == nil {
+		return nil, errors.New("peer: configuration: the document is missing")
+	}
+	return c, nil
+}
--- a/internal/adapter/peer/fleet.go
+++ b/internal/adapter/peer/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -15,15 +14,14 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
-// pullTimeout bounds one transfer of the registry.
-const pullTimeout = 2 * time.Second
-
 // Fleet connects the hosts of a region. It implements port.Fleet and is safe for
 // concurrent use.
 type Fleet struct {
 	identity Identity
-	client   *Client
-	sock     socket
+	// address is the own peer address.
+	address string
+	client  *Client
+	sock    socket
 }
 
 // ListenFleet opens the UDP socket.
@@ -32,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Fleet{identity: identity, client: NewClient(identity), sock: sock}, nil
+	return &Fleet{identity: identity, address: address, client: NewClient(identity), sock: sock}, nil
 }
 
 // Close closes the socket and all connections.
@@ -43,19 +41,28 @@
 
 // SendReport implements port.Fleet.
 func (f *Fleet) SendReport(address string, r roster.Report) error {
-	return f.send(address, &peerpb.FleetMessage{Report: &peerpb.HostReport{Host: toRegisteredHost(r.Host), Leaving: r.Leaving, Rate: r.Rate}})
+	return f.send(address, &peerpb.FleetMessage{Report: &peerpb.HostReport{
+		Host: toRegisteredHost(r.Host), Leaving: r.Leaving, Ready: r.Ready, Rate: r.Rate, Coordinator: string(r.Coordinator),
+	}})
 }
 
 // SendBeacon implements port.Fleet.
 func (f *Fleet) SendBeacon(address string, b roster.Beacon) error {
-	pb := &peerpb.Beacon{State: toState(b.State), Host: toRegisteredHost(b.From)}
-	for _, id := range b.Active {
-		pb.Active = append(pb.Active, string(id))
+	for _, part := range toBeacons(b, f.address) {
+		if err := f.send(address, &peerpb.FleetMessage{Beacon: part}); err != nil {
+			return err
+		}
 	}
-	for _, id := range b.Remote {
-		pb.Remote = append(pb.Remote, string(id))
+	return nil
+}
+
+// SendWelcome implements port.Fleet.
+func (f *Fleet) SendWelcome(address string, w roster.Welcome) error {
+	pb := &peerpb.Welcome{Coordinator: string(w.Coordinator)}
+	for _, h := range w.Hosts {
+		pb.Hosts = append(pb.Hosts, toRegisteredHost(h))
 	}
-	return f.send(address, &peerpb.FleetMessage{Beacon: pb})
+	return f.send(address, &peerpb.FleetMessage{Welcome: pb})
 }
 
 // SendConfirmation implements port.Fleet.
@@ -96,6 +103,7 @@
 // Receive hands every message to the handler until ctx ends or the socket is
 // closed.
 func (f *Fleet) Receive(ctx context.Context, handler port.FleetHandler) {
+	var beacons beaconParts
 	f.sock.receive(ctx, func(data []byte) {
 		m := &peerpb.FleetMessage{}
 		if !unmarshal(data, m) || m.GetSender().GetHost() == "" {
@@ -104,10 +112,13 @@
 		f.identity.Observe(stamp(m.GetSender()))
 		from := caller(m.GetSender())
 		if r := m.GetReport(); r != nil {
-			handler.Report(from, roster.Report{Host: fromRegisteredHost(r.GetHost()), Leaving: r.GetLeaving(), Rate: r.GetRate()})
+			handler.Report(from, fromReport(r))
+		}
+		if b := beacons.add(m.GetBeacon()); b != nil {
+			handler.Beacon(from, b.GetVia(), fromBeacon(b))
 		}
-		if b := m.GetBeacon(); b != nil {
-			handler.Beacon(from, fromBeacon(b))
+		if w := m.GetWelcome(); w != nil {
+			handler.Welcome(from, fromWelcome(w))
 		}
 		if c := m.GetConfirmation(); c != nil {
 			handler.Confirmation(from, fromState(c.GetState()))
@@ -120,8 +131,6 @@
 
 // Pull implements port.Fleet.
 func (f *Fleet) Pull(ctx context.Context, address string, have roster.State) (port.RegistryCopy, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
 	var out port.RegistryCopy
 	err := f.client.invokeFleet(ctx, address, func(ctx context.Context, p peerpb.DRPCFleetClient) (*peerpb.Sender, error) {
 		stream, err := p.Pull(ctx, &peerpb.PullRequest{Sender: sender(f.identity), Have: toState(have)})
@@ -146,7 +155,7 @@
 // ServeFleet serves the calls of other hosts until ctx ends.
 func ServeFleet(ctx context.Context, lis net.Listener, identity Identity, handler port.FleetServer) error {
 	mux := drpcmux.New()
-	if err := peerpb.DRPCRegisterFleet(mux, &fleetServer{identity, handler}); err != nil {
+	if err := peerpb.DRPCRegisterFleet(mux, &fleetServer{identity: identity, handler: handler}); err != nil {
 		return errors.Wrap(err, "peer")
 	}
 	return errors.Wrap(drpcserver.New(mux).Serve(ctx, countingListener{lis}), "peer")
@@ -155,12 +164,13 @@
 type fleetServer struct {
 	identity Identity
 	handler  port.FleetServer
+	cache    configurationCache
 }
 
 // Pull implements peerpb.DRPCFleetServer.
 func (s *fleetServer) Pull(in *peerpb.PullRequest, stream peerpb.DRPCFleet_PullStream) error {
 	s.identity.Observe(stamp(in.GetSender()))
-	pb, err := toRegistry(s.handler.Copy(fromState(in.GetHave())))
+	pb, err := toRegistry(s.handler.Copy(fromState(in.GetHave())), &s.cache)
 	if err != nil {
 		return err
 	}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -70,9 +70,12 @@
 	admin     *admin.Server
 	callers   *callerServer
 	compiled  compiled
-	draining  atomic.Bool
-	inForceAt atomic.Int64
-	heapFloor []byte
+	// generation and allowance are those of the registry's copy in force.
+	generation uint64
+	allowance  float64
+	draining   atomic.Bool
+	inForceAt  atomic.Int64
+	heapFloor  heapFloor
 
 	// activeChanged receives a value when the number of active hosts changed.
 	activeChanged chan struct{}
@@ -86,7 +89,7 @@
 func NewGateway(settings GatewaySettings, store port.Registry, log logrus.FieldLogger) (*Gateway, error) {
 	now := time.Now()
 	incarnation := ident.Incarnation(now.UnixMicro())
-	g := &Gateway{settings: settings, log: log, heapFloor: newHeapFloor(), activeChanged: make(chan struct{}, 1)}
+	g := &Gateway{settings: settings, log: log, activeChanged: make(chan struct{}, 1)}
 	g.timeline = timeline.New(settings.Host, log)
 	g.identity = newIdentity(settings.Host, incarnation, g.timeline)
 	g.transport = target.New(gatewayTransport(settings.Dialect))
@@ -99,7 +102,7 @@
 		PeerAddress:   settings.PeerAddress,
 		Millicores:    settings.Millicores,
 	}
-	g.roster = roster.New(now, roster.DefaultConfig(), self)
+	g.roster = roster.New(now, roster.DefaultConfig(), self, settings.Seeds)
 	fleet, err := peer.ListenFleet(settings.PeerAddress, g.identity)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer address")
@@ -243,13 +246,14 @@
 func (g *Gateway) Ready() bool { return !g.draining.Load() && g.ingress.Active() != nil }
 
 // Addresses returns the addresses that a caller in a zone should use, and how
-// long it may keep them. There are none while the host is not ready.
+// long it may keep them. A host that is not ready names the others that it knows of;
+// there are none while it knows none.
 func (g *Gateway) Addresses(zone ident.Zone) ([]string, time.Duration) {
-	if g.ingress.Active() == nil {
-		return nil, 0
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.ingress.Active() == nil && !g.roster.KnowsActive() {
+		return nil, 0
+	}
 	var list []string
 	for _, h := range g.roster.Active(zone) {
 		list = append(list, h.CallerAddress)
--- a/internal/app/gateway_config.go
+++ b/internal/app/gateway_config.go
@@ -49,20 +49,25 @@
 		case <-ctx.Done():
 			return
 		}
-		g.activate(g.sync.Snapshot())
-		g.stepRoster(func(now time.Time, r *roster.Roster) []roster.Action { return r.Announce(now) })
+		if g.activate(g.sync.Snapshot()) {
+			g.stepRoster(func(now time.Time, r *roster.Roster) []roster.Action { return r.Announce(now) })
+		}
 	}
 }
 
-// activate puts a copy of the registry in force.
-func (g *Gateway) activate(s discovery.Snapshot) {
+// activate puts a copy of the registry in force, unless it is already, and reports
+// whether configuration or targets changed. Hosts that become known change nothing:
+// hundreds do at once when a fleet starts.
+func (g *Gateway) activate(s discovery.Snapshot) bool {
 	g.mu.Lock()
 	g.roster.Learn(s.Hosts)
 	allowance := g.retryAllowance()
 	g.mu.Unlock()
-	if !s.Complete {
-		return
+	changed := s.Generation != g.generation
+	if !s.Complete || (!changed && allowance == g.allowance) {
+		return false
 	}
+	g.generation, g.allowance = s.Generation, allowance
 	c := s.Configuration
 	fresh := g.compiled.configuration != c
 	if fresh {
@@ -76,6 +81,7 @@
 		g.inForceAt.Store(time.Now().UnixMicro())
 		g.timeline.Record(event.ConfigurationInForce, event.F("revision", c.Version), event.F("routes", len(doc.Routes)))
 	}
+	return changed
 }
 
 // configBuilder adds to a service's configuration what the registry says of its
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
@@ -48,6 +49,13 @@
 	return r.gateway.roster.Rank()
 }
 
+// Count implements discovery.Role.
+func (r role) Count() int {
+	r.gateway.mu.Lock()
+	defer r.gateway.mu.Unlock()
+	return r.gateway.roster.RegionCount()
+}
+
 // Coordinator implements discovery.Role.
 func (r role) Coordinator() string {
 	r.gateway.mu.Lock()
@@ -64,6 +72,7 @@
 	for ctx.Err() == nil {
 		g.stepRoster(func(now time.Time, r *roster.Roster) []roster.Action {
 			r.SetRate(g.rate.measure(now, g.ingress.Requests()))
+			r.SetReady(g.ingress.Active() != nil)
 			return r.Tick(now)
 		})
 		sleep(ctx, rosterTick)
@@ -74,11 +83,17 @@
 func (g *Gateway) stepRoster(step func(time.Time, *roster.Roster) []roster.Action) {
 	g.mu.Lock()
 	before, active := g.roster.ActiveHosts(), g.roster.IsActive()
+	followed, _ := g.roster.Coordinator()
 	actions := step(time.Now(), g.roster)
+	follows, _ := g.roster.Coordinator()
 	after := g.roster.ActiveHosts()
 	became := g.roster.IsActive() && !active
+	g.heapFloor.set(g.roster.IsActive())
 	changed := len(after) != len(before) || g.roster.IsActive() != active
 	g.mu.Unlock()
+	if follows.ID != followed.ID {
+		g.timeline.Record(event.CoordinatorChanged, event.F("coordinator", follows.ID), event.F("before", followed.ID))
+	}
 	if became || lostMany(before, after) {
 		g.services.unsettle()
 	}
@@ -88,14 +103,21 @@
 		default:
 		}
 	}
+	g.sendAll(actions)
+}
+
+func (g *Gateway) sendAll(actions []roster.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case roster.SendReport:
-			g.sent(g.fleet.SendReport(a.To.PeerAddress, a.Report))
+			g.sent(g.fleet.SendReport(a.To, a.Report))
+		case roster.SendWelcome:
+			g.sent(g.fleet.SendWelcome(a.To, a.Welcome))
 		case roster.SendBeacon:
-			b := roster.Beacon{From: g.self(), Active: a.Active, Remote: a.Remote, State: g.sync.State()}
+			a.Beacon.State = g.sync.State()
 			for _, to := range a.To {
-				g.sent(g.fleet.SendBeacon(to.PeerAddress, b))
+				a.Beacon.Forward = to.Forward
+				g.sent(g.fleet.SendBeacon(to.Host.PeerAddress, a.Beacon))
 			}
 		}
 	}
@@ -138,16 +160,36 @@
 	h.gateway.stepRoster(func(now time.Time, ro *roster.Roster) []roster.Action { return ro.ReceiveReport(now, r) })
 }
 
-// Beacon implements port.FleetHandler.
-func (h fleetHandler) Beacon(_ port.Caller, b roster.Beacon) {
-	h.gateway.stepRoster(func(now time.Time, ro *roster.Roster) []roster.Action {
-		ro.ReceiveBeacon(now, b)
-		return nil
+// Beacon implements port.FleetHandler. It is passed on once this host has what is
+// new, so that those who get it find it here.
+func (h fleetHandler) Beacon(_ port.Caller, via string, b roster.Beacon) {
+	arrived := time.Now()
+	followed := false
+	h.gateway.stepRoster(func(now time.Time, ro *roster.Roster) (actions []roster.Action) {
+		followed, actions = ro.ReceiveBeacon(now, b)
+		return actions
 	})
-	if b.From.Location.Region != h.gateway.settings.Location.Region {
-		return
+	if followed {
+		h.gateway.sync.Follow(h.ctx, via, b.State, func() { h.gateway.forward(b, arrived) })
+	}
+}
+
+// forward passes a beacon on. Its state has aged since it arrived.
+func (g *Gateway) forward(b roster.Beacon, arrived time.Time) {
+	to := b.Forward
+	b.Forward = nil
+	b.State.Age += time.Since(arrived)
+	for _, address := range to {
+		g.sent(g.fleet.SendBeacon(address, b))
+	}
+}
+
+// Welcome implements port.FleetHandler.
+func (h fleetHandler) Welcome(_ port.Caller, w roster.Welcome) {
+	for _, host := range w.Hosts {
+		h.gateway.sync.LearnHost(host)
 	}
-	h.gateway.sync.Offer(h.ctx, b.From.PeerAddress, b.State)
+	h.gateway.stepRoster(func(now time.Time, ro *roster.Roster) []roster.Action { return ro.ReceiveWelcome(now, w) })
 }
 
 // Confirmation implements port.FleetHandler.
--- a/internal/app/gateway_test.go
+++ b/internal/app/gateway_test.go
@@ -61,10 +61,12 @@
 	return m.hosts, nil
 }
 
-func (m *memoryRegistry) Publish(_ context.Context, h registry.Host) error {
+func (m *memoryRegistry) Publish(_ context.Context, hosts []registry.Host) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.hosts = append(m.hosts, registry.HostRecord{ID: h.ID, Offset: int64(len(m.hosts)), Host: &h})
+	for _, h := range hosts {
+		m.hosts = append(m.hosts, registry.HostRecord{ID: h.ID, Offset: int64(len(m.hosts)), Host: &h})
+	}
 	return nil
 }
 
--- a/internal/app/memory.go
+++ b/internal/app/memory.go
@@ -7,5 +7,19 @@
 // may pile up instead does, up to about this size.
 const heapFloorBytes = 48 << 20
 
-// newHeapFloor returns memory that must be kept as long as the host runs.
+// newHeapFloor returns memory that must be kept as long as the host serves.
 func newHeapFloor() []byte { return make([]byte, heapFloorBytes) }
+
+// heapFloor holds the memory while the host serves callers. A host that does not makes
+// little garbage, and memory is priced.
+type heapFloor struct{ memory []byte }
+
+// set allocates or releases the memory.
+func (f *heapFloor) set(serves bool) {
+	switch {
+	case !serves:
+		f.memory = nil
+	case f.memory == nil:
+		f.memory = newHeapFloor()
+	}
+}
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -22,6 +22,7 @@
 	ConfigurationRefused Kind = "configuration_refused"
 	CheckpointWritten    Kind = "checkpoint_written"
 	LogUnavailable       Kind = "log_unavailable"
+	CoordinatorChanged   Kind = "coordinator_changed"
 	LogAvailable         Kind = "log_available"
 	TargetEjected        Kind = "target_ejected"
 	TargetReturned       Kind = "target_returned"
--- a/internal/core/registry/hosts.go
+++ b/internal/core/registry/hosts.go
@@ -31,7 +31,7 @@
 		return false
 	}
 	l.known[r.ID] = r
-	l.hash = l.compute()
+	l.hash ^= old.hash() ^ r.hash()
 	return true
 }
 
@@ -54,13 +54,15 @@
 	return list
 }
 
-func (l *Hosts) compute() uint64 {
+// hash is that of a host's addresses, zero if the host is gone.
+func (r HostRecord) hash() uint64 {
+	if r.Host == nil {
+		return 0
+	}
 	h := fnv.New64a()
-	for _, host := range l.List() {
-		for _, part := range []string{string(host.ID), host.CallerAddress, host.PeerAddress} {
-			h.Write([]byte(part))
-			h.Write([]byte{0})
-		}
+	for _, part := range []string{string(r.Host.ID), r.Host.CallerAddress, r.Host.PeerAddress} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
 	}
 	return h.Sum64()
 }
--- a/internal/core/roster/choose.go
+++ b/internal/core/roster/choose.go
@@ -27,11 +27,26 @@
 	slices.Sort(names)
 	var chosen []ident.HostID
 	for _, zone := range names {
-		chosen = append(chosen, r.chooseIn(now, zone, zones[zone])...)
+		chosen = append(chosen, r.chooseIn(now, zone, readyOnes(zones[zone]))...)
 	}
 	return chosen
 }
 
+// readyOnes returns the hosts that can serve callers, or all if there is none:
+// callers wait there for the first configuration.
+func readyOnes(hosts []*peer) []*peer {
+	var ready []*peer
+	for _, p := range hosts {
+		if !p.starting {
+			ready = append(ready, p)
+		}
+	}
+	if len(ready) == 0 {
+		return hosts
+	}
+	return ready
+}
+
 // chooseIn selects the active hosts of one zone among its usable hosts, which
 // are in the order of coordination.
 func (r *Roster) chooseIn(now time.Time, zone ident.Zone, usable []*peer) []ident.HostID {
--- a/internal/core/roster/query.go
+++ b/internal/core/roster/query.go
@@ -56,6 +56,9 @@
 	return list
 }
 
+// KnowsActive reports whether this host knows any active host.
+func (r *Roster) KnowsActive() bool { return len(r.active) > 0 }
+
 // IsActive reports whether callers are sent to this host.
 func (r *Roster) IsActive() bool { return slices.Contains(r.active, r.self.ID) }
 
@@ -104,5 +107,8 @@
 	return list
 }
 
+// RegionCount is the number of known hosts of this region.
+func (r *Roster) RegionCount() int { return len(r.order) }
+
 // Count is the number of known hosts of all regions.
 func (r *Roster) Count() int { return len(r.hosts) }
--- a/internal/core/roster/remote.go
+++ b/internal/core/roster/remote.go
@@ -19,31 +19,32 @@
 // here, now and then. Until a coordinator is heard of, the first hosts of its
 // region in the order of coordination get it.
 func (r *Roster) remoteBeacon() []Action {
-	r.beacons++
-	if r.beacons%r.cfg.RemoteEvery != 0 {
+	if r.beacons%uint64(r.cfg.RemoteEvery) != 0 {
 		return nil
 	}
 	first := map[ident.Region][]registry.Host{}
 	for _, p := range r.hosts {
-		if region := p.Location.Region; region != r.self.Location.Region {
-			first[region] = append(first[region], p.Host)
+		if region := p.Location.Region; region != r.self.Location.Region && first[region] == nil {
+			first[region] = r.first(region, r.cfg.ReportTo)
 		}
 	}
-	var to []registry.Host
+	var to []Delivery
 	for region, hosts := range first {
-		slices.SortFunc(hosts, func(a, b registry.Host) int { return before(&a, &b) })
-		n := min(len(hosts), r.cfg.ReportTo)
-		for i, h := range hosts {
-			if i < n || h.ID == r.regions[region].coordinator {
-				to = append(to, h)
-			}
+		for _, h := range hosts {
+			to = append(to, Delivery{Host: h})
+		}
+		known := r.hosts[r.regions[region].coordinator]
+		if known != nil && !slices.Contains(hosts, known.Host) {
+			to = append(to, Delivery{Host: known.Host})
 		}
 	}
 	if len(to) == 0 {
 		return nil
 	}
-	slices.SortFunc(to, func(a, b registry.Host) int { return before(&a, &b) })
-	return []Action{SendBeacon{To: to, Active: r.active}}
+	slices.SortFunc(to, func(a, b Delivery) int { return before(&a.Host, &b.Host) })
+	b := r.currentBeacon()
+	b.Remote = nil
+	return []Action{SendBeacon{Beacon: b, To: to}}
 }
 
 // remoteActive returns the active hosts of the other regions as their coordinators
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -1,8 +1,6 @@
 package roster
 
 import (
-	"hash/fnv"
-	"slices"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
@@ -34,6 +32,18 @@
 	// RemoteLimit is the time without a beacon of another region from which its
 	// active hosts are not known any more.
 	RemoteLimit time.Duration
+	// StartWait is how long a host that has just started waits for a beacon before
+	// it coordinates as the first of the hosts that it knows, and AloneWait how long
+	// it does so if it knows none.
+	StartWait time.Duration
+	AloneWait time.Duration
+	// IntroduceInterval is the time between the first two reports to the seeds. It
+	// doubles up to MaxIntroduceInterval until this host follows another one.
+	IntroduceInterval    time.Duration
+	MaxIntroduceInterval time.Duration
+	// DirectLimit is the number of hosts up to which beacons go to all of them
+	// without relays.
+	DirectLimit int
 }
 
 // DefaultConfig returns the default settings.
@@ -41,13 +51,19 @@
 	return Config{
 		Interval:     300 * time.Millisecond,
 		SilenceLimit: time.Second,
-		TakeoverStep: 300 * time.Millisecond,
+		TakeoverStep: 150 * time.Millisecond,
 		ReportTo:     2,
 		RatePerCore:  200,
 		MinPerZone:   1,
 		LoadDecay:    0.995,
 		RemoteEvery:  4,
 		RemoteLimit:  5 * time.Second,
+		StartWait:    250 * time.Millisecond,
+		AloneWait:    1500 * time.Millisecond,
+		// A host that starts hears of the coordinator within a few round trips.
+		IntroduceInterval:    100 * time.Millisecond,
+		MaxIntroduceInterval: 1600 * time.Millisecond,
+		DirectLimit:          16,
 	}
 }
 
@@ -60,51 +76,15 @@
 	Age time.Duration
 }
 
-// Report is what a host says of itself.
-type Report struct {
-	Host registry.Host
-	// Leaving tells that the host takes no new callers.
-	Leaving bool
-	// Rate is the smoothed number of requests per second.
-	Rate float64
-}
-
-// Beacon is what a coordinator says.
-type Beacon struct {
-	From   registry.Host
-	Active []ident.HostID
-	// Remote holds the active hosts of the other regions.
-	Remote []ident.HostID
-	State  State
-}
-
-// Action is one thing that the driver has to do.
-type Action interface{ action() }
-
-// SendReport asks the driver to send a report to a host.
-type SendReport struct {
-	To     registry.Host
-	Report Report
-}
-
-// SendBeacon asks the driver to send a beacon to hosts. The driver adds the
-// state of the registry.
-type SendBeacon struct {
-	To     []registry.Host
-	Active []ident.HostID
-	Remote []ident.HostID
-}
-
-func (SendReport) action() {}
-func (SendBeacon) action() {}
-
 // peer is what this host knows of another one.
 type peer struct {
 	registry.Host
 	// heard is the time of the last report, zero if there was none.
 	heard   time.Time
 	leaving bool
-	rate    float64
+	// starting tells that the host said that it cannot serve callers yet.
+	starting bool
+	rate     float64
 }
 
 // Roster is what one host knows about the hosts of its region. It is not safe
@@ -126,10 +106,20 @@
 	remote  []ident.HostID
 	regions map[ident.Region]remoteRegion
 	// beacons counts the beacons that this host sent.
-	beacons int
-	// coordinator sent the latest beacon from the first host in the order. silent
-	// is the one before this host took over.
+	beacons uint64
+	// seeds are the peer addresses of hosts that may know others.
+	seeds      []string
+	startedAt  time.Time
+	introduced time.Time
+	introduce  time.Duration
+	// welcomed is the time of the latest welcome that this host acted on.
+	welcomed time.Time
+	// coordinator is the host that this one follows, empty before its first beacon.
+	// sequence is the number of its latest one. silent is the one before this host
+	// took over; followed is the coordinator's incarnation.
 	coordinator ident.HostID
+	sequence    uint64
+	followed    ident.Incarnation
 	silent      ident.HostID
 	tookOver    time.Time
 	// peaks holds the decaying peak of each zone's load.
@@ -139,62 +129,29 @@
 	nextBeacon time.Time
 }
 
-// New returns a roster that knows only this host.
-func New(now time.Time, cfg Config, self registry.Host) *Roster {
+// New returns a roster that knows only this host and the addresses of seeds, which
+// may be down.
+func New(now time.Time, cfg Config, self registry.Host, seeds []string) *Roster {
 	r := &Roster{
 		cfg: cfg, self: self, hosts: map[ident.HostID]*peer{}, peaks: map[ident.Zone]float64{}, regions: map[ident.Region]remoteRegion{},
-		tookOver: now, beaconAt: now, nextReport: now, nextBeacon: now,
-	}
-	r.Learn([]registry.Host{self})
-	return r
-}
-
-// Learn takes hosts from the registry.
-func (r *Roster) Learn(hosts []registry.Host) {
-	for _, h := range hosts {
-		if p := r.hosts[h.ID]; p != nil {
-			p.Host = h
-			continue
-		}
-		r.hosts[h.ID] = &peer{Host: h}
-	}
-	r.sort()
-}
-
-// sort computes the order: most processor first, then by a hash of the name,
-// which spreads the work over zones.
-func (r *Roster) sort() {
-	r.order = r.order[:0]
-	for _, p := range r.hosts {
-		if p.Location.Region == r.self.Location.Region {
-			r.order = append(r.order, p)
-		}
-	}
-	slices.SortFunc(r.order, func(a, b *peer) int { return before(&a.Host, &b.Host) })
-}
-
-func before(a, b *registry.Host) int {
-	if a.Millicores != b.Millicores {
-		return b.Millicores - a.Millicores
+		startedAt: now, introduce: cfg.IntroduceInterval, tookOver: now, beaconAt: now, nextReport: now, nextBeacon: now,
 	}
-	if x, y := hash(a.ID), hash(b.ID); x != y {
-		if x < y {
-			return -1
+	for _, seed := range seeds {
+		if seed != self.PeerAddress {
+			r.seeds = append(r.seeds, seed)
 		}
-		return 1
 	}
-	return 0
-}
-
-func hash(id ident.HostID) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	return h.Sum64()
+	r.Learn([]registry.Host{self})
+	r.SetReady(false)
+	return r
 }
 
 // SetRate sets the number of requests per second of this host.
 func (r *Roster) SetRate(rate float64) { r.rate = rate }
 
+// SetReady tells whether this host can serve callers.
+func (r *Roster) SetReady(ready bool) { r.hosts[r.self.ID].starting = !ready }
+
 // Announce makes this host send its next beacon at once, if it coordinates.
 func (r *Roster) Announce(now time.Time) []Action {
 	r.nextBeacon = now
@@ -207,87 +164,13 @@
 	if r.Coordinates(now) {
 		r.leaving = true
 		actions = append(actions, r.beacon(now))
-		r.coordinator = ""
 	}
 	r.leaving = true
+	r.hosts[r.self.ID].leaving = true
 	r.nextReport = now
 	return append(actions, r.Tick(now)...)
 }
 
-// ReceiveReport takes the report of another host.
-func (r *Roster) ReceiveReport(now time.Time, report Report) []Action {
-	id := report.Host.ID
-	if id == r.self.ID {
-		return nil
-	}
-	p := r.hosts[id]
-	if p == nil || p.Host != report.Host {
-		r.Learn([]registry.Host{report.Host})
-		p = r.hosts[id]
-	}
-	change := p.leaving != report.Leaving
-	p.heard, p.leaving, p.rate = now, report.Leaving, report.Rate
-	if change && r.Coordinates(now) {
-		r.nextBeacon = now
-		return r.Tick(now)
-	}
-	return nil
-}
-
-// ReceiveBeacon takes a beacon. It reports whether its sender coordinates.
-func (r *Roster) ReceiveBeacon(now time.Time, b Beacon) bool {
-	id := b.From.ID
-	if id == r.self.ID {
-		return false
-	}
-	if p := r.hosts[id]; p == nil || p.Host != b.From {
-		r.Learn([]registry.Host{b.From})
-	}
-	from := r.hosts[id]
-	if region := b.From.Location.Region; region != r.self.Location.Region {
-		r.regions[region] = remoteRegion{coordinator: id, active: b.Active, at: now}
-		return false
-	}
-	current := r.hosts[r.coordinator]
-	if current != nil && id != r.coordinator && before(&current.Host, &from.Host) < 0 && now.Sub(r.beaconAt) < r.cfg.SilenceLimit {
-		return false
-	}
-	if r.coordinator == r.self.ID && before(&r.self, &from.Host) < 0 {
-		return false
-	}
-	r.coordinator, r.beaconAt = id, now
-	from.heard = now
-	r.active, r.remote = b.Active, b.Remote
-	return true
-}
-
-// Coordinates reports whether this host coordinates its region.
-func (r *Roster) Coordinates(now time.Time) bool {
-	if r.leaving {
-		return false
-	}
-	if r.coordinator == r.self.ID {
-		return true
-	}
-	rank := 0
-	for _, p := range r.order {
-		if p.ID == r.self.ID {
-			break
-		}
-		if !p.leaving {
-			rank++
-		}
-	}
-	if rank == 0 {
-		return true
-	}
-	return now.Sub(r.beaconAt) >= r.cfg.SilenceLimit+time.Duration(min(rank, maxTakeoverSteps))*r.cfg.TakeoverStep
-}
-
-// maxTakeoverSteps bounds the wait of a host far down the order when many hosts
-// before it are gone for good.
-const maxTakeoverSteps = 5
-
 // Tick advances the timers.
 func (r *Roster) Tick(now time.Time) []Action {
 	var actions []Action
@@ -295,9 +178,12 @@
 		r.nextReport = now.Add(r.cfg.Interval)
 		actions = append(actions, r.report()...)
 	}
+	if r.isolated() && now.Sub(r.introduced) >= r.introduce {
+		actions = append(actions, r.introduceSelf(now)...)
+	}
 	if !now.Before(r.nextBeacon) {
-		r.nextBeacon = now.Add(r.cfg.Interval)
 		if r.Coordinates(now) {
+			r.nextBeacon = now.Add(r.cfg.Interval)
 			actions = append(actions, r.beacon(now))
 			actions = append(actions, r.remoteBeacon()...)
 		}
@@ -305,36 +191,6 @@
 	return actions
 }
 
-// report sends a report to the first hosts of the order and to the coordinator.
-func (r *Roster) report() []Action {
-	report := Report{Host: r.self, Leaving: r.leaving, Rate: r.rate}
-	var actions []Action
-	sent := 0
-	for _, p := range r.order {
-		if p.ID == r.self.ID || (sent >= r.cfg.ReportTo && p.ID != r.coordinator) {
-			continue
-		}
-		sent++
-		actions = append(actions, SendReport{To: p.Host, Report: report})
-	}
-	return actions
-}
-
-func (r *Roster) beacon(now time.Time) Action {
-	if r.coordinator != r.self.ID {
-		r.silent, r.tookOver = r.coordinator, now
-	}
-	r.coordinator, r.beaconAt = r.self.ID, now
-	r.active, r.remote = r.choose(now), r.remoteActive(now)
-	b := SendBeacon{Active: r.active, Remote: r.remote}
-	for _, p := range r.order {
-		if p.ID != r.self.ID {
-			b.To = append(b.To, p.Host)
-		}
-	}
-	return b
-}
-
 // alive reports whether a host counts as alive for the coordinator.
 func (r *Roster) alive(now time.Time, p *peer) bool {
 	if p.ID == r.self.ID {
@@ -343,6 +199,7 @@
 	if now.Sub(p.heard) < r.cfg.SilenceLimit {
 		return true
 	}
-	// Hosts have not reported to a new coordinator yet.
-	return p.ID != r.silent && now.Sub(r.tookOver) < r.cfg.SilenceLimit
+	// Hosts have not reported to a coordinator that took over yet. One that is the
+	// first since its start knows of no host that lived.
+	return r.silent != "" && p.ID != r.silent && now.Sub(r.tookOver) < r.cfg.SilenceLimit
 }
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,8 +18,9 @@
 	now   time.Time
 	hosts map[ident.HostID]*Roster
 	down  map[ident.HostID]bool
-	// sent counts the messages.
-	sent int
+	// sent counts the messages, beacons those that a host sent or passed on.
+	sent    int
+	beacons map[ident.HostID]int
 }
 
 func host(id string, zone ident.Zone, millicores int) registry.Host {
@@ -38,9 +40,9 @@
 }
 
 func newNetwork(hosts []registry.Host) *network {
-	n := &network{now: epoch, hosts: map[ident.HostID]*Roster{}, down: map[ident.HostID]bool{}}
+	n := &network{now: epoch, hosts: map[ident.HostID]*Roster{}, down: map[ident.HostID]bool{}, beacons: map[ident.HostID]int{}}
 	for _, h := range hosts {
-		r := New(epoch, DefaultConfig(), h)
+		r := New(epoch, DefaultConfig(), h, nil)
 		r.Learn(hosts)
 		n.hosts[h.ID] = r
 	}
@@ -70,21 +72,57 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case SendReport:
-			n.sent++
-			if !n.down[a.To.ID] {
-				n.deliver(n.hosts[a.To.ID], n.hosts[a.To.ID].ReceiveReport(n.now, a.Report))
+			if to := n.reach(a.To); to != nil {
+				n.deliver(to, to.ReceiveReport(n.now, a.Report))
+			}
+		case SendWelcome:
+			if to := n.reach(a.To); to != nil {
+				n.deliver(to, to.ReceiveWelcome(n.now, a.Welcome))
 			}
 		case SendBeacon:
-			for _, to := range a.To {
-				n.sent++
-				if !n.down[to.ID] {
-					n.hosts[to.ID].ReceiveBeacon(n.now, Beacon{From: from.Self(), Active: a.Active, Remote: a.Remote})
-				}
+			for _, d := range a.To {
+				n.beacon(from, d.Host.PeerAddress, a.Beacon, d.Forward)
 			}
 		}
 	}
 }
 
+// beacon delivers a beacon, which its receiver passes on if it follows the sender.
+func (n *network) beacon(from *Roster, address string, b Beacon, forward []string) {
+	n.beacons[from.self.ID]++
+	to := n.reach(address)
+	if to == nil {
+		return
+	}
+	followed, actions := to.ReceiveBeacon(n.now, b)
+	n.deliver(to, actions)
+	if !followed {
+		return
+	}
+	// The registry's list of hosts is pulled when it differs.
+	if origin := n.hosts[b.From.ID]; len(to.hosts) < len(origin.hosts) {
+		list := make([]registry.Host, 0, len(origin.hosts))
+		for _, p := range origin.hosts {
+			list = append(list, p.Host)
+		}
+		to.Learn(list)
+	}
+	for _, next := range forward {
+		n.beacon(to, next, b, nil)
+	}
+}
+
+// reach counts a message and returns the live host at a peer address, nil if there is
+// none.
+func (n *network) reach(address string) *Roster {
+	n.sent++
+	id := ident.HostID(strings.TrimSuffix(address, ":2"))
+	if n.down[id] {
+		return nil
+	}
+	return n.hosts[id]
+}
+
 // coordinators returns the live hosts that coordinate.
 func (n *network) coordinators() []ident.HostID {
 	var list []ident.HostID
@@ -142,7 +180,7 @@
 		t.Errorf("active hosts %v after %s failed", active, failed)
 	}
 	n.down[failed] = false
-	n.hosts[failed] = New(n.now, DefaultConfig(), n.hosts[failed].Self())
+	n.hosts[failed] = New(n.now, DefaultConfig(), n.hosts[failed].Self(), nil)
 	n.hosts[failed].Learn(region(8))
 	n.run(2 * time.Second)
 	if c := n.coordinators(); len(c) != 1 {
@@ -258,7 +296,7 @@
 func TestStaleCoordinatorStepsDown(t *testing.T) {
 	now := epoch
 	hosts := region(1)
-	first, second := New(now, DefaultConfig(), hosts[0]), New(now, DefaultConfig(), hosts[1])
+	first, second := New(now, DefaultConfig(), hosts[0], nil), New(now, DefaultConfig(), hosts[1], nil)
 	first.Learn(hosts)
 	second.Learn(hosts)
 	if first.Rank() != 0 {
@@ -270,10 +308,10 @@
 	if !first.Coordinates(now) || !second.Coordinates(now) {
 		t.Fatal("want two coordinators while they hear nothing of each other")
 	}
-	if first.ReceiveBeacon(now, Beacon{From: second.Self()}) {
+	if follows, _ := first.ReceiveBeacon(now, Beacon{From: second.Self(), Sequence: 1}); follows {
 		t.Error("the first in the order follows the second")
 	}
-	if !second.ReceiveBeacon(now, Beacon{From: first.Self()}) || second.Coordinates(now) {
+	if follows, _ := second.ReceiveBeacon(now, Beacon{From: first.Self(), Sequence: 1}); !follows || second.Coordinates(now) {
 		t.Error("the second still coordinates after a beacon of the first")
 	}
 }
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -37,36 +37,61 @@
 	return c
 }
 
+// Follow takes what the coordinator says of its copy in a beacon that came from the
+// host at an address. What is new is pulled there; then done is called.
+func (s *Sync) Follow(ctx context.Context, address string, theirs roster.State, done func()) {
+	s.mu.Lock()
+	now := time.Now()
+	s.heardAt, s.leaderAt = now, later(s.leaderAt, now.Add(-theirs.Age))
+	s.mu.Unlock()
+	s.offer(ctx, address, theirs, done)
+}
+
 // Offer takes what another host says of its copy. A newer one is pulled; an equal
 // one passes its age on.
 func (s *Sync) Offer(ctx context.Context, address string, theirs roster.State) {
-	if s.take(theirs) {
-		go s.pull(ctx, address)
+	s.offer(ctx, address, theirs, func() {})
+}
+
+func (s *Sync) offer(ctx context.Context, address string, theirs roster.State, done func()) {
+	have, wanted := s.take(theirs)
+	if !wanted {
+		done()
+		return
 	}
+	go func() {
+		s.pull(ctx, address, have)
+		done()
+	}()
 }
 
-// take reports whether there is something to pull.
-func (s *Sync) take(theirs roster.State) bool {
+// take reports whether there is something to pull, and what to state as known.
+func (s *Sync) take(theirs roster.State) (have roster.State, wanted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	mine := s.state(now)
-	newer := theirs.ConfigVersion > mine.ConfigVersion || theirs.TargetsChanged > mine.TargetsChanged || (!s.hasTargets && theirs.Age < unknownAge)
-	if theirs.HostsHash == mine.HostsHash {
+	have = s.state(now)
+	wanted = theirs.ConfigVersion > have.ConfigVersion || theirs.TargetsChanged > have.TargetsChanged || (!s.hasTargets && theirs.Age < unknownAge)
+	if theirs.ConfigVersion == have.ConfigVersion && theirs.TargetsChanged == have.TargetsChanged && have.TargetsChanged != nothingToOffer {
+		s.confirmed(now.Add(-theirs.Age))
+	}
+	switch {
+	case theirs.HostsHash == have.HostsHash:
 		s.hostsPause = minHostsPause
-	} else if now.After(s.hostsPull) {
+	case now.After(s.hostsPull):
 		s.hostsPull = now.Add(s.hostsPause)
 		s.hostsPause = min(maxHostsPause, max(minHostsPause, 2*s.hostsPause))
-		newer = true
+		wanted = true
+	default:
+		// The list of hosts is not due: it is large and many copies of it differ at
+		// once when hosts start.
+		have.HostsHash = theirs.HostsHash
 	}
-	if theirs.ConfigVersion == mine.ConfigVersion && theirs.TargetsChanged == mine.TargetsChanged && mine.TargetsChanged != nothingToOffer {
-		s.confirmed(now.Add(-theirs.Age))
-	}
-	if !newer || s.pulling {
-		return false
+	if !wanted || s.pulling {
+		return have, false
 	}
 	s.pulling = true
-	return true
+	return have, true
 }
 
 // confirmed notes that nothing was newer in the store at a time.
@@ -74,9 +99,21 @@
 	s.configAt, s.targetsAt = later(s.configAt, at), later(s.targetsAt, at)
 }
 
-// pull takes over what another host knows.
-func (s *Sync) pull(ctx context.Context, address string) {
-	have := s.State()
+const (
+	// copyTimeout bounds the transfer of a whole copy, changesTimeout that of what
+	// changed.
+	copyTimeout    = 2 * time.Second
+	changesTimeout = 700 * time.Millisecond
+)
+
+// pull takes over what another host knows beyond what this one has.
+func (s *Sync) pull(ctx context.Context, address string, have roster.State) {
+	timeout := changesTimeout
+	if !s.complete() {
+		timeout = copyTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	c, err := s.fleet.Pull(ctx, address, have)
 	s.mu.Lock()
 	s.pulling = false
@@ -99,22 +136,7 @@
 	if c.ConfigurationPosition > s.configPosition && s.configuration != nil && s.configuration.Version == c.State.ConfigVersion {
 		s.configPosition = c.ConfigurationPosition
 	}
-	// A list that may lack changes is better than none.
-	useful := c.State.TargetsChanged != nothingToOffer || !s.hasTargets
-	if c.State.Age < unknownAge && useful {
-		position := c.TargetsPosition
-		switch {
-		case c.State.TargetsChanged == nothingToOffer:
-			position = 0
-		case have.TargetsChanged == nothingToOffer:
-			// The other host's copy is whole, this one's may not be.
-			s.targets = registry.NewTargets()
-			s.listedAt = time.Time{}
-		}
-		changed = s.targets.Merge(now, c.Targets, position) || !s.hasTargets || changed
-		s.hasTargets = true
-		s.confirmed(now.Add(-c.State.Age))
-	}
+	changed = s.mergeTargets(now, have, c) || changed
 	for _, h := range c.Hosts {
 		if !s.hosts.Knows(h.ID) {
 			changed = s.hosts.Learn(registry.HostRecord{ID: h.ID, Host: &h}) || changed
@@ -126,6 +148,32 @@
 	}
 }
 
+// mergeTargets takes over another host's targets. The caller holds the lock.
+func (s *Sync) mergeTargets(now time.Time, have roster.State, c port.RegistryCopy) bool {
+	// A list that may lack changes is better than none.
+	incomplete := c.State.TargetsChanged == nothingToOffer
+	if c.State.Age >= unknownAge || (incomplete && s.hasTargets) {
+		return false
+	}
+	position := c.TargetsPosition
+	switch {
+	case incomplete:
+		position = 0
+		s.unread = true
+	case have.TargetsChanged == nothingToOffer:
+		// The other host's copy is whole, this one's may not be.
+		s.targets = registry.NewTargets()
+		s.unread = false
+	}
+	changed := s.targets.Merge(now, c.Targets, position) || !s.hasTargets
+	s.hasTargets = true
+	s.confirmed(now.Add(-c.State.Age))
+	if changed {
+		s.generation++
+	}
+	return changed
+}
+
 // LearnHost takes what a host says of itself.
 func (s *Sync) LearnHost(h registry.Host) {
 	s.mu.Lock()
@@ -135,93 +183,3 @@
 		s.notify()
 	}
 }
-
-// join makes this host known and fetches the registry: from the coordinator, which
-// hears of this host by its reports, else from the store, else from the seeds. It
-// goes on until configuration and targets are known.
-func (s *Sync) join(ctx context.Context, self registry.Host, seeds []string) {
-	s.LearnHost(self)
-	pause := backoff{cfg: &s.cfg}
-	started := time.Now()
-	known := false
-	for round := 0; ; round++ {
-		var err error
-		if !known {
-			err = s.introduce(ctx, self)
-			known = err == nil
-		}
-		if err == nil && (s.role.Coordinates() || time.Since(started) >= s.cfg.JoinWait) {
-			err = s.refreshConfiguration(ctx, 0)
-			if err == nil {
-				err = s.refreshTargets(ctx)
-			}
-		}
-		if err != nil && len(seeds) > 0 {
-			s.pull(ctx, seeds[round%len(seeds)])
-		}
-		if s.Snapshot().Complete {
-			if !known {
-				go s.publish(ctx, self)
-			}
-			return
-		}
-		pause.result(err)
-		if !sleep(ctx, max(s.cfg.Tick, pause.next())) {
-			return
-		}
-	}
-}
-
-// introduce reads the list of hosts and adds this one if it is missing or has
-// moved. It is added before the list is read again, so that of two hosts that start
-// together at least one sees the other.
-func (s *Sync) introduce(ctx context.Context, self registry.Host) error {
-	records, err := s.store.Hosts(ctx)
-	if err == nil && !listed(records, self) {
-		if err = s.store.Publish(ctx, self); err == nil {
-			records, err = s.store.Hosts(ctx)
-		}
-	}
-	s.contact(err)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	for _, r := range records {
-		if r.ID != self.ID {
-			s.hosts.Learn(r)
-		}
-	}
-	hosts := s.hosts.List()
-	s.mu.Unlock()
-	s.role.Learn(hosts)
-	return nil
-}
-
-// listed reports whether the records have a host at its present addresses.
-func listed(records []registry.HostRecord, self registry.Host) bool {
-	for _, r := range records {
-		if r.ID == self.ID && r.Host != nil {
-			known := *r.Host
-			known.Incarnation = self.Incarnation
-			return known == self
-		}
-	}
-	return false
-}
-
-// publish records this host in the store, so that hosts that start later find it.
-func (s *Sync) publish(ctx context.Context, self registry.Host) {
-	pause := backoff{cfg: &s.cfg}
-	for {
-		err := s.store.Publish(ctx, self)
-		if err == nil {
-			return
-		}
-		s.log.WithError(err).Debug("the host was not published")
-		pause.result(err)
-		if !sleep(ctx, pause.next()) {
-			return
-		}
-	}
-}
--- a/internal/discovery/read.go
+++ b/internal/discovery/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,13 +20,49 @@
 	}
 	s.mu.Lock()
 	age := s.age(now)
+	behind := now.Sub(s.leaderAt) < s.cfg.FallbackAge
 	s.mu.Unlock()
-	return age >= s.cfg.FallbackAge+time.Duration(min(s.role.Rank(), maxFallbackSteps))*s.cfg.FallbackStep
+	step := min(s.role.Rank(), s.cfg.Deputies+1)
+	if s.substitutes(now) {
+		return now.Sub(last) >= s.cfg.ReadInterval
+	}
+	if age < s.cfg.FallbackAge+time.Duration(step)*s.cfg.FallbackStep {
+		return false
+	}
+	// A host that lacks what the coordinator has is on its own. Otherwise the whole
+	// region lacks it, and few hosts try, so that the calls do not grow with it.
+	if behind || step <= s.cfg.Deputies {
+		return true
+	}
+	if !s.sampled() {
+		return false
+	}
+	s.mu.Lock()
+	s.substituteTries, s.substituteUntil = true, now.Add(substituteTry)
+	s.mu.Unlock()
+	return true
+}
+
+const (
+	// substituteTry is how long a host that tries the store for its region reads both
+	// targets and configuration, and substituteTime how long it goes on after a
+	// success.
+	substituteTry  = 500 * time.Millisecond
+	substituteTime = 5 * time.Second
+)
+
+// substitutes reports whether this host reads the store although it is no deputy.
+func (s *Sync) substitutes(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.substituteUntil)
 }
 
-// maxFallbackSteps bounds the wait of hosts far down the order: every host has to
-// keep up within the time in which a change must be in force.
-const maxFallbackSteps = 5
+// sampled reports whether this host is one of the few that try the store in this
+// tick.
+func (s *Sync) sampled() bool {
+	return rand.Float64() < s.cfg.SampleRate*s.cfg.Tick.Seconds()/float64(max(1, s.role.Count()))
+}
 
 // readTargets reads the targets whenever it is this host's turn.
 func (s *Sync) readTargets(ctx context.Context) {
@@ -45,17 +82,19 @@
 // coordinator's reads wait for a new one.
 func (s *Sync) readConfiguration(ctx context.Context) {
 	pause := backoff{cfg: &s.cfg}
+	var last time.Time
 	for sleep(ctx, max(s.cfg.Tick/5, pause.next())) {
 		wait := time.Duration(0)
 		if s.role.Coordinates() {
 			wait = s.cfg.ConfigurationWait
-		} else if !s.due(time.Time{}, 0) {
+		} else if !s.due(last, 0) {
 			pause.reset()
 			if !sleep(ctx, s.cfg.Tick) {
 				return
 			}
 			continue
 		}
+		last = time.Now()
 		pause.result(s.refreshConfiguration(ctx, wait))
 	}
 }
@@ -84,25 +123,53 @@
 	}
 	s.mu.Lock()
 	now := time.Now()
-	changed := false
+	changed := !known
 	if whole {
-		changed = s.targets.Replace(now, records, end)
-		if !known {
-			s.listedAt = now
-		}
+		changed = s.targets.Replace(now, records, end) || changed
+		s.unread = true
 	} else {
-		changed = s.targets.Apply(now, records, end)
+		changed = s.targets.Apply(now, records, end) || changed
+		s.unread = false
 	}
 	s.hasTargets = true
 	s.targetsAt = later(s.targetsAt, asked)
+	if changed {
+		s.generation++
+	}
 	s.mu.Unlock()
-	if changed || !known {
+	if changed {
 		s.notify()
 	}
+	if whole {
+		s.readOn(ctx)
+	}
 	s.confirm()
 	return nil
 }
 
+// readOn reads what changed while the list of targets was read. If it fails, the next
+// regular read does it.
+func (s *Sync) readOn(ctx context.Context) {
+	s.mu.Lock()
+	position := s.targets.Position()
+	s.mu.Unlock()
+	records, end, err := s.store.TargetsSince(ctx, position)
+	if err != nil {
+		s.log.WithError(err).Debug("the changes since the list of targets were not read")
+		return
+	}
+	s.mu.Lock()
+	changed := s.targets.Apply(time.Now(), records, end)
+	s.unread = false
+	if changed {
+		s.generation++
+	}
+	s.mu.Unlock()
+	if changed {
+		s.notify()
+	}
+}
+
 // refreshConfiguration reads the newest configuration.
 func (s *Sync) refreshConfiguration(ctx context.Context, wait time.Duration) error {
 	s.mu.Lock()
@@ -150,6 +217,7 @@
 		return false
 	}
 	s.configuration = c
+	s.generation++
 	return true
 }
 
@@ -172,6 +240,11 @@
 
 // confirm tells the coordinator that this host has read the store.
 func (s *Sync) confirm() {
+	s.mu.Lock()
+	if s.substituteTries {
+		s.substituteTries, s.substituteUntil = false, time.Now().Add(substituteTime)
+	}
+	s.mu.Unlock()
 	address := s.role.Coordinator()
 	if address == "" || s.role.Coordinates() {
 		return
--- a/internal/discovery/sync.go
+++ b/internal/discovery/sync.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
@@ -22,13 +23,26 @@
 	// one.
 	ConfigurationWait time.Duration
 	// FallbackAge is the age of the copy from which a host reads the store itself.
-	// FallbackStep is added for each place in the order of coordination, up to
-	// maxFallbackSteps.
+	// FallbackStep is added for each place in the order of coordination. Only the
+	// first Deputies do so for the region.
 	FallbackAge  time.Duration
 	FallbackStep time.Duration
-	// JoinWait is how long a host that starts waits for another one's copy before
-	// it reads the whole registry itself.
-	JoinWait time.Duration
+	Deputies     int
+	// SampleRate is the number of other hosts of the region that try the store each
+	// second while coordinator and deputies cannot read it.
+	SampleRate float64
+	// JoinWait is how long a host that starts waits for a beacon before it reads the
+	// list of hosts, and as long again for a copy before it reads the registry. A
+	// random part of JoinSpread is added to each.
+	JoinWait   time.Duration
+	JoinSpread time.Duration
+	// PublishInterval is the time between two looks of the coordinator for hosts that
+	// the store does not list.
+	PublishInterval time.Duration
+	// ListInterval is the time between two reads of the list of hosts by the
+	// coordinator, and FirstListInterval that before the first one.
+	ListInterval      time.Duration
+	FirstListInterval time.Duration
 	// MinBackoff and MaxBackoff bound the pause after a read that failed.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
@@ -43,7 +57,13 @@
 		ConfigurationWait: 800 * time.Millisecond,
 		FallbackAge:       1600 * time.Millisecond,
 		FallbackStep:      80 * time.Millisecond,
+		Deputies:          3,
+		SampleRate:        2,
 		JoinWait:          700 * time.Millisecond,
+		JoinSpread:        600 * time.Millisecond,
+		PublishInterval:   time.Second,
+		ListInterval:      time.Minute,
+		FirstListInterval: 3 * time.Second,
 		MinBackoff:        150 * time.Millisecond,
 		MaxBackoff:        2 * time.Second,
 		Tick:              50 * time.Millisecond,
@@ -56,8 +76,10 @@
 	Learn(hosts []registry.Host)
 	// Coordinates reports whether this host reads the store for the others.
 	Coordinates() bool
-	// Rank is the host's place in the order of coordination.
+	// Rank is the host's place in the order of coordination, and Count the number of
+	// hosts in it.
 	Rank() int
+	Count() int
 	// Coordinator returns the address of the coordinator, empty if it is unknown
 	// or this host.
 	Coordinator() string
@@ -83,9 +105,14 @@
 	configPosition int64
 	targets        *registry.Targets
 	hosts          *registry.Hosts
-	// listedAt is the time at which the whole list of targets was read, zero once
-	// another host's copy has taken its place.
-	listedAt time.Time
+	// listed holds the hosts as the store lists them, nil before that was read.
+	listed map[ident.HostID]registry.Host
+	// generation counts the changes of configuration and targets.
+	generation uint64
+	// unread tells that the changes since the list of targets was read are missing.
+	// The list comes in pages that are no snapshot: hosts that took it over would
+	// never read a change between two of them.
+	unread bool
 	// hasTargets tells that the list of targets was read once.
 	hasTargets bool
 	// configAt and targetsAt are the times at which the store confirmed that there
@@ -95,6 +122,14 @@
 	away bool
 	// pulling tells that a pull is under way.
 	pulling bool
+	// heardAt is the time of the coordinator's latest beacon, and leaderAt that at
+	// which the store confirmed the coordinator's copy.
+	heardAt, leaderAt time.Time
+	// substituteUntil is the time until which this host reads the store for its region
+	// because coordinator and deputies cannot.
+	substituteUntil time.Time
+	// substituteTries tells that it has not succeeded yet.
+	substituteTries bool
 	// hostsPull is the earliest time of a pull for the list of hosts alone.
 	hostsPull  time.Time
 	hostsPause time.Duration
@@ -131,6 +166,8 @@
 
 // Snapshot is the copy at one time.
 type Snapshot struct {
+	// Generation changes with Configuration and Targets.
+	Generation uint64
 	// Configuration is nil before the first one is known.
 	Configuration *registry.Configuration
 	Targets       []registry.Entry
@@ -144,6 +181,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Snapshot{
+		Generation:    s.generation,
 		Configuration: s.configuration,
 		Targets:       s.targets.Usable(),
 		Hosts:         s.hosts.List(),
@@ -151,6 +189,13 @@
 	}
 }
 
+// complete reports whether configuration and targets are known.
+func (s *Sync) complete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configuration != nil && s.hasTargets
+}
+
 // State says how far the copy has got.
 func (s *Sync) State() roster.State {
 	s.mu.Lock()
@@ -160,7 +205,7 @@
 
 func (s *Sync) state(now time.Time) roster.State {
 	st := roster.State{TargetsChanged: s.targets.Changed(), HostsHash: s.hosts.Hash(), Age: s.age(now)}
-	if now.Sub(s.listedAt) < listedHold {
+	if s.unread {
 		st.TargetsChanged = nothingToOffer
 	}
 	if s.configuration != nil {
@@ -169,15 +214,9 @@
 	return st
 }
 
-const (
-	// listedHold is how long a host offers no targets after it has read the whole
-	// list, unless another host has completed its copy. The list comes in pages that
-	// are no snapshot: a change between two of them may be missing, and hosts that
-	// took the copy over would never read that change.
-	listedHold = 3 * time.Second
-	// nothingToOffer is the newest change that such a host tells of.
-	nothingToOffer = -1
-)
+// nothingToOffer is the newest change that a host tells of whose list of targets may
+// lack some.
+const nothingToOffer = -1
 
 // unknownAge is the age of a copy that was never confirmed.
 const unknownAge = time.Hour
@@ -197,7 +236,7 @@
 func (s *Sync) Run(ctx context.Context, self registry.Host, seeds []string) {
 	s.join(ctx, self, seeds)
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){s.readTargets, s.readConfiguration, s.expire} {
+	for _, loop := range []func(context.Context){s.readTargets, s.readConfiguration, s.expire, s.publishHosts} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
@@ -208,6 +247,9 @@
 	for sleep(ctx, 2*s.cfg.Tick) {
 		s.mu.Lock()
 		ended := s.targets.Tick(time.Now())
+		if ended {
+			s.generation++
+		}
 		s.mu.Unlock()
 		if ended {
 			s.notify()
--- a/internal/discovery/sync_test.go
+++ b/internal/discovery/sync_test.go
@@ -142,13 +142,15 @@
 	return append([]registry.HostRecord(nil), f.hosts...), f.call()
 }
 
-func (f *fakeStore) Publish(_ context.Context, h registry.Host) error {
+func (f *fakeStore) Publish(_ context.Context, hosts []registry.Host) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.call(); err != nil {
 		return err
 	}
-	f.hosts = append(f.hosts, registry.HostRecord{ID: h.ID, Offset: int64(len(f.hosts)), Host: &h})
+	for _, h := range hosts {
+		f.hosts = append(f.hosts, registry.HostRecord{ID: h.ID, Offset: int64(len(f.hosts)), Host: &h})
+	}
 	return nil
 }
 
@@ -190,6 +192,7 @@
 func (r *fakeRole) Learn([]registry.Host) {}
 func (r *fakeRole) Coordinates() bool     { return r.rank == 0 }
 func (r *fakeRole) Rank() int             { return r.rank }
+func (r *fakeRole) Count() int            { return 2 }
 func (r *fakeRole) Coordinator() string   { return r.coordinator }
 
 type nothing struct{}
@@ -233,7 +236,7 @@
 	running.Go(func() {
 		for sleep(ctx, 300*time.Millisecond) {
 			if !p.silent.Load() {
-				p.follower.Offer(ctx, "rank0", p.coordinator.State())
+				p.follower.Follow(ctx, "rank0", p.coordinator.State(), func() {})
 			}
 		}
 	})
@@ -422,19 +425,19 @@
 			{ID: "b", Offset: 60, Target: &registry.Target{ID: "b"}},
 		}
 		starting.targets.Replace(time.Now(), incomplete, 61)
-		starting.hasTargets, starting.listedAt = true, time.Now()
+		starting.hasTargets, starting.unread = true, true
 		starting.targetsAt, starting.configAt = time.Now(), time.Now()
 		p.fleet.mu.Lock()
 		p.fleet.hosts["rank2"] = starting
 		p.fleet.mu.Unlock()
-		p.follower.Offer(t.Context(), "rank2", starting.State())
+		p.follower.Offer(context.Background(), "rank2", starting.State())
 		time.Sleep(100 * time.Millisecond)
 		if got := targetIDs(p.follower); len(got) != 1 {
 			t.Errorf("the follower took over %v from a host that has just started", got)
 		}
 		p.atCoordinator.add("a", false)
 		time.Sleep(1500 * time.Millisecond)
-		starting.Offer(t.Context(), "rank0", p.coordinator.State())
+		starting.Offer(context.Background(), "rank0", p.coordinator.State())
 		time.Sleep(100 * time.Millisecond)
 		if got, want := targetIDs(starting), targetIDs(p.coordinator); len(got) != len(want) || starting.State().TargetsChanged != p.coordinator.State().TargetsChanged {
 			t.Errorf("the starting host lists %v, the coordinator %v", got, want)
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -54,7 +54,9 @@
 // FleetHandler takes the datagrams of the other hosts.
 type FleetHandler interface {
 	Report(from Caller, r roster.Report)
-	Beacon(from Caller, b roster.Beacon)
+	// Beacon takes a beacon that the host at the peer address via sent or passed on.
+	Beacon(from Caller, via string, b roster.Beacon)
+	Welcome(from Caller, w roster.Welcome)
 	// Confirmation says that another host has read the store.
 	Confirmation(from Caller, s roster.State)
 	Observations(from Caller, o Observations)
@@ -81,8 +83,9 @@
 type Fleet interface {
 	SendReport(address string, r roster.Report) error
 	SendBeacon(address string, b roster.Beacon) error
+	SendWelcome(address string, w roster.Welcome) error
 	SendConfirmation(address string, s roster.State) error
 	SendObservations(address string, o Observations) error
-	// Pull returns what the host at an address knows beyond a state.
+	// Pull returns what the host at an address knows beyond a state. ctx bounds it.
 	Pull(ctx context.Context, address string, have roster.State) (RegistryCopy, error)
 }
--- a/internal/port/registry.go
+++ b/internal/port/registry.go
@@ -25,8 +25,8 @@
 	TargetsSince(ctx context.Context, position int64) ([]registry.TargetRecord, int64, error)
 	// Hosts returns the newest record of every host.
 	Hosts(ctx context.Context) ([]registry.HostRecord, error)
-	// Publish records a host.
-	Publish(ctx context.Context, h registry.Host) error
+	// Publish records hosts.
+	Publish(ctx context.Context, hosts []registry.Host) error
 }
 
 // StoreUnavailableError reports that the store did not take a call.
