rescue: a panic ends one message or loop, not the process

Cause: looked for after operators told us that one malformed message took a process down. Panics outside net/http ended the process: in a datagram, in a call of another host, in a loop of discovery or of the gateway; stepRoster held its lock without a deferred unlock.

Ruled out: panics of request handlers (net/http contains them; the engines unlock).

Change: package rescue logs and counts (sapphirehaven_panics_total); loops start again after 100 ms. Datagrams that name a host without ID, region or usable peer address are dropped. Engine timers are not covered yet (docs/promises.md).

--- a/internal/adapter/peer/fleet.go
+++ b/internal/adapter/peer/fleet.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net"
+	"net/netip"
+	"slices"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -12,6 +15,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
 	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
+	"github.com/sapphirehaven/sapphirehaven/internal/rescue"
 )
 
 // Fleet connects the hosts of a region. It implements port.Fleet and is safe for
@@ -22,15 +26,16 @@
 	address string
 	client  *Client
 	sock    socket
+	log     logrus.FieldLogger
 }
 
 // ListenFleet opens the UDP socket.
-func ListenFleet(address string, identity Identity) (*Fleet, error) {
+func ListenFleet(address string, identity Identity, log logrus.FieldLogger) (*Fleet, error) {
 	sock, err := listenSocket(address)
 	if err != nil {
 		return nil, err
 	}
-	return &Fleet{identity: identity, address: address, client: NewClient(identity), sock: sock}, nil
+	return &Fleet{identity: identity, address: address, client: NewClient(identity), sock: sock, log: log}, nil
 }
 
 // Close closes the socket and all connections.
@@ -101,34 +106,48 @@
 }
 
 // Receive hands every message to the handler until ctx ends or the socket is
-// closed.
+// closed. A message that makes the handler panic is dropped.
 func (f *Fleet) Receive(ctx context.Context, handler port.FleetHandler) {
 	var beacons beaconParts
 	f.sock.receive(ctx, func(data []byte) {
-		m := &peerpb.FleetMessage{}
-		if !unmarshal(data, m) || m.GetSender().GetHost() == "" {
-			return
-		}
-		f.identity.Observe(stamp(m.GetSender()))
-		from := caller(m.GetSender())
-		if r := m.GetReport(); r != nil {
-			handler.Report(from, fromReport(r))
-		}
-		if b := beacons.add(m.GetBeacon()); b != nil {
-			handler.Beacon(from, b.GetVia(), fromBeacon(b))
-		}
-		if w := m.GetWelcome(); w != nil {
-			handler.Welcome(from, fromWelcome(w))
-		}
-		if c := m.GetConfirmation(); c != nil {
-			handler.Confirmation(from, fromState(c.GetState()))
-		}
-		if o := m.GetObservations(); o != nil {
-			handler.Observations(from, fromObservations(o))
-		}
+		rescue.Call(f.log, "datagram", func() { f.handle(data, &beacons, handler) })
 	})
 }
 
+// handle hands one message to the handler. One of a host without a name or with
+// addresses that cannot be used is dropped.
+func (f *Fleet) handle(data []byte, beacons *beaconParts, handler port.FleetHandler) {
+	m := &peerpb.FleetMessage{}
+	if !unmarshal(data, m) || m.GetSender().GetHost() == "" {
+		return
+	}
+	f.identity.Observe(stamp(m.GetSender()))
+	from := caller(m.GetSender())
+	if r := m.GetReport(); r != nil && usable(r.GetHost()) {
+		handler.Report(from, fromReport(r))
+	}
+	if b := m.GetBeacon(); b != nil && usable(b.GetHost()) {
+		if whole := beacons.add(b); whole != nil {
+			handler.Beacon(from, whole.GetVia(), fromBeacon(whole))
+		}
+	}
+	if w := m.GetWelcome(); w != nil && !slices.ContainsFunc(w.GetHosts(), func(h *peerpb.RegisteredHost) bool { return !usable(h) }) {
+		handler.Welcome(from, fromWelcome(w))
+	}
+	if c := m.GetConfirmation(); c != nil {
+		handler.Confirmation(from, fromState(c.GetState()))
+	}
+	if o := m.GetObservations(); o != nil {
+		handler.Observations(from, fromObservations(o))
+	}
+}
+
+// usable reports whether a host can be reached under what a message says of it.
+func usable(h *peerpb.RegisteredHost) bool {
+	_, err := netip.ParseAddrPort(h.GetPeerAddress())
+	return err == nil && h.GetId() != "" && h.GetRegion() != ""
+}
+
 // Pull implements port.Fleet.
 func (f *Fleet) Pull(ctx context.Context, address string, have roster.State) (port.RegistryCopy, error) {
 	var out port.RegistryCopy
@@ -153,9 +172,9 @@
 }
 
 // ServeFleet serves the calls of other hosts until ctx ends.
-func ServeFleet(ctx context.Context, lis net.Listener, identity Identity, handler port.FleetServer) error {
+func ServeFleet(ctx context.Context, lis net.Listener, identity Identity, handler port.FleetServer, log logrus.FieldLogger) error {
 	mux := drpcmux.New()
-	if err := peerpb.DRPCRegisterFleet(mux, &fleetServer{identity: identity, handler: handler}); err != nil {
+	if err := peerpb.DRPCRegisterFleet(mux, &fleetServer{identity: identity, handler: handler, log: log}); err != nil {
 		return errors.Wrap(err, "peer")
 	}
 	return errors.Wrap(drpcserver.New(mux).Serve(ctx, countingListener{lis}), "peer")
@@ -165,10 +184,20 @@
 	identity Identity
 	handler  port.FleetServer
 	cache    configurationCache
+	log      logrus.FieldLogger
 }
 
+// errPanicked ends a call that panicked.
+var errPanicked = errors.New("peer: the call failed unexpectedly")
+
 // Pull implements peerpb.DRPCFleetServer.
 func (s *fleetServer) Pull(in *peerpb.PullRequest, stream peerpb.DRPCFleet_PullStream) error {
+	err := errPanicked
+	rescue.Call(s.log, "pull", func() { err = s.pull(in, stream) })
+	return err
+}
+
+func (s *fleetServer) pull(in *peerpb.PullRequest, stream peerpb.DRPCFleet_PullStream) error {
 	s.identity.Observe(stamp(in.GetSender()))
 	pb, err := toRegistry(s.handler.Copy(fromState(in.GetHave())), &s.cache)
 	if err != nil {
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/discovery"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 	"github.com/sapphirehaven/sapphirehaven/internal/requestlog"
+	"github.com/sapphirehaven/sapphirehaven/internal/rescue"
 	"github.com/sapphirehaven/sapphirehaven/internal/timeline"
 )
 
@@ -103,7 +104,7 @@
 		Millicores:    settings.Millicores,
 	}
 	g.roster = roster.New(now, roster.DefaultConfig(), self, settings.Seeds)
-	fleet, err := peer.ListenFleet(settings.PeerAddress, g.identity)
+	fleet, err := peer.ListenFleet(settings.PeerAddress, g.identity, log)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer address")
 	}
@@ -154,16 +155,19 @@
 	g.timeline.Record(event.HostStarted, event.F("incarnation", g.identity.Caller().Incarnation), event.F("caller_address", g.settings.CallerAddress))
 	background, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){
-		func(ctx context.Context) { g.sync.Run(ctx, g.self(), g.settings.Seeds) },
-		func(ctx context.Context) { g.fleet.Receive(ctx, fleetHandler{g, ctx}) },
-		g.runRoster,
-		g.requests.Run,
-		g.activateChanges,
-		g.shareObservations,
-		listeners.servePeers,
+	for _, part := range []struct {
+		name string
+		run  func(context.Context)
+	}{
+		{"registry", func(ctx context.Context) { g.sync.Run(ctx, g.self(), g.settings.Seeds) }},
+		{"datagrams", func(ctx context.Context) { g.fleet.Receive(ctx, fleetHandler{g, ctx}) }},
+		{"roster", g.runRoster},
+		{"request log", g.requests.Run},
+		{"changes", g.activateChanges},
+		{"observations", g.shareObservations},
+		{"peers", listeners.servePeers},
 	} {
-		running.Go(func() { run(background) })
+		running.Go(func() { rescue.Loop(background, g.log, part.name, part.run) })
 	}
 	failed := listeners.serve()
 	select {
@@ -235,7 +239,7 @@
 }
 
 func (l *gatewayListeners) servePeers(ctx context.Context) {
-	if err := peer.ServeFleet(ctx, l.peers, l.gateway.identity, l.gateway.sync); err != nil && ctx.Err() == nil {
+	if err := peer.ServeFleet(ctx, l.peers, l.gateway.identity, l.gateway.sync, l.gateway.log); err != nil && ctx.Err() == nil {
 		l.gateway.log.WithError(err).Error("calls of other hosts are not served any more")
 	}
 }
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -79,25 +79,17 @@
 	}
 }
 
-// stepRoster runs one event under the lock and sends its messages after it.
+// stepRoster runs one event under the lock, then tells the others and the engines of
+// what followed.
 func (g *Gateway) stepRoster(step func(time.Time, *roster.Roster) []roster.Action) {
-	g.mu.Lock()
-	before, active := g.roster.ActiveHosts(), g.roster.IsActive()
-	followed, _ := g.roster.Coordinator()
-	actions := step(time.Now(), g.roster)
-	follows, _ := g.roster.Coordinator()
-	after := g.roster.ActiveHosts()
-	became := g.roster.IsActive() && !active
-	g.heapFloor.set(g.roster.IsActive())
-	changed := len(after) != len(before) || g.roster.IsActive() != active
-	g.mu.Unlock()
-	if follows.ID != followed.ID {
-		g.timeline.Record(event.CoordinatorChanged, event.F("coordinator", follows.ID), event.F("before", followed.ID))
+	actions, change := g.changeRoster(step)
+	if change.follows != change.followed {
+		g.timeline.Record(event.CoordinatorChanged, event.F("coordinator", change.follows), event.F("before", change.followed))
 	}
-	if became || lostMany(before, after) {
+	if change.became || lostMany(change.before, change.after) {
 		g.services.unsettle()
 	}
-	if changed {
+	if change.became || change.retired || len(change.after) != len(change.before) {
 		select {
 		case g.activeChanged <- struct{}{}:
 		default:
@@ -106,6 +98,31 @@
 	g.sendAll(actions)
 }
 
+// rosterChange is what an event changed.
+type rosterChange struct {
+	// before and after are the active hosts.
+	before, after []ident.HostID
+	// became and retired tell that this host is active now, or is not any more.
+	became, retired bool
+	// followed and follows are the coordinators.
+	followed, follows ident.HostID
+}
+
+func (g *Gateway) changeRoster(step func(time.Time, *roster.Roster) []roster.Action) ([]roster.Action, rosterChange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wasActive := g.roster.IsActive()
+	coordinator, _ := g.roster.Coordinator()
+	change := rosterChange{before: g.roster.ActiveHosts(), followed: coordinator.ID}
+	actions := step(time.Now(), g.roster)
+	isActive := g.roster.IsActive()
+	coordinator, _ = g.roster.Coordinator()
+	change.after, change.follows = g.roster.ActiveHosts(), coordinator.ID
+	change.became, change.retired = isActive && !wasActive, wasActive && !isActive
+	g.heapFloor.set(isActive)
+	return actions, change
+}
+
 func (g *Gateway) sendAll(actions []roster.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/internal/discovery/sync.go
+++ b/internal/discovery/sync.go
@@ -12,6 +12,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
+	"github.com/sapphirehaven/sapphirehaven/internal/rescue"
 )
 
 // Config holds the settings of a Sync. Start from DefaultConfig.
@@ -236,8 +237,16 @@
 func (s *Sync) Run(ctx context.Context, self registry.Host, seeds []string) {
 	s.join(ctx, self, seeds)
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){s.readTargets, s.readConfiguration, s.expire, s.publishHosts} {
-		loops.Go(func() { loop(ctx) })
+	for _, loop := range []struct {
+		name string
+		run  func(context.Context)
+	}{
+		{"read targets", s.readTargets},
+		{"read configuration", s.readConfiguration},
+		{"expire targets", s.expire},
+		{"publish hosts", s.publishHosts},
+	} {
+		loops.Go(func() { rescue.Loop(ctx, s.log, loop.name, loop.run) })
 	}
 	loops.Wait()
 }
