--- a/internal/core/roster/message.go
+++ b/internal/core/roster/message.go
@@ -80,18 +80,21 @@
 func (SendBeacon) action()  {}
 func (SendWelcome) action() {}
 
-// report sends a report to the coordinator and to the first host of the order
-// beside it, so that the next coordinator knows who lives when it takes over.
+// report sends a report to the coordinator and to the first hosts of the order beside
+// it, ReportTo in all, so that the next coordinator knows who lives when it takes over.
 func (r *Roster) report() []Action {
 	report := r.ownReport()
 	var actions []Action
-	sent := 0
+	if p := r.hosts[r.coordinator]; p != nil && p.ID != r.self.ID {
+		actions = append(actions, SendReport{To: p.PeerAddress, Report: report})
+	}
 	for _, p := range r.order {
-		if p.ID == r.self.ID || (sent >= r.cfg.ReportTo && p.ID != r.coordinator) {
-			continue
+		if len(actions) >= r.cfg.ReportTo {
+			break
+		}
+		if p.ID != r.self.ID && p.ID != r.coordinator {
+			actions = append(actions, SendReport{To: p.PeerAddress, Report: report})
 		}
-		sent++
-		actions = append(actions, SendReport{To: p.PeerAddress, Report: report})
 	}
 	return actions
 }
