roster: a coordinator that is back at once does not coordinate with an empty copy

Cause: looked for after operators told us of servers that had left and were in use again after a restart. TestTargetThatLeftStaysGone: a coordinator is killed and back within 0.4 s, a target leaves meanwhile; the restarted host was the first in the order, heard no beacon for 0.25 s and coordinated.

Ruled out: a hand-over in order, and a start of all hosts at once: there the next coordinator reads on from its own position, or nobody has an old copy.

Welcomes are computed only for hosts that get one.

--- a/internal/core/roster/message.go
+++ b/internal/core/roster/message.go
@@ -117,7 +117,8 @@
 }
 
 // ReceiveReport takes the report of another host. One that follows no coordinator is
-// told of the hosts that it may follow.
+// told of the hosts that it may follow, and one that coordinates of another coordinator
+// of its region.
 func (r *Roster) ReceiveReport(now time.Time, report Report) []Action {
 	id := report.Host.ID
 	if id == r.self.ID {
@@ -140,9 +141,11 @@
 		}
 		return nil
 	}
+	if report.Coordinator != "" && report.Coordinator != id {
+		return nil
+	}
 	w := r.welcome(now, report.Host.Location.Region)
-	alone := report.Coordinator == "" || report.Coordinator == id && w.Coordinator != id && w.Coordinator != ""
-	if !alone {
+	if report.Coordinator == id && (w.Coordinator == "" || w.Coordinator == id) {
 		return nil
 	}
 	return []Action{SendWelcome{To: report.Host.PeerAddress, Welcome: w}}
--- a/internal/core/roster/order.go
+++ b/internal/core/roster/order.go
@@ -93,7 +93,7 @@
 	}
 	rank := r.takeoverRank()
 	if !r.follows() {
-		return now.Sub(r.startedAt) >= r.startWait()+r.takeoverWait(rank)
+		return now.Sub(r.startedAt) >= r.startWait(now)+r.takeoverWait(rank)
 	}
 	current := r.hosts[r.coordinator]
 	if rank == 0 && current != nil && current.leaving {
@@ -102,9 +102,13 @@
 	return now.Sub(r.beaconAt) >= r.cfg.SilenceLimit+r.cfg.TakeoverStep+r.takeoverWait(rank)
 }
 
-// startWait is how long a host that has just started waits before it coordinates.
-func (r *Roster) startWait() time.Duration {
+// startWait is how long a host that has just started waits before it coordinates. Where
+// others have a copy of the registry one of them is to take over: what has left since
+// is missing in a list that is read anew, and the others would never hear of it.
+func (r *Roster) startWait(now time.Time) time.Duration {
 	switch {
+	case r.hearsReady(now):
+		return r.cfg.SilenceLimit + (maxTakeoverSteps+1)*r.cfg.TakeoverStep
 	case len(r.hosts) > 1:
 		return r.cfg.StartWait
 	case len(r.seeds) > 0:
@@ -113,6 +117,13 @@
 	return 0
 }
 
+// hearsReady reports whether a host of the region that can serve callers lives.
+func (r *Roster) hearsReady(now time.Time) bool {
+	return slices.ContainsFunc(r.order, func(p *peer) bool {
+		return p.ID != r.self.ID && !p.heard.IsZero() && !p.starting && now.Sub(p.heard) < r.cfg.SilenceLimit
+	})
+}
+
 // takeoverRank is the number of hosts that take over before this one.
 func (r *Roster) takeoverRank() int {
 	rank := 0
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -445,3 +446,29 @@
 		})
 	}
 }
+
+// TestTargetThatLeftStaysGone answers a coordinator that is killed and is back before
+// another host has taken over, while a target leaves: it guards against hosts that keep
+// the target, because the coordinator has read a list without it and no record that it
+// left.
+func TestTargetThatLeftStaysGone(t *testing.T) {
+	runFleet(t, 60, func(ctx context.Context, f *wholeFleet) {
+		time.Sleep(5 * time.Second)
+		for i := range 60 {
+			m := f.at(fmt.Sprint("h", i))
+			if !m.Coordinates() {
+				continue
+			}
+			m.cancel()
+			time.Sleep(60 * time.Millisecond)
+			f.start(ctx, i)
+		}
+		f.store.add("t3", false)
+		time.Sleep(4 * time.Second)
+		for _, m := range f.all() {
+			if slices.Contains(targetIDs(m.sync), "t3") {
+				t.Errorf("%s lists a target that left 4 s ago", m.self.ID)
+			}
+		}
+	})
+}
