--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -36,6 +36,7 @@
 	MemberLeft           Kind = "member_left"
 	RequestRefused       Kind = "request_refused"
 	OutcomeUnknown       Kind = "outcome_unknown"
+	TimerFailed          Kind = "timer_failed"
 	TicketsHandedOver    Kind = "tickets_handed_over"
 )
 
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/health"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/schedule"
+	"github.com/sapphirehaven/sapphirehaven/internal/rescue"
 )
 
 // Prober sends a probe to a target and reports whether it passed.
@@ -265,7 +266,24 @@
 	return s.decider.ServiceStatus(steadyNow()), s.decider.Status()
 }
 
+// failedTickPause is the time after which the timer goes on that panicked.
+const failedTickPause = time.Second
+
+// tick runs the timers of the decider. An unexpected error there ends neither the
+// process nor the timer.
 func (s *Service) tick() {
+	rescue.Contain(s.advance, func(cause any, _ []byte) {
+		s.recorder.Record(event.TimerFailed, event.F("service", s.name), event.F("panic", cause))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.closed {
+			s.dueAt = steadyNow().Add(failedTickPause)
+			s.timer.Reset(failedTickPause)
+		}
+	})
+}
+
+func (s *Service) advance() {
 	regularProbes := s.dispatcher != nil && s.prober.Probes(s.name)
 	s.step(func(now time.Time, d Decider) []dispatch.Action {
 		if s.dispatcher != nil {
--- a/internal/rescue/rescue.go
+++ b/internal/rescue/rescue.go
@@ -16,12 +16,21 @@
 
 var panics = metrics.NewCounter("sapphirehaven_panics_total")
 
-// Call runs one piece of work and reports whether it ended without a panic.
+// Call runs one piece of work and reports whether it ended without a panic, which is
+// logged.
 func Call(log logrus.FieldLogger, name string, work func()) (ok bool) {
+	return Contain(work, func(cause any, stack []byte) {
+		log.WithField("work", name).WithField("panic", cause).WithField("stack", string(stack)).Error("a piece of work panicked")
+	})
+}
+
+// Contain runs one piece of work and reports whether it ended without a panic, which is
+// counted and handed to report.
+func Contain(work func(), report func(cause any, stack []byte)) (ok bool) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			panics.Inc()
-			log.WithField("work", name).WithField("panic", cause).WithField("stack", string(debug.Stack())).Error("a piece of work panicked")
+			report(cause, debug.Stack())
 			ok = false
 		}
 	}()
