--- a/internal/core/roster/start_test.go
+++ b/internal/core/roster/start_test.go
@@ -99,14 +99,21 @@
 	n.deliver(leaving, leaving.Leave(n.now))
 	n.down[first] = true
 	n.run(500 * time.Millisecond)
-	back := leaving.self
-	back.Incarnation++
-	n.hosts[first] = New(n.now, DefaultConfig(), back, leaving.seeds)
 	n.down[first] = false
-	for range 40 {
+	n.restartAndFollow(t, first)
+}
+
+// restartAndFollow restarts a host and fails if it coordinates within 3 s, or if the
+// hosts of a region follow different ones then.
+func (n *network) restartAndFollow(t *testing.T, id ident.HostID) {
+	t.Helper()
+	back := n.hosts[id].self
+	back.Incarnation++
+	n.hosts[id] = New(n.now, DefaultConfig(), back, n.hosts[id].seeds)
+	for range 60 {
 		n.run(50 * time.Millisecond)
-		if n.hosts[first].Coordinates(n.now) {
-			t.Fatalf("%s coordinates again %s after its restart", first, n.now.Sub(n.hosts[first].startedAt))
+		if n.hosts[id].Coordinates(n.now) {
+			t.Fatalf("%s coordinates %s after its restart", id, n.now.Sub(n.hosts[id].startedAt))
 		}
 	}
 	if by := n.following(); len(by) != 2 {
@@ -124,19 +131,7 @@
 		r.SetReady(true)
 	}
 	n.run(2 * time.Second)
-	first := n.coordinators()[0]
-	back := n.hosts[first].self
-	back.Incarnation++
-	n.hosts[first] = New(n.now, DefaultConfig(), back, n.hosts[first].seeds)
-	for range 60 {
-		n.run(50 * time.Millisecond)
-		if n.hosts[first].Coordinates(n.now) {
-			t.Fatalf("%s coordinates %s after its restart", first, n.now.Sub(n.hosts[first].startedAt))
-		}
-	}
-	if by := n.following(); len(by) != 2 {
-		t.Errorf("the hosts follow %v", by)
-	}
+	n.restartAndFollow(t, n.coordinators()[0])
 }
 
 // TestRelaysShareBeacons guards against a coordinator whose messages grow with the
