roster: stop following a coordinator that receives no messages

Callers would have seen, while a cut in one direction lasts: a new configuration that is not in force on any host of the region, and addresses that name one host only, which they cannot reach. A coordinator that no message reaches kept its role, because its beacons still arrived; the hosts that read the store in its place confirmed what they read to it alone, and it took all other hosts for failed.

A beacon now says if its sender has received no message for FailureTimeout. Hosts that have reported to it for longer stop following it and forward that beacon, and the first in the order takes over at once. Such a beacon displaces no other coordinator.

Ruled out: silence of such a coordinator instead of a flag, which would have left hosts that restart without beacons after a mass failure.

--- a/internal/adapter/peer/beacon.go
+++ b/internal/adapter/peer/beacon.go
@@ -25,7 +25,7 @@
 // toBeaconParts encodes a beacon, split into as many parts as its lists require.
 func toBeaconParts(b roster.Beacon, via string) []*peerpb.Beacon {
 	head := &peerpb.Beacon{
-		State: toState(b.State), Host: toRegisteredHost(b.From), Sequence: b.Sequence, Leaving: b.Leaving, Via: via,
+		State: toState(b.State), Host: toRegisteredHost(b.From), Sequence: b.Sequence, Leaving: b.Leaving, Isolated: b.Isolated, Via: via,
 	}
 	parts := []*peerpb.Beacon{proto.Clone(head).(*peerpb.Beacon)}
 	used := 0
@@ -106,6 +106,7 @@
 		From:     fromRegisteredHost(pb.GetHost()),
 		Sequence: pb.GetSequence(),
 		Leaving:  pb.GetLeaving(),
+		Isolated: pb.GetIsolated(),
 		Active:   hostIDs(pb.GetActive()),
 		Remote:   hostIDs(pb.GetRemote()),
 		State:    fromState(pb.GetState()),
--- a/internal/core/roster/message.go
+++ b/internal/core/roster/message.go
@@ -27,7 +27,10 @@
 	Sequence uint64
 	// Leaving is set if the coordinator is shutting down.
 	Leaving bool
-	Active  []ident.HostID
+	// Isolated is set if the coordinator has received no message for FailureTimeout, so
+	// that it may not know which hosts are alive or what the store holds.
+	Isolated bool
+	Active   []ident.HostID
 	// Remote holds the active hosts of the other regions.
 	Remote []ident.HostID
 	// State is the state of the sender's copy of the registry. The driver fills it in.
@@ -126,6 +129,7 @@
 	if id == r.self.ID {
 		return nil
 	}
+	r.lastMessageAt = now
 	p := r.hosts[id]
 	if p == nil || p.Host != report.Host {
 		r.Learn([]registry.Host{report.Host})
@@ -139,7 +143,7 @@
 			r.nextBeacon = now
 			return r.Tick(now)
 		case report.Coordinator != r.self.ID && !report.Leaving && r.coordinator == r.self.ID:
-			return []Action{SendBeacon{Beacon: r.currentBeacon(), To: []Delivery{{Host: p.Host}}}}
+			return []Action{SendBeacon{Beacon: r.currentBeacon(now), To: []Delivery{{Host: p.Host}}}}
 		}
 		return nil
 	}
@@ -175,6 +179,7 @@
 // ReceiveWelcome handles a welcome: it adds the hosts and contacts the coordinator that
 // the welcome names.
 func (r *Roster) ReceiveWelcome(now time.Time, w Welcome) []Action {
+	r.lastMessageAt = now
 	r.Learn(w.Hosts)
 	coordinator := r.hosts[w.Coordinator]
 	if coordinator == nil || coordinator.ID == r.self.ID || coordinator.ID == r.coordinator {
@@ -187,7 +192,7 @@
 	}
 	r.lastWelcome = now
 	if r.coordinator == r.self.ID && !r.leaving && compareHosts(&r.self, &coordinator.Host) < 0 {
-		return []Action{SendBeacon{Beacon: r.currentBeacon(), To: []Delivery{{Host: coordinator.Host}}}}
+		return []Action{SendBeacon{Beacon: r.currentBeacon(now), To: []Delivery{{Host: coordinator.Host}}}}
 	}
 	// A report without a coordinator makes the coordinator answer with its beacon.
 	report := r.ownReport()
@@ -195,12 +200,14 @@
 	return []Action{SendReport{To: coordinator.PeerAddress, Report: report}}
 }
 
-// ReceiveBeacon handles a beacon and reports whether this host follows its sender.
+// ReceiveBeacon handles a beacon. It reports whether the beacon is from the coordinator
+// that this host follows, so that its state is used and it is forwarded.
 func (r *Roster) ReceiveBeacon(now time.Time, b Beacon) (bool, []Action) {
 	id := b.From.ID
 	if id == r.self.ID {
 		return false, nil
 	}
+	r.lastMessageAt = now
 	if p := r.hosts[id]; p == nil || p.Host != b.From {
 		r.Learn([]registry.Host{b.From})
 	}
@@ -210,21 +217,32 @@
 		return false, nil
 	}
 	if r.coordinator == r.self.ID && !r.leaving && compareHosts(&r.self, &from.Host) < 0 {
-		return false, []Action{SendBeacon{Beacon: r.currentBeacon(), To: []Delivery{{Host: from.Host}}}}
+		return false, []Action{SendBeacon{Beacon: r.currentBeacon(now), To: []Delivery{{Host: from.Host}}}}
 	}
 	current := r.hosts[r.coordinator]
-	fresh := current != nil && !current.leaving && now.Sub(r.lastBeaconAt) < r.cfg.FailureTimeout
-	if id != r.coordinator && fresh && compareHosts(&current.Host, &from.Host) < 0 {
+	fresh := current != nil && !current.leaving && !r.coordinatorDeaf && now.Sub(r.lastBeaconAt) < r.cfg.FailureTimeout
+	if id != r.coordinator && fresh && (b.Isolated || compareHosts(&current.Host, &from.Host) < 0) {
 		w := Welcome{Coordinator: current.ID, Hosts: []registry.Host{current.Host}}
 		return false, []Action{SendWelcome{To: from.PeerAddress, Welcome: w}}
 	}
-	if id == r.coordinator && b.Sequence <= r.beaconSequence && b.From.Incarnation == r.coordinatorIncarnation {
+	sameProcess := id == r.coordinator && b.From.Incarnation == r.coordinatorIncarnation
+	if sameProcess && b.Sequence <= r.beaconSequence {
 		return false, nil
 	}
+	if sameProcess && b.Isolated && now.Sub(r.followingSince) >= r.cfg.FailureTimeout {
+		// The coordinator has not received the reports of this host. The beacon is
+		// forwarded, so that all hosts accept the next coordinator at once.
+		r.coordinatorDeaf, r.beaconSequence = true, b.Sequence
+		return true, nil
+	}
 	var actions []Action
 	if r.coordinator == r.self.ID {
 		actions = r.redirectFollowers(from.Host)
 	}
+	if !sameProcess {
+		r.followingSince = now
+	}
+	r.coordinatorDeaf = false
 	r.coordinator, r.beaconSequence, r.coordinatorIncarnation, r.lastBeaconAt = id, b.Sequence, b.From.Incarnation, now
 	from.lastHeard, from.leaving = now, b.Leaving
 	r.active, r.remoteHosts = b.Active, b.Remote
@@ -249,13 +267,15 @@
 	if r.coordinator != r.self.ID {
 		r.previousCoordinator, r.tookOverAt = r.coordinator, now
 	}
+	r.coordinatorDeaf = false
 	r.coordinator, r.lastBeaconAt = r.self.ID, now
 	r.active, r.remoteHosts = r.selectActive(now), r.remoteActive(now)
 	r.beaconsSent++
-	return SendBeacon{Beacon: r.currentBeacon(), To: r.deliveries(now)}
+	return SendBeacon{Beacon: r.currentBeacon(now), To: r.deliveries(now)}
 }
 
 // currentBeacon returns the most recently sent beacon.
-func (r *Roster) currentBeacon() Beacon {
-	return Beacon{From: r.self, Sequence: r.beaconsSent, Leaving: r.leaving, Active: r.active, Remote: r.remoteHosts}
+func (r *Roster) currentBeacon(now time.Time) Beacon {
+	isolated := now.Sub(r.lastMessageAt) >= r.cfg.FailureTimeout
+	return Beacon{From: r.self, Sequence: r.beaconsSent, Leaving: r.leaving, Isolated: isolated, Active: r.active, Remote: r.remoteHosts}
 }
--- a/internal/core/roster/order.go
+++ b/internal/core/roster/order.go
@@ -85,7 +85,8 @@
 func (r *Roster) followsNoHost() bool { return !r.hasCoordinator() || r.coordinator == r.self.ID }
 
 // IsCoordinator reports whether this host coordinates its region. A coordinator keeps the
-// role until it leaves or receives a beacon of a host that precedes it in the order.
+// role until it leaves or receives a beacon of a host that precedes it in the order. The
+// others stop following it if it receives none of their messages.
 func (r *Roster) IsCoordinator(now time.Time) bool {
 	if r.leaving {
 		return false
@@ -98,7 +99,7 @@
 		return now.Sub(r.startedAt) >= r.startWait(now)+r.takeoverWait(rank)
 	}
 	current := r.hosts[r.coordinator]
-	if rank == 0 && current != nil && current.leaving {
+	if rank == 0 && current != nil && (current.leaving || r.coordinatorDeaf) {
 		return true
 	}
 	return now.Sub(r.lastBeaconAt) >= r.cfg.FailureTimeout+r.cfg.TakeoverStep+r.takeoverWait(rank)
--- a/internal/core/roster/remote.go
+++ b/internal/core/roster/remote.go
@@ -19,7 +19,7 @@
 // with every RemoteBeaconEvery-th beacon. It also goes to the first hosts of each
 // region in coordination order, so that it arrives before the coordinator there is
 // known.
-func (r *Roster) sendRemoteBeacon() []Action {
+func (r *Roster) sendRemoteBeacon(now time.Time) []Action {
 	if r.beaconsSent%uint64(r.cfg.RemoteBeaconEvery) != 0 {
 		return nil
 	}
@@ -43,7 +43,7 @@
 		return nil
 	}
 	slices.SortFunc(to, func(a, b Delivery) int { return compareHosts(&a.Host, &b.Host) })
-	b := r.currentBeacon()
+	b := r.currentBeacon(now)
 	b.Remote = nil
 	return []Action{SendBeacon{Beacon: b, To: to}}
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -127,6 +127,14 @@
 	coordinatorIncarnation ident.Incarnation
 	previousCoordinator    ident.HostID
 	tookOverAt             time.Time
+	// followingSince is the time at which this host began to follow the current process
+	// of the coordinator. coordinatorDeaf is set if that process has since announced that
+	// it receives no messages, although this host has reported to it.
+	followingSince  time.Time
+	coordinatorDeaf bool
+	// lastMessageAt is the time of the latest message from any other host, initially the
+	// start time.
+	lastMessageAt time.Time
 	// peakLoad holds the decaying peak load of each zone.
 	peakLoad     map[ident.Zone]float64
 	lastBeaconAt time.Time
@@ -139,7 +147,7 @@
 func New(now time.Time, cfg Config, self registry.Host, seeds []string) *Roster {
 	r := &Roster{
 		cfg: cfg, self: self, hosts: map[ident.HostID]*hostState{}, peakLoad: map[ident.Zone]float64{}, regions: map[ident.Region]remoteRegion{},
-		startedAt: now, seedReportInterval: cfg.SeedReportInterval, tookOverAt: now, lastBeaconAt: now, nextReport: now, nextBeacon: now,
+		startedAt: now, seedReportInterval: cfg.SeedReportInterval, tookOverAt: now, lastMessageAt: now, lastBeaconAt: now, nextReport: now, nextBeacon: now,
 	}
 	for _, seed := range seeds {
 		if seed != self.PeerAddress {
@@ -190,7 +198,7 @@
 		if r.IsCoordinator(now) {
 			r.nextBeacon = now.Add(r.cfg.Interval)
 			actions = append(actions, r.sendBeacon(now))
-			actions = append(actions, r.sendRemoteBeacon()...)
+			actions = append(actions, r.sendRemoteBeacon(now)...)
 		}
 	}
 	return actions
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -105,12 +105,14 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// deaf holds the addresses of hosts that messages and responses do not reach.
+	deaf map[string]bool
 }
 
 const messageDelay = time.Millisecond
 
 func newTestFleet(ctx context.Context, size int) *testFleet {
-	f := &testFleet{store: newFakeStore(), members: map[string]*member{}}
+	f := &testFleet{store: newFakeStore(), members: map[string]*member{}, deaf: map[string]bool{}}
 	f.store.setConfig(1)
 	for i := range 20 {
 		f.store.add(ident.TargetID(fmt.Sprint("t", i)), true)
@@ -170,10 +172,37 @@
 	return f.members[address]
 }
 
+// setDeaf sets whether packets reach a host, from the other hosts and from the store.
+// Those that it sends still arrive.
+func (f *testFleet) setDeaf(m *member, deaf bool) {
+	m.store.setRefused(deaf)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deaf[m.self.PeerAddress] = deaf
+}
+
+func (f *testFleet) isDeaf(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.deaf[address]
+}
+
+// coordinator returns the coordinator of a region.
+func (f *testFleet) coordinator(t *testing.T, region ident.Region) *member {
+	t.Helper()
+	for _, m := range f.all() {
+		if m.self.Location.Region == region && m.IsCoordinator() {
+			return m
+		}
+	}
+	t.Fatalf("no coordinator in region %s", region)
+	return nil
+}
+
 // deliver passes a message to the host at an address after the message delay.
 func (f *testFleet) deliver(address string, message func(to *member)) {
 	time.AfterFunc(messageDelay, func() {
-		if to := f.at(address); to != nil {
+		if to := f.at(address); to != nil && !f.isDeaf(address) {
 			message(to)
 		}
 	})
@@ -289,7 +318,7 @@
 func (m *member) Pull(_ context.Context, address string, have roster.State) (port.RegistryDelta, error) {
 	time.Sleep(2 * messageDelay)
 	from := m.fleet.at(address)
-	if from == nil {
+	if from == nil || m.fleet.isDeaf(address) || m.fleet.isDeaf(m.self.PeerAddress) {
 		return port.RegistryDelta{}, errors.New("unreachable")
 	}
 	return from.replica.ChangesSince(have), nil
@@ -451,6 +480,50 @@
 	}
 }
 
+// strictestConfigApply is the shortest time of any deployment within which every host
+// has a version that the store has acknowledged (configApply in the sites' bounds).
+const strictestConfigApply = 2500 * time.Millisecond
+
+// versionsOtherThan returns the hosts, except the given one, whose configuration has
+// another version.
+func (f *testFleet) versionsOtherThan(version uint64, except *member) map[ident.HostID]uint64 {
+	other := map[ident.HostID]uint64{}
+	for _, m := range f.all() {
+		if c := m.replica.Snapshot().Configuration; m != except && (c == nil || c.Version != version) {
+			other[m.self.ID] = 0
+			if c != nil {
+				other[m.self.ID] = c.Version
+			}
+		}
+	}
+	return other
+}
+
+// TestDeafCoordinator guards against a region that follows a coordinator which no
+// message reaches while its beacons still arrive, as after a cut in one direction. The
+// hosts that read the store in its place confirm what they read to the coordinator, so
+// a new version would reach no other host until the cut ends.
+func TestDeafCoordinator(t *testing.T) {
+	for _, size := range fleetSizes() {
+		runFleet(t, size, func(ctx context.Context, f *testFleet) {
+			time.Sleep(5 * time.Second)
+			deaf := f.coordinator(t, "r0")
+			f.setDeaf(deaf, true)
+			f.store.setConfig(2)
+			time.Sleep(strictestConfigApply)
+			if other := f.versionsOtherThan(2, deaf); len(other) > 0 {
+				t.Errorf("%d of %d hosts do not have version 2 after %s", len(other), size, strictestConfigApply)
+			}
+			f.setDeaf(deaf, false)
+			f.store.setConfig(3)
+			time.Sleep(strictestConfigApply)
+			if other := f.versionsOtherThan(3, nil); len(other) > 0 {
+				t.Errorf("%d of %d hosts do not have version 3 after the cut: %v", len(other), size, other)
+			}
+		})
+	}
+}
+
 // TestRemovedTargetStaysRemoved guards against hosts that keep a removed target because
 // the coordinator read a list without it and no record of its removal. This occurs when
 // the coordinator is killed and restarts before another host has taken over, while a
