discovery: reserve readers bound the age of copies while the store refuses hosts

Callers could have met hosts that applied a new configuration later than configApply: the store refused the coordinator, the three fallback readers and half of the other hosts, and the next readers were drawn at random, two a second. A drawn host may be refused too, so the delay had a mean but no bound.

Ten hosts that follow the fallback readers in the order now each try once, 0.12 s apart, before random hosts do. Evidence: TestStoreRefusesHosts found copies of 4.1 to 5.9 s in 40 runs of the code before (18 reports, bound 4 s) and none in 50 runs with the change. Ruled out: twelve readers 0.05 or 0.1 s apart with two calls each, which exceeded the test's bound of 30 calls in 300 ms in 2 of 25 to most runs, and random hosts beside the reserve readers (5 of 40 runs).

--- a/internal/discovery/read.go
+++ b/internal/discovery/read.go
@@ -22,8 +22,10 @@
 	r.mu.Lock()
 	age := r.age(now)
 	coordinatorCurrent := now.Sub(r.coordinatorConfirmedAt) < r.cfg.FallbackAge
+	r.reserveTried = r.reserveTried && age >= r.cfg.FallbackAge
 	r.mu.Unlock()
-	step := min(r.role.Rank(), r.cfg.FallbackReaders+1)
+	rank := r.role.Rank()
+	step := min(rank, r.cfg.FallbackReaders+1)
 	if r.isSampledReader(now) {
 		return now.Sub(last) >= r.cfg.ReadInterval
 	}
@@ -36,7 +38,10 @@
 	if coordinatorCurrent || step <= r.cfg.FallbackReaders {
 		return true
 	}
-	if !r.drawSampledReader() {
+	if r.takeReserveTurn(rank, age) {
+		return true
+	}
+	if age < r.reserveTurn(r.cfg.ReserveReaders) || !r.drawSampledReader() {
 		return false
 	}
 	r.mu.Lock()
@@ -45,6 +50,23 @@
 	return true
 }
 
+// takeReserveTurn reports whether it is this host's turn as a reserve reader, given its
+// rank and the age of its copy. Each host has one turn, of one call, until its copy is
+// recent again. If the call succeeds, the host becomes a sampled reader.
+func (r *Replica) takeReserveTurn(rank int, age time.Duration) bool {
+	position := rank - r.cfg.FallbackReaders - 1
+	if position < 0 || position >= r.cfg.ReserveReaders {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reserveTried || age < r.reserveTurn(position) {
+		return false
+	}
+	r.reserveTried, r.sampledReaderTrial = true, true
+	return true
+}
+
 const (
 	// sampledTrialTime is how long a sampled reader reads both targets and configuration
 	// at first. After a success it continues for sampledReadTime.
@@ -52,9 +74,15 @@
 	sampledReadTime  = 5 * time.Second
 )
 
+// reserveTurn returns the age of the copy at which the reserve reader at a position has
+// its turn.
+func (r *Replica) reserveTurn(position int) time.Duration {
+	return r.cfg.FallbackAge + time.Duration(r.cfg.FallbackReaders+1)*r.cfg.FallbackStep + time.Duration(position)*r.cfg.ReserveStep
+}
+
 // isSampledReader reports whether this host is a sampled reader: one of the few hosts,
-// chosen at random, that read the store on behalf of their region for some time while
-// neither the coordinator nor the fallback readers can.
+// chosen at random or as reserve readers, that read the store on behalf of their region
+// for some time while neither the coordinator nor the fallback readers can.
 func (r *Replica) isSampledReader(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/discovery/replica.go
+++ b/internal/discovery/replica.go
@@ -28,9 +28,14 @@
 	FallbackAge     time.Duration
 	FallbackStep    time.Duration
 	FallbackReaders int
+	// ReserveReaders is the number of hosts after them that each try the store once, in
+	// turn and ReserveStep apart, when the fallback readers have not provided a newer
+	// copy. Their number makes it unlikely that the store refuses all of them.
+	ReserveReaders int
+	ReserveStep    time.Duration
 	// SampledReadersPerSecond is the mean number of other hosts of a region that try the
-	// store in a second while neither the coordinator nor the fallback readers can read
-	// it.
+	// store in a second after the turns of the reserve readers, while none of them nor the
+	// coordinator can read it.
 	SampledReadersPerSecond float64
 	// JoinWait is how long a starting host waits for a beacon before it reads the list
 	// of hosts from the store, and then again for a copy before it reads the whole
@@ -59,6 +64,8 @@
 		FallbackAge:             1600 * time.Millisecond,
 		FallbackStep:            80 * time.Millisecond,
 		FallbackReaders:         3,
+		ReserveReaders:          10,
+		ReserveStep:             120 * time.Millisecond,
 		SampledReadersPerSecond: 2,
 		JoinWait:                700 * time.Millisecond,
 		JoinSpread:              600 * time.Millisecond,
@@ -132,6 +139,9 @@
 	sampledReaderUntil time.Time
 	// sampledReaderTrial is set until the first successful read in that role.
 	sampledReaderTrial bool
+	// reserveTried is set after this host has tried the store as a reserve reader, until
+	// its copy is recent again.
+	reserveTried bool
 	// nextHostsPull is the earliest time of a pull for the list of hosts alone.
 	nextHostsPull     time.Time
 	hostsPullInterval time.Duration
