schedule: count requests lost for the floor when it is activated

Hosts activate the floor from 8% of requests that were not served, but left out those that were sent to maintain it.

Requests lost for the floor are now counted apart, shared with the other hosts, and included up to the number of the others. The bound keeps the floor from staying active because of its own failures, which is why they had been left out.

Evidence: TestFloorCountsOwnFailures fails on the code before: not active with 10 of 105 requests not served.

The model of a fleet now shares outcomes between regions each 0.6 s, as the gateway does, and checks spans of 2 s only once 2 s have passed.

--- a/internal/adapter/peer/convert_fleet.go
+++ b/internal/adapter/peer/convert_fleet.go
@@ -79,7 +79,7 @@
 func toObservations(in port.Observations) *peerpb.Observations {
 	pb := &peerpb.Observations{}
 	for _, o := range in.Services {
-		pb.Services = append(pb.Services, &peerpb.ServiceOutcomes{Service: string(o.Service), Ended: uint32(o.Ended), Unserved: uint32(o.Unserved)})
+		pb.Services = append(pb.Services, &peerpb.ServiceOutcomes{Service: string(o.Service), Ended: uint32(o.Ended), Unserved: uint32(o.Unserved), FloorUnserved: uint32(o.FloorUnserved)})
 	}
 	for _, o := range in.Targets {
 		pb.Targets = append(pb.Targets, &peerpb.TargetObservation{
@@ -98,9 +98,10 @@
 	var out port.Observations
 	for _, o := range pb.GetServices() {
 		out.Services = append(out.Services, port.ServiceOutcomes{
-			Service:  ident.ServiceName(o.GetService()),
-			Ended:    int(o.GetEnded()),
-			Unserved: int(o.GetUnserved()),
+			Service:       ident.ServiceName(o.GetService()),
+			Ended:         int(o.GetEnded()),
+			Unserved:      int(o.GetUnserved()),
+			FloorUnserved: int(o.GetFloorUnserved()),
 		})
 	}
 	for _, o := range pb.GetTargets() {
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -233,7 +233,9 @@
 	byService := map[ident.ServiceName]schedule.Observations{}
 	for _, s := range o.Services {
 		observations := byService[s.Service]
-		observations.Ended, observations.Unserved = observations.Ended+s.Ended, observations.Unserved+s.Unserved
+		observations.Ended += s.Ended
+		observations.Unserved += s.Unserved
+		observations.FloorUnserved += s.FloorUnserved
 		byService[s.Service] = observations
 	}
 	for _, t := range o.Targets {
--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -187,8 +187,8 @@
 	var out port.Observations
 	for name, e := range s.engines {
 		observations := e.TakeObservations()
-		if observations.Ended > 0 {
-			out.Services = append(out.Services, port.ServiceOutcomes{Service: name, Ended: observations.Ended, Unserved: observations.Unserved})
+		if observations.Ended > 0 || observations.FloorUnserved > 0 {
+			out.Services = append(out.Services, port.ServiceOutcomes{Service: name, Ended: observations.Ended, Unserved: observations.Unserved, FloorUnserved: observations.FloorUnserved})
 		}
 		for _, o := range observations.Targets {
 			out.Targets = append(out.Targets, port.TargetObservation{Service: name, Target: o.Target, Started: o.Started, Successes: o.Successes, Failures: o.Failures, InFlight: o.InFlight})
--- a/internal/core/schedule/fleet_test.go
+++ b/internal/core/schedule/fleet_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -27,8 +28,10 @@
 	serviceTime               time.Duration
 	period                    time.Duration
 	failingShare, failureRate float64
-	duration                  time.Duration
-	configure                 func(*dispatch.Config)
+	// randomFailures is the share of other requests that fail, default 0.012.
+	randomFailures float64
+	duration       time.Duration
+	configure      func(*dispatch.Config)
 }
 
 // fleetResult summarizes the results seen by callers.
@@ -105,6 +108,7 @@
 	fleetTargetQueue    = 8
 	fleetShareInterval  = 150 * time.Millisecond
 	fleetUrgentInterval = 20 * time.Millisecond
+	fleetRemoteInterval = 600 * time.Millisecond
 	fleetFloorSpan      = 2 * time.Second
 )
 
@@ -192,9 +196,10 @@
 }
 
 // shareObservations periodically sends a host's observations to the other hosts of
-// its region.
+// its region, and less often the number of its outcomes to those of other regions.
 func (s *fleetSim) shareObservations(h *fleetHost) {
-	last := time.Duration(0)
+	var last, lastRemote time.Duration
+	var remote Observations
 	s.every(fleetUrgentInterval, func() {
 		if s.now-last < fleetShareInterval && !h.Urgent() {
 			return
@@ -206,6 +211,19 @@
 				s.after(time.Millisecond, func() { s.apply(o, o.Observe(s.clock(), h.self.Host, seen)) })
 			}
 		}
+		remote.Ended += seen.Ended
+		remote.Unserved += seen.Unserved
+		remote.FloorUnserved += seen.FloorUnserved
+		if s.now-lastRemote < fleetRemoteInterval {
+			return
+		}
+		counts := remote
+		lastRemote, remote = s.now, Observations{}
+		for _, o := range s.hosts {
+			if o.region != h.region {
+				s.after(30*time.Millisecond, func() { s.apply(o, o.Observe(s.clock(), h.self.Host, counts)) })
+			}
+		}
 	})
 }
 
@@ -270,7 +288,7 @@
 				t.failedAt = s.now
 				s.result.failedByTarget++
 				s.after(time.Millisecond, func() { done(serverError) })
-			case s.rng.Float64() < 0.012:
+			case s.rng.Float64() < cmp.Or(s.scenario.randomFailures, 0.012):
 				t.failedAt = s.now
 				s.after(took, func() { done(serverError) })
 			default:
@@ -300,6 +318,9 @@
 			unserved++
 		}
 	}
+	if s.now < fleetFloorSpan {
+		return
+	}
 	if used, healthy := s.usedShare(2 * fleetFloorSpan); s.now > fleetWarmUp && healthy > 0 {
 		s.result.minUsedShare = min(s.result.minUsedShare, used)
 	}
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -76,7 +76,7 @@
 	if n.unserved < floorMinFailures {
 		return false
 	}
-	unserved := float64(n.unserved) / float64(n.ended)
+	unserved := n.unservedShare()
 	return unserved > floorMinUnserved && unserved < floorMaxUnserved
 }
 
--- a/internal/core/schedule/floor_test.go
+++ b/internal/core/schedule/floor_test.go
@@ -100,6 +100,28 @@
 	}
 }
 
+// TestFloorCountsOwnFailures guards against a floor that is not enforced while a tenth of
+// the requests fail, because those that were sent to maintain it are left out: with 5 of
+// 100 requests lost for other reasons and 5 for the floor, a host saw only 5%.
+func TestFloorCountsOwnFailures(t *testing.T) {
+	local := newFixture(t, config(hostZone))
+	for range 95 {
+		local.recordOutcome(local.now, &request{}, true)
+	}
+	for range 5 {
+		local.recordOutcome(local.now, &request{}, false)
+		local.recordOutcome(local.now, &request{forFloor: true}, false)
+	}
+	if !local.floorActive(local.now) {
+		t.Error("the floor is not active with 10 of 105 requests not served on this host")
+	}
+	remote := newFixture(t, config(hostZone))
+	remote.Observe(remote.now, "other", local.TakeObservations())
+	if !remote.floorActive(remote.now) {
+		t.Error("the floor is not active with 10 of 105 requests not served on another host")
+	}
+}
+
 // TestFloorIsActiveAfterHostLoss guards against using only a few targets while
 // requests on killed hosts failed, which produces no outcomes. The period of the
 // active floor starts with the first request.
--- a/internal/core/schedule/outcomes.go
+++ b/internal/core/schedule/outcomes.go
@@ -17,7 +17,18 @@
 	current int64
 }
 
-type outcomeBucket struct{ ended, unserved, idempotent int }
+// outcomeBucket counts the requests of a part of the window. floorUnserved is the number
+// of those that were sent to maintain the floor and not served; unserved and ended do
+// not include them.
+type outcomeBucket struct{ ended, unserved, floorUnserved, idempotent int }
+
+// unservedShare is the share of requests that were not served. Those that were sent to
+// maintain the floor count as well, since callers see them, but only up to the number of
+// the others: the floor would otherwise stay active because of its own failures.
+func (b outcomeBucket) unservedShare() float64 {
+	counted := min(b.floorUnserved, b.unserved)
+	return float64(b.unserved+counted) / float64(max(1, b.ended+counted))
+}
 
 // bucket returns the bucket for a time and clears expired buckets. Buckets are
 // numbered from the Unix epoch.
@@ -31,10 +42,11 @@
 }
 
 // add counts requests that ended.
-func (c *outcomeCounter) add(now time.Time, ended, unserved int) {
+func (c *outcomeCounter) add(now time.Time, ended, unserved, floorUnserved int) {
 	b := c.bucket(now)
 	b.ended += ended
 	b.unserved += unserved
+	b.floorUnserved += floorUnserved
 }
 
 // sum returns the totals of the window.
@@ -44,6 +56,7 @@
 	for _, p := range c.buckets {
 		s.ended += p.ended
 		s.unserved += p.unserved
+		s.floorUnserved += p.floorUnserved
 		s.idempotent += p.idempotent
 	}
 	return s
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -239,17 +239,18 @@
 	s.emit(dispatch.Fail{Request: r.ID, Attempt: r.last, Result: r.result, NotRun: !r.mayHaveRun})
 }
 
-// recordOutcome counts a request that ended. Failures of requests sent for the
-// floor are excluded, since they would keep the floor active.
+// recordOutcome counts a request that ended. Failures of requests sent for the floor are
+// counted apart, see outcomeBucket.unservedShare.
 func (s *Scheduler) recordOutcome(now time.Time, r *request, served bool) {
-	unserved := 1
 	switch {
 	case served:
-		unserved = 0
+		s.addOutcome(now, 0)
 	case r.forFloor:
-		return
+		s.floorUnserved++
+		s.outcomes.add(now, 0, 0, 1)
+	default:
+		s.addOutcome(now, 1)
 	}
-	s.addOutcome(now, unserved)
 }
 
 // CountSplitOutcome counts a request of a split route that was sent to another
@@ -266,7 +267,7 @@
 func (s *Scheduler) addOutcome(now time.Time, unserved int) {
 	s.ended++
 	s.unserved += unserved
-	s.outcomes.add(now, 1, unserved)
+	s.outcomes.add(now, 1, unserved, 0)
 }
 
 // observeResult updates the estimates for a target from the result of an attempt.
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -29,8 +29,9 @@
 type Observations struct {
 	Targets []Observation
 	// Ended is the number of requests that ended, and Unserved the number of those
-	// that were not served.
-	Ended, Unserved int
+	// that were not served. FloorUnserved is the number of requests that were sent to
+	// maintain the floor and not served; the other two do not include them.
+	Ended, Unserved, FloorUnserved int
 }
 
 // Scheduler schedules the requests of one service on one host.
@@ -60,9 +61,9 @@
 	// active.
 	hostLossPending    bool
 	hostLossFloorUntil time.Time
-	// ended and unserved count the requests that ended on this host, and those of
-	// them that were not served, since the last message to the other hosts.
-	ended, unserved int
+	// ended, unserved and floorUnserved count the requests that ended on this host since
+	// the last message to the other hosts, see Observations.
+	ended, unserved, floorUnserved int
 	// anyResponse is set once any target has answered a request.
 	anyResponse bool
 	// healthyTargets is the number of healthy targets as of the last selection,
@@ -255,7 +256,7 @@
 
 // Observe applies the observations of another host.
 func (s *Scheduler) Observe(now time.Time, from ident.HostID, observed Observations) []dispatch.Action {
-	s.outcomes.add(now, observed.Ended, min(observed.Unserved, observed.Ended))
+	s.outcomes.add(now, observed.Ended, min(observed.Unserved, observed.Ended), observed.FloorUnserved)
 	for _, o := range observed.Targets {
 		t := s.targets[o.Target]
 		if t == nil {
@@ -288,8 +289,8 @@
 
 // TakeObservations returns the observations since the last call and resets them.
 func (s *Scheduler) TakeObservations() Observations {
-	out := Observations{Ended: s.ended, Unserved: s.unserved}
-	s.ended, s.unserved = 0, 0
+	out := Observations{Ended: s.ended, Unserved: s.unserved, FloorUnserved: s.floorUnserved}
+	s.ended, s.unserved, s.floorUnserved = 0, 0, 0
 	for _, t := range s.order {
 		if t.successes == 0 && t.failures == 0 && !t.inFlightChanged {
 			continue
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -27,6 +27,9 @@
 	Service  ident.ServiceName
 	Ended    int
 	Unserved int
+	// FloorUnserved counts the requests that were sent to maintain the floor and not served, which the
+	// other counts do not include.
+	FloorUnserved int
 }
 
 // Observations holds a host's observations since its last message.
@@ -48,6 +51,7 @@
 		}
 		o.Services[i].Ended += s.Ended
 		o.Services[i].Unserved += s.Unserved
+		o.Services[i].FloorUnserved += s.FloorUnserved
 	}
 }
 
