schedule: test targets again before they count as healthy

A target that failed counts as healthy again after 2 s; hosts waited for the same 2 s before they sent it a request. When a tenth of the requests fail, several targets become healthy within the time that hosts need to react, and until then they are unused. Services with few targets fell below the share first.

While the floor is active, a target now gets a request from 1.6 s after its failure, and enough must be used both of the targets that are healthy and of those that will be. While it is not active nothing changes.

--- a/internal/core/schedule/fleet_test.go
+++ b/internal/core/schedule/fleet_test.go
@@ -396,6 +396,26 @@
 	},
 }
 
+// erraticScenarios are services, and requests lost at random, for which the share of
+// unserved requests stays just above a tenth, where the floor must be kept. The large
+// scenarios are those of errata with hundreds of hosts and targets.
+func erraticScenarios() map[string]fleetScenario {
+	notices := fleetScenarios["errata notices"]
+	notices.hosts, notices.targets, notices.duration = 12, 130, 10*time.Second
+	notices.perSecond = map[ident.ClassName]float64{"order": 410}
+	proofs := notices
+	proofs.targets, proofs.duration = 24, 20*time.Second
+	proofs.perSecond = map[ident.ClassName]float64{"scan": 63}
+	orders := fleetScenarios["grown orders"]
+	orders.duration = 15 * time.Second
+	scenarios := map[string]fleetScenario{"large notices": notices, "large proofs": proofs, "grown orders": orders}
+	for name, s := range scenarios {
+		s.randomFailures = 0.065
+		scenarios[name] = s
+	}
+	return scenarios
+}
+
 func BenchmarkFleet(b *testing.B) {
 	for name, scenario := range fleetScenarios {
 		b.Run(name, func(b *testing.B) {
@@ -489,3 +509,18 @@
 		}
 	}
 }
+
+// TestFloorWhileRequestsFailAtRandom guards against fewer than seven tenths of the
+// healthy targets in use while a tenth to a half of the requests of 2 s fail, part of
+// them because they maintain the floor. A target that failed counts as healthy again
+// after 2 s, so several become healthy within the time in which hosts react.
+func TestFloorWhileRequestsFailAtRandom(t *testing.T) {
+	for name, scenario := range erraticScenarios() {
+		for seed := range uint64(2) {
+			r := simulateFleet(scenario, seed)
+			if r.floorViolations > 0 {
+				t.Errorf("%s, seed %d: the floor was not kept at %d checks", name, seed, r.floorViolations)
+			}
+		}
+	}
+}
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -40,6 +40,10 @@
 	// healthyAfter is the time after a failure during which a target does not count
 	// as healthy.
 	healthyAfter = 2 * time.Second
+	// retestAfter replaces healthyAfter while the floor is active: a target that becomes
+	// healthy then must already have received a request, or the share of used targets
+	// falls whenever several become healthy together.
+	retestAfter = 1600 * time.Millisecond
 	// maxUnusedTime is the longest time for which a healthy target may receive no
 	// request, even when nothing fails. Requests that are lost when connections break
 	// or hosts lose power are counted afterwards, and the floor then applies to the
@@ -60,10 +64,11 @@
 // within usageWindow.
 func (t *target) recentlyUsed(now time.Time) bool { return now.Sub(t.lastUsed) < usageWindow }
 
-// countsForFloor reports whether the floor of this host includes the target: a
-// healthy one in the same region. Hosts in other regions maintain the floor there.
-func (t *target) countsForFloor(now time.Time) bool {
-	return t.distance != balance.OtherRegion && t.reachable(now) && !t.Unregistered && now.Sub(t.failedAt) >= healthyAfter
+// countsForFloor reports whether the floor of this host includes the target: one in the
+// same region that has not failed for a time. Hosts in other regions maintain the floor
+// there.
+func (t *target) countsForFloor(now time.Time, recovery time.Duration) bool {
+	return t.distance != balance.OtherRegion && t.reachable(now) && !t.Unregistered && now.Sub(t.failedAt) >= recovery
 }
 
 // floorActive reports whether the share of unserved requests requires the floor to
@@ -84,30 +89,42 @@
 // on. Requests in progress on lost hosts produce no outcomes.
 func (s *Scheduler) ReportHostLoss() { s.hostLossPending = true }
 
-// countHealthy counts the healthy targets and records whether too few of them are
-// used.
+// countHealthy counts the healthy targets and records whether the floor is active and
+// whether too few of them are used. While the floor is active, enough must be used both
+// of the targets that are healthy now and of those that will be after retestAfter.
 func (s *Scheduler) countHealthy(now time.Time) {
-	recentlyUsed, healthy := 0, 0
+	s.floorEnforced = s.floorActive(now)
+	s.healthyTargets, s.usedTargets = s.countUsed(now, healthyAfter)
+	s.belowFloor = tooFewUsed(s.healthyTargets, s.usedTargets)
+	if s.floorEnforced && !s.belowFloor {
+		s.belowFloor = tooFewUsed(s.countUsed(now, retestAfter))
+	}
+}
+
+// countUsed returns the number of targets that count for the floor if they have not
+// failed for a time, and the number of those that are used.
+func (s *Scheduler) countUsed(now time.Time, recovery time.Duration) (healthy, used int) {
 	for _, t := range s.order {
-		if !t.countsForFloor(now) {
+		if !t.countsForFloor(now, recovery) {
 			continue
 		}
 		healthy++
 		if t.recentlyUsed(now) {
-			recentlyUsed++
+			used++
 		}
 	}
-	s.healthyTargets, s.usedTargets = healthy, recentlyUsed
-	s.belowFloor = float64(recentlyUsed) < minUsedShare*float64(healthy)
+	return healthy, used
 }
 
+func tooFewUsed(healthy, used int) bool { return float64(used) < minUsedShare*float64(healthy) }
+
 // usageBonus is the cost reduction of a target that is tested because too few
 // targets are in use. If all hosts lose power at once, only the targets that
 // received requests in the last seconds count as used. A target without known
 // outcomes is tried only while few requests fail, an avoided one only by retryable
 // requests.
 func (s *Scheduler) usageBonus(now time.Time, r *request, t *target) float64 {
-	if !s.belowFloor || t.recentlyUsed(now) || !t.countsForFloor(now) {
+	if !s.belowFloor || t.recentlyUsed(now) || !t.countsForFloor(now, healthyAfter) {
 		return 0
 	}
 	if t.avoided {
@@ -140,22 +157,22 @@
 	if !s.belowFloor || !s.maySendForFloor(now, r) {
 		return nil
 	}
-	if !s.floorActive(now) {
+	if !s.floorEnforced {
 		if s.healthyTargets < unusedMinTargets || float64(s.usedTargets) >= unusedShareLimit*float64(s.healthyTargets) {
 			return nil
 		}
-		return s.bestUnusedTarget(now, r, func(t *target) bool { return t.unusedTooLong(now) })
+		return s.bestUnusedTarget(now, r, healthyAfter, func(t *target) bool { return t.unusedTooLong(now) })
 	}
-	return s.bestUnusedTarget(now, r, func(t *target) bool { return !t.recentlyUsed(now) })
+	return s.bestUnusedTarget(now, r, retestAfter, func(t *target) bool { return !t.recentlyUsed(now) })
 }
 
 // bestUnusedTarget returns the target most likely to be healthy among those of the
 // floor that have a free slot and satisfy unused.
-func (s *Scheduler) bestUnusedTarget(now time.Time, r *request, unused func(*target) bool) *target {
+func (s *Scheduler) bestUnusedTarget(now time.Time, r *request, recovery time.Duration, unused func(*target) bool) *target {
 	var best *target
 	var lowest float64
 	for _, t := range s.order {
-		if !unused(t) || !t.countsForFloor(now) || t.freeSlots(now) <= 0 || slices.Contains(r.tried, t.ID) {
+		if !unused(t) || !t.countsForFloor(now, recovery) || t.freeSlots(now) <= 0 || slices.Contains(r.tried, t.ID) {
 			continue
 		}
 		if rank := t.floorRank(now); best == nil || rank < lowest {
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -68,9 +68,9 @@
 	anyResponse bool
 	// healthyTargets is the number of healthy targets as of the last selection,
 	// usedTargets the number of those that are in use; belowFloor is set if these
-	// are too few.
+	// are too few, floorEnforced if the floor was active.
 	healthyTargets, usedTargets int
-	belowFloor                  bool
+	belowFloor, floorEnforced   bool
 	actions                     []dispatch.Action
 }
 
