--- a/internal/adapter/ingress/metrics.go
+++ b/internal/adapter/ingress/metrics.go
@@ -142,6 +142,14 @@
 	}
 }
 
+// boolGauge is the value of a gauge that is either set or not.
+func boolGauge(set bool) uint64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 // writeMetrics writes the metrics whose values are read from other components.
 func (s *Server) writeMetrics(w io.Writer) {
 	metrics.WriteGaugeUint64(w, "sapphirehaven_requests_in_flight", uint64(max(0, s.InFlight())))
@@ -151,6 +159,9 @@
 			status, _ := b.Engine.Status()
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_attempts_in_flight{service=%q}", name), uint64(max(0, status.InFlight)))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_requests_waiting{service=%q}", name), uint64(max(0, status.Waiting)))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_floor_active{service=%q}", name), boolGauge(status.Floor.Active))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="all"}`, name), uint64(status.Floor.Healthy))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="used"}`, name), uint64(status.Floor.Used))
 		}
 	}
 	if s.cfg.Transport == nil {
--- a/internal/adapter/ingress/metrics_test.go
+++ b/internal/adapter/ingress/metrics_test.go
@@ -37,6 +37,8 @@
 		`sapphirehaven_requests_in_flight 0`,
 		`sapphirehaven_attempts_in_flight{service="s"} 0`,
 		`sapphirehaven_requests_waiting{service="s"} 0`,
+		`sapphirehaven_floor_active{service="s"} 0`,
+		`sapphirehaven_healthy_targets{service="s",state="used"} 0`,
 		`sapphirehaven_target_dials_total 2`,
 		`sapphirehaven_cross_region_bytes_total{class="lookup",direction="received"} `,
 	} {
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -279,5 +279,17 @@
 	QueueLength int
 	// RetriesLeft is the number of retries that the budget currently allows.
 	RetriesLeft float64
-	Classes     []ClassStatus
+	// Floor is the state of the floor at the last selection of a target. It is zero with
+	// dispatchers that enforce no floor.
+	Floor   FloorStatus
+	Classes []ClassStatus
+}
+
+// FloorStatus is a host's view of the floor of a service.
+type FloorStatus struct {
+	// Active is set while the floor is enforced.
+	Active bool
+	// Healthy is the number of healthy targets in the host's region, Used the number of
+	// those that received a request from any known host lately.
+	Healthy, Used int
 }
--- a/internal/core/schedule/status.go
+++ b/internal/core/schedule/status.go
@@ -30,7 +30,7 @@
 	return list
 }
 
-// ServiceStatus returns the state of the queue and the retry budget.
+// ServiceStatus returns the state of the queue, the retry budget and the floor.
 func (s *Scheduler) ServiceStatus(now time.Time) dispatch.ServiceStatus {
 	status := dispatch.ServiceStatus{
 		Service:     s.cfg.Service,
@@ -39,6 +39,7 @@
 		Waiting:     len(s.waiting),
 		QueueLength: max(0, s.cfg.QueueLength),
 		RetriesLeft: s.budget.Remaining(now),
+		Floor:       dispatch.FloorStatus{Active: s.floorEnforced, Healthy: s.healthyTargets, Used: s.usedTargets},
 	}
 	for _, cc := range s.cfg.Classes {
 		c := s.classes[cc.Name]
