discovery: reserve readers also while a fleet starts

Callers would have been refused for lack of a configuration for more than 4 s after a power loss of all hosts while the store turns hosts away.

The fallback readers and the reserve readers now take their turns while they start as well.

--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -107,6 +108,8 @@
 	members map[string]*member
 	// deaf holds the addresses of hosts that messages and responses do not reach.
 	deaf map[string]bool
+	// refuses, if set, reports whether the store refuses a host that starts.
+	refuses func(i int) bool
 }
 
 const messageDelay = time.Millisecond
@@ -131,6 +134,7 @@
 	address := fmt.Sprint("h", i)
 	ctx, cancel := context.WithCancel(ctx)
 	m := &member{fleet: f, store: &refusingStore{fakeStore: f.store}, cancel: cancel}
+	m.store.refused = f.refuses != nil && f.refuses(i)
 	m.self = registry.Host{ID: ident.HostID(address), PeerAddress: address, Millicores: 160, Incarnation: ident.Incarnation(time.Now().UnixMicro())}
 	if i%12 < 2 {
 		m.self.Millicores = 800
@@ -402,6 +406,38 @@
 	}
 }
 
+// TestFleetStartsWhileStoreRefusesHosts guards against a fleet that has no configuration
+// 4 s after a power loss, because the store refuses its coordinators and half of the other
+// hosts. From then on (stabilityWindow of the sites' bounds) each host has to serve.
+func TestFleetStartsWhileStoreRefusesHosts(t *testing.T) {
+	for _, size := range fleetSizes() {
+		runFleet(t, size, func(ctx context.Context, f *testFleet) {
+			time.Sleep(5 * time.Second)
+			refused := map[int]bool{}
+			for i := range size {
+				m := f.at(fmt.Sprint("h", i))
+				refused[i] = rand.IntN(2) == 0 || m.Rank() <= 3
+			}
+			f.refuses = func(i int) bool { return refused[i] }
+			for _, m := range f.all() {
+				m.cancel()
+			}
+			time.Sleep(1100 * time.Millisecond)
+			for i := range size {
+				f.start(ctx, i)
+			}
+			before := f.store.callCount()
+			time.Sleep(4300 * time.Millisecond)
+			if n := f.countIncomplete(size); n > 0 {
+				t.Errorf("%d hosts have no copy 4 s after the last one started", n)
+			}
+			if calls := f.store.callCount() - before; calls > 4*maxStartCalls {
+				t.Errorf("%d calls to the store in 4.3 s, want %d or fewer", calls, 4*maxStartCalls)
+			}
+		})
+	}
+}
+
 // TestStoreRefusesHosts guards against hosts that all read the store, and against
 // copies that become stale, when the store refuses the coordinator and half of the
 // other hosts.
--- a/internal/discovery/join.go
+++ b/internal/discovery/join.go
@@ -15,20 +15,28 @@
 // coordinator reads the store immediately. Another host first waits for a beacon;
 // without one it reads the list of hosts from the store, and later the whole registry
 // if none of those hosts has a copy. In that last step all hosts without a recent beacon
-// read; of the others only a random few do.
+// read; of the others only the fallback readers, the reserve readers in turn and a random
+// few do.
 func (r *Replica) join(ctx context.Context, self registry.Host, seeds []string) {
 	r.LearnHost(self)
 	started := time.Now()
 	listAfter := r.cfg.JoinWait + rand.N(r.cfg.JoinSpread)
 	readAfter := listAfter + r.cfg.JoinWait + rand.N(r.cfg.JoinSpread)
 	pause := backoff{cfg: &r.cfg}
+	reserveTried := false
 	for round := 0; ; round++ {
 		isCoordinator := r.role.IsCoordinator()
 		waited := time.Since(started)
+		rank := r.role.Rank()
 		var err error
 		switch {
 		case isCoordinator, waited >= readAfter && (!r.hasRecentBeacon() || r.drawSampledReader()):
 			err = r.readAll(ctx)
+		case rank <= r.cfg.FallbackReaders && waited >= r.joinTurn(rank):
+			err = r.readAll(ctx)
+		case !reserveTried && rank <= r.cfg.FallbackReaders+r.cfg.ReserveReaders && waited >= r.joinTurn(rank):
+			reserveTried = true
+			err = r.readAll(ctx)
 		case waited >= listAfter && !r.hasRecentBeacon() && !r.hasHostList():
 			err = r.readHosts(ctx)
 		}
@@ -45,6 +53,16 @@
 	}
 }
 
+// joinTurn returns how long a starting host of a rank, a fallback or reserve reader, waits
+// for a copy before it reads the store.
+func (r *Replica) joinTurn(rank int) time.Duration {
+	wait := 2 * r.cfg.JoinWait
+	if rank <= r.cfg.FallbackReaders {
+		return wait + time.Duration(rank)*r.cfg.FallbackStep
+	}
+	return wait + r.reserveTurn(rank-r.cfg.FallbackReaders-1) - r.cfg.FallbackAge
+}
+
 // hasRecentBeacon reports whether a coordinator's beacon arrived within JoinWait.
 func (r *Replica) hasRecentBeacon() bool {
 	r.mu.Lock()
