--- a/internal/core/roster/message.go
+++ b/internal/core/roster/message.go
@@ -220,7 +220,7 @@
 		return false, []Action{SendBeacon{Beacon: r.currentBeacon(now), To: []Delivery{{Host: from.Host}}}}
 	}
 	current := r.hosts[r.coordinator]
-	fresh := current != nil && !current.leaving && !r.coordinatorDeaf && now.Sub(r.lastBeaconAt) < r.cfg.FailureTimeout
+	fresh := current != nil && !current.leaving && !r.coordinatorIsolated && now.Sub(r.lastBeaconAt) < r.cfg.FailureTimeout
 	if id != r.coordinator && fresh && (b.Isolated || compareHosts(&current.Host, &from.Host) < 0) {
 		w := Welcome{Coordinator: current.ID, Hosts: []registry.Host{current.Host}}
 		return false, []Action{SendWelcome{To: from.PeerAddress, Welcome: w}}
@@ -232,7 +232,7 @@
 	if sameProcess && b.Isolated && now.Sub(r.followingSince) >= r.cfg.FailureTimeout {
 		// The coordinator has not received the reports of this host. The beacon is
 		// forwarded, so that all hosts accept the next coordinator at once.
-		r.coordinatorDeaf, r.beaconSequence = true, b.Sequence
+		r.coordinatorIsolated, r.beaconSequence = true, b.Sequence
 		return true, nil
 	}
 	var actions []Action
@@ -242,7 +242,7 @@
 	if !sameProcess {
 		r.followingSince = now
 	}
-	r.coordinatorDeaf = false
+	r.coordinatorIsolated = false
 	r.coordinator, r.beaconSequence, r.coordinatorIncarnation, r.lastBeaconAt = id, b.Sequence, b.From.Incarnation, now
 	from.lastHeard, from.leaving = now, b.Leaving
 	r.active, r.remoteHosts = b.Active, b.Remote
@@ -267,7 +267,7 @@
 	if r.coordinator != r.self.ID {
 		r.previousCoordinator, r.tookOverAt = r.coordinator, now
 	}
-	r.coordinatorDeaf = false
+	r.coordinatorIsolated = false
 	r.coordinator, r.lastBeaconAt = r.self.ID, now
 	r.active, r.remoteHosts = r.selectActive(now), r.remoteActive(now)
 	r.beaconsSent++
--- a/internal/core/roster/order.go
+++ b/internal/core/roster/order.go
@@ -99,7 +99,7 @@
 		return now.Sub(r.startedAt) >= r.startWait(now)+r.takeoverWait(rank)
 	}
 	current := r.hosts[r.coordinator]
-	if rank == 0 && current != nil && (current.leaving || r.coordinatorDeaf) {
+	if rank == 0 && current != nil && (current.leaving || r.coordinatorIsolated) {
 		return true
 	}
 	return now.Sub(r.lastBeaconAt) >= r.cfg.FailureTimeout+r.cfg.TakeoverStep+r.takeoverWait(rank)
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -128,10 +128,10 @@
 	previousCoordinator    ident.HostID
 	tookOverAt             time.Time
 	// followingSince is the time at which this host began to follow the current process
-	// of the coordinator. coordinatorDeaf is set if that process has since announced that
+	// of the coordinator. coordinatorIsolated is set if that process has since announced that
 	// it receives no messages, although this host has reported to it.
-	followingSince  time.Time
-	coordinatorDeaf bool
+	followingSince      time.Time
+	coordinatorIsolated bool
 	// lastMessageAt is the time of the latest message from any other host, initially the
 	// start time.
 	lastMessageAt time.Time
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -18,8 +18,8 @@
 	now   time.Time
 	hosts map[ident.HostID]*Roster
 	down  map[ident.HostID]bool
-	// deaf holds the hosts that no message reaches.
-	deaf map[ident.HostID]bool
+	// isolated holds the hosts that no message reaches.
+	isolated map[ident.HostID]bool
 	// messages counts all messages. beaconsSent counts the beacons that each host sent
 	// or forwarded.
 	messages    int
@@ -43,7 +43,7 @@
 }
 
 func newNetwork(hosts []registry.Host) *network {
-	n := &network{now: epoch, hosts: map[ident.HostID]*Roster{}, down: map[ident.HostID]bool{}, deaf: map[ident.HostID]bool{}, beaconsSent: map[ident.HostID]int{}}
+	n := &network{now: epoch, hosts: map[ident.HostID]*Roster{}, down: map[ident.HostID]bool{}, isolated: map[ident.HostID]bool{}, beaconsSent: map[ident.HostID]int{}}
 	for _, h := range hosts {
 		r := New(epoch, DefaultConfig(), h, nil)
 		r.Learn(hosts)
@@ -120,7 +120,7 @@
 func (n *network) hostAt(address string) *Roster {
 	n.messages++
 	id := ident.HostID(strings.TrimSuffix(address, ":2"))
-	if n.down[id] || n.deaf[id] {
+	if n.down[id] || n.isolated[id] {
 		return nil
 	}
 	return n.hosts[id]
@@ -191,47 +191,47 @@
 	}
 }
 
-// TestDeafCoordinatorIsReplaced guards against a region that follows a coordinator which
+// TestIsolatedCoordinatorIsReplaced guards against a region that follows a coordinator which
 // no message reaches. It takes all other hosts for failed and names itself as the only
 // active host, so all callers would be sent to a host that they cannot reach.
-func TestDeafCoordinatorIsReplaced(t *testing.T) {
+func TestIsolatedCoordinatorIsReplaced(t *testing.T) {
 	n := newNetwork(region(12))
 	n.run(2 * time.Second)
-	deaf := n.coordinators()[0]
-	n.deaf[deaf] = true
+	isolated := n.coordinators()[0]
+	n.isolated[isolated] = true
 	n.run(DefaultConfig().FailureTimeout + 2*DefaultConfig().Interval)
 	for _, id := range n.ids() {
-		if c, _ := n.hosts[id].Coordinator(); id != deaf && c.ID == deaf {
-			t.Errorf("%s follows %s, which receives nothing", id, deaf)
+		if c, _ := n.hosts[id].Coordinator(); id != isolated && c.ID == isolated {
+			t.Errorf("%s follows %s, which receives nothing", id, isolated)
 		}
 	}
 	n.run(2 * DefaultConfig().FailureTimeout)
 	for _, id := range n.ids() {
-		if active := n.hosts[id].ActiveHosts(); id != deaf && len(active) < 2 {
+		if active := n.hosts[id].ActiveHosts(); id != isolated && len(active) < 2 {
 			t.Errorf("%s has active hosts %v, want one in each zone", id, active)
 		}
-		if c, _ := n.hosts[id].Coordinator(); id != deaf && c.ID == deaf {
-			t.Errorf("%s follows %s again", id, deaf)
+		if c, _ := n.hosts[id].Coordinator(); id != isolated && c.ID == isolated {
+			t.Errorf("%s follows %s again", id, isolated)
 		}
 	}
-	n.deaf[deaf] = false
+	n.isolated[isolated] = false
 	n.run(2 * time.Second)
 	if c := n.coordinators(); len(c) != 1 {
-		t.Errorf("coordinators %v after %s receives messages again", c, deaf)
+		t.Errorf("coordinators %v after %s receives messages again", c, isolated)
 	}
 }
 
-// TestDeafHostDoesNotTakeOver guards against a region that follows a host because it
+// TestIsolatedHostDoesNotTakeOver guards against a region that follows a host because it
 // precedes the coordinator in the order and has heard no beacon, while no message reaches
 // it.
-func TestDeafHostDoesNotTakeOver(t *testing.T) {
+func TestIsolatedHostDoesNotTakeOver(t *testing.T) {
 	n := newNetwork(region(12))
 	n.run(2 * time.Second)
 	first := n.coordinators()[0]
 	n.down[first] = true
 	n.run(3 * time.Second)
 	second := n.coordinators()[0]
-	n.down[first], n.deaf[first] = false, true
+	n.down[first], n.isolated[first] = false, true
 	n.run(3 * time.Second)
 	for _, id := range n.ids() {
 		if c, _ := n.hosts[id].Coordinator(); id != first && c.ID != second {
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -106,8 +106,8 @@
 
 	mu      sync.Mutex
 	members map[string]*member
-	// deaf holds the addresses of hosts that messages and responses do not reach.
-	deaf map[string]bool
+	// isolated holds the addresses of hosts that messages and responses do not reach.
+	isolated map[string]bool
 	// refuses, if set, reports whether the store refuses a host that starts.
 	refuses func(i int) bool
 }
@@ -115,7 +115,7 @@
 const messageDelay = time.Millisecond
 
 func newTestFleet(ctx context.Context, size int) *testFleet {
-	f := &testFleet{store: newFakeStore(), members: map[string]*member{}, deaf: map[string]bool{}}
+	f := &testFleet{store: newFakeStore(), members: map[string]*member{}, isolated: map[string]bool{}}
 	f.store.setConfig(1)
 	for i := range 20 {
 		f.store.add(ident.TargetID(fmt.Sprint("t", i)), true)
@@ -176,19 +176,19 @@
 	return f.members[address]
 }
 
-// setDeaf sets whether packets reach a host, from the other hosts and from the store.
+// setIsolated sets whether packets reach a host, from the other hosts and from the store.
 // Those that it sends still arrive.
-func (f *testFleet) setDeaf(m *member, deaf bool) {
-	m.store.setRefused(deaf)
+func (f *testFleet) setIsolated(m *member, isolated bool) {
+	m.store.setRefused(isolated)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.deaf[m.self.PeerAddress] = deaf
+	f.isolated[m.self.PeerAddress] = isolated
 }
 
-func (f *testFleet) isDeaf(address string) bool {
+func (f *testFleet) isIsolated(address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.deaf[address]
+	return f.isolated[address]
 }
 
 // coordinator returns the coordinator of a region.
@@ -206,7 +206,7 @@
 // deliver passes a message to the host at an address after the message delay.
 func (f *testFleet) deliver(address string, message func(to *member)) {
 	time.AfterFunc(messageDelay, func() {
-		if to := f.at(address); to != nil && !f.isDeaf(address) {
+		if to := f.at(address); to != nil && !f.isIsolated(address) {
 			message(to)
 		}
 	})
@@ -322,7 +322,7 @@
 func (m *member) Pull(_ context.Context, address string, have roster.State) (port.RegistryDelta, error) {
 	time.Sleep(2 * messageDelay)
 	from := m.fleet.at(address)
-	if from == nil || m.fleet.isDeaf(address) || m.fleet.isDeaf(m.self.PeerAddress) {
+	if from == nil || m.fleet.isIsolated(address) || m.fleet.isIsolated(m.self.PeerAddress) {
 		return port.RegistryDelta{}, errors.New("unreachable")
 	}
 	return from.replica.ChangesSince(have), nil
@@ -535,22 +535,22 @@
 	return other
 }
 
-// TestDeafCoordinator guards against a region that follows a coordinator which no
+// TestIsolatedCoordinator guards against a region that follows a coordinator which no
 // message reaches while its beacons still arrive, as after a cut in one direction. The
 // hosts that read the store in its place confirm what they read to the coordinator, so
 // a new version would reach no other host until the cut ends.
-func TestDeafCoordinator(t *testing.T) {
+func TestIsolatedCoordinator(t *testing.T) {
 	for _, size := range fleetSizes() {
 		runFleet(t, size, func(ctx context.Context, f *testFleet) {
 			time.Sleep(5 * time.Second)
-			deaf := f.coordinator(t, "r0")
-			f.setDeaf(deaf, true)
+			isolated := f.coordinator(t, "r0")
+			f.setIsolated(isolated, true)
 			f.store.setConfig(2)
 			time.Sleep(strictestConfigApply)
-			if other := f.versionsOtherThan(2, deaf); len(other) > 0 {
+			if other := f.versionsOtherThan(2, isolated); len(other) > 0 {
 				t.Errorf("%d of %d hosts do not have version 2 after %s", len(other), size, strictestConfigApply)
 			}
-			f.setDeaf(deaf, false)
+			f.setIsolated(isolated, false)
 			f.store.setConfig(3)
 			time.Sleep(strictestConfigApply)
 			if other := f.versionsOtherThan(3, nil); len(other) > 0 {
