schedule: a failing test of the floor where few targets count

Callers see a tenth of the requests to a service fail while fewer than seven tenths of the targets that are not impaired are in use (FLOOR). Hosts keep 0.8 of all targets that seem healthy to them in use; the rule counts the few that are not impaired, and of these fewer are in use by chance.

--- a/internal/core/schedule/fleet_test.go
+++ b/internal/core/schedule/fleet_test.go
@@ -30,8 +30,11 @@
 	failingShare, failureRate float64
 	// randomFailures is the share of other requests that fail, default 0.012.
 	randomFailures float64
-	duration       time.Duration
-	configure      func(*dispatch.Config)
+	// unimpaired is the number of targets that the floor includes, default all. Hosts do
+	// not know which these are.
+	unimpaired int
+	duration   time.Duration
+	configure  func(*dispatch.Config)
 }
 
 // fleetResult summarizes the results seen by callers.
@@ -71,6 +74,7 @@
 	phase       time.Duration
 	running     int
 	queue       []func()
+	impaired    bool
 	lastRequest time.Duration
 	failedAt    time.Duration
 }
@@ -125,6 +129,7 @@
 			id := ident.TargetID(fmt.Sprintf("t%d-%d", region, i))
 			targets = append(targets, dispatch.Target{ID: id, Location: zoneOf(region, i), Slots: scenario.slots, MaxConnections: 100})
 			t := &fleetTarget{lastRequest: -time.Hour, failedAt: -time.Hour, phase: time.Duration(s.rng.Float64() * float64(scenario.period))}
+			t.impaired = scenario.unimpaired > 0 && len(s.targets) >= scenario.unimpaired
 			for range 2 + scenario.duration/scenario.period {
 				t.failing = append(t.failing, s.rng.Float64() < scenario.failingShare)
 			}
@@ -339,7 +344,7 @@
 func (s *fleetSim) usedShare(healthyAfter time.Duration) (share float64, healthy int) {
 	used := 0
 	for _, t := range s.targets {
-		if s.now-t.failedAt < healthyAfter {
+		if t.impaired || s.now-t.failedAt < healthyAfter {
 			continue
 		}
 		healthy++
@@ -524,3 +529,17 @@
 		}
 	}
 }
+
+// TestFloorOfFewUnimpairedTargets guards against fewer than seven tenths of a few targets
+// in use while a tenth to a half of the requests fail, where most targets are impaired
+// and only these few count. Hosts keep a share of all targets in use that seem healthy to
+// them, and by chance fewer of the few that count.
+func TestFloorOfFewUnimpairedTargets(t *testing.T) {
+	scenario := erraticScenarios()["grown orders"]
+	scenario.unimpaired = 14
+	for seed := range uint64(4) {
+		if r := simulateFleet(scenario, seed); r.floorViolations > 0 {
+			t.Errorf("seed %d: the floor was not kept at %d checks", seed, r.floorViolations)
+		}
+	}
+}
