--- a/internal/adapter/ingress/log.go
+++ b/internal/adapter/ingress/log.go
@@ -49,6 +49,9 @@
 		"may_have_run":  !result.NotSent && !result.NotRun,
 		"response_head": result.FirstByte.Milliseconds(),
 	}
+	if trace.RateLimit.Limited {
+		fields["stated_rate"] = trace.RateLimit.Rate
+	}
 	if trace.Err != nil {
 		fields["error"] = trace.Err
 	}
--- a/internal/adapter/target/attempt.go
+++ b/internal/adapter/target/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/outcome"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 )
 
 // Errors reported in Trace.Err. Other errors are those of the connection.
@@ -103,6 +104,8 @@
 	Draining bool
 	// Load is the target's load as reported by the response, or nil.
 	Load *Load
+	// RateLimit is what the response says about the rate that the target accepts.
+	RateLimit ratelimit.Statement
 }
 
 // validate rejects values that would change the framing of the request.
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -13,6 +13,7 @@
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/outcome"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 )
 
 const (
@@ -154,6 +155,9 @@
 		// The address now belongs to another target.
 		r.classification.Kind, r.classification.NotRun = attempt.Draining, true
 	}
+	if x.a.Trace != nil && d.RateLimit != "" {
+		x.a.Trace.RateLimit = rateStatement(head.Header.Values(d.RateLimit), r.classification.Kind)
+	}
 	r.Body = bodyReader{r}
 	removeHopByHop(r.Header)
 	if head.StatusCode >= 300 {
@@ -167,6 +171,17 @@
 	return r, nil
 }
 
+// rateStatement returns what a response says about the rate that the target accepts. A
+// response without a limit tells that there is none only if it is a regular answer: an
+// error may come from a part of the target that does not know of its limit, and a
+// misdirected request was received by another target.
+func rateStatement(values []string, kind attempt.Kind) ratelimit.Statement {
+	if kind == attempt.Draining || (len(values) == 0 && kind != attempt.Answered) {
+		return ratelimit.Statement{}
+	}
+	return ratelimit.ParseStatement(values)
+}
+
 // closeDelimited reports whether the end of the body is marked only by the close of
 // the connection, so that a truncated body cannot be detected.
 func closeDelimited(head *http.Response) bool {
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -28,6 +28,9 @@
 	NotRun string
 	// Load carries a target's load as "running,waiting,slots".
 	Load string
+	// RateLimit carries the number of requests per second that a target accepts from all
+	// hosts together. A response without it states that the target has no limit.
+	RateLimit string
 	// Via is set if hosts add themselves to the Via header.
 	Via bool
 	// AllowCloseDelimited is set if a response without a declared length is complete
