--- /dev/null
+++ b/internal/app/gateway_rate_limit_test.go
@@ -0,0 +1,164 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
+	"github.com/sapphirehaven/sapphirehaven/internal/standin"
+)
+
+const (
+	// rateSettleTime is the time after the first statement of a rate from which the rate
+	// must be kept, and rateWindow the length of the windows in which it is.
+	rateSettleTime = 4 * time.Second
+	rateWindow     = 4 * time.Second
+)
+
+// allowedInRateWindow is the number of requests that a target with a stated rate may get
+// in a window: one and a half times the rate, and 5 more.
+func allowedInRateWindow(rate float64) int { return int(1.5*rateWindow.Seconds()*rate + 5) }
+
+// gatewayFleet is a fleet of gateways on loopback that share a registry.
+type gatewayFleet struct {
+	gateways []*Gateway
+	client   *http.Client
+}
+
+// startGatewayFleet starts hosts that pass requests to the targets, and stops them at the
+// end of the test.
+func startGatewayFleet(t *testing.T, hosts int, targets []http.Handler) *gatewayFleet {
+	t.Helper()
+	store := &memoryRegistry{config: gatewayConfiguration()}
+	for i, handler := range targets {
+		srv := httptest.NewServer(handler)
+		t.Cleanup(srv.Close)
+		id := ident.TargetID(fmt.Sprintf("t%d", i))
+		store.targets = append(store.targets, registry.TargetRecord{ID: id, Offset: int64(i + 1), Target: &registry.Target{
+			ID: id, Service: "s", Address: strings.TrimPrefix(srv.URL, "http://"), Zone: "z", Slots: 6,
+		}})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	fleet := &gatewayFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		fleet.client.CloseIdleConnections()
+	})
+	var seeds []string
+	for i := range hosts {
+		peerAddress := freeAddress(t)
+		seeds = append(seeds, peerAddress)
+		g, err := NewGateway(GatewaySettings{
+			Host: ident.HostID(fmt.Sprintf("h%d", i)), Location: ident.Location{Region: "r", Zone: "z"}, Regions: 1, Millicores: 320,
+			CallerAddress: freeAddress(t), PeerAddress: peerAddress, AdminAddress: freeAddress(t), Seeds: seeds[:1],
+			AddressMaxAge: 100 * time.Millisecond, GracePeriod: 6 * time.Second,
+			RetryRatio: 0.2, RetryAllowance: 58, RetryWindow: 10 * time.Second,
+			Dialect: dialect.Dialect{RequestID: "X-Id", KeepCallerRequestID: true, Deadline: "X-Left", RateLimit: "X-Rate", StatusImpliesOutcome: true, FractionalRetryAfter: true},
+		}, store, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet.gateways = append(fleet.gateways, g)
+		running.Go(func() { _ = g.Run(ctx) })
+	}
+	for _, g := range fleet.gateways {
+		for !g.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return fleet
+}
+
+// send sends a request to each host every interval until the duration has passed, and
+// returns the number of requests by status.
+func (f *gatewayFleet) send(interval, duration time.Duration) map[int]int {
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	var open sync.WaitGroup
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for end := time.Now().Add(duration); time.Now().Before(end); <-ticker.C {
+		for _, g := range f.gateways {
+			open.Go(func() {
+				status := f.post(g)
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[status]++
+			})
+		}
+	}
+	open.Wait()
+	return statuses
+}
+
+// post sends one request and returns its status, 0 if there was no response.
+func (f *gatewayFleet) post(g *Gateway) int {
+	req, err := http.NewRequest("POST", "http://"+g.settings.CallerAddress+"/x/1", strings.NewReader("body"))
+	if err != nil {
+		return 0
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Id", fmt.Sprintf("id-%d", time.Now().UnixNano()))
+	res, err := f.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+// TestFleetKeepsStatedRate guards against hosts that together send a target more requests
+// than the rate that it states in its answers, while other targets could take them, and
+// against a single host that does so.
+func TestFleetKeepsStatedRate(t *testing.T) {
+	for _, hosts := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
+			t.Parallel()
+			testStatedRates(t, hosts, map[int]float64{0: 1, 1: 5})
+		})
+	}
+}
+
+// testStatedRates sends requests through hosts to five targets, some of which state rates.
+func testStatedRates(t *testing.T, hosts int, rates map[int]float64) {
+	var targets []http.Handler
+	var rated []*standin.RatedTarget
+	for range 5 {
+		target := standin.NewRatedTarget("X-Rate", "X-Id")
+		rated, targets = append(rated, target), append(targets, target)
+	}
+	fleet := startGatewayFleet(t, hosts, targets)
+	interval := time.Duration(hosts) * 11 * time.Millisecond
+	fleet.send(interval, time.Second)
+	for i, rate := range rates {
+		rated[i].State(fmt.Sprint(rate))
+	}
+	stated := time.Now()
+	statuses := fleet.send(interval, rateSettleTime+rateWindow+time.Second)
+	for i, rate := range rates {
+		if got, allowed := rated[i].MaxArrivals(stated.Add(rateSettleTime), rateWindow), allowedInRateWindow(rate); got > allowed {
+			t.Errorf("the target that states %v requests per second got %d in %v, allowed %d", rate, got, rateWindow, allowed)
+		}
+	}
+	for status, n := range statuses {
+		if status != http.StatusOK {
+			t.Errorf("%d requests got status %d while three targets without a limit have free slots", n, status)
+		}
+	}
+}
