ratelimit: permits for targets that state a rate

Nothing uses it yet.

Ruled out: equal parts of the rate for the active hosts (at 1/s no host has a whole request, and a change of the number of hosts counts twice for a moment); time slots by host (need clocks that agree, which the platform does not promise).

--- /dev/null
+++ b/internal/core/ratelimit/allocator.go
@@ -0,0 +1,213 @@
+package ratelimit
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+const (
+	// burstTime is the time over which unused permits accumulate.
+	burstTime = 250 * time.Millisecond
+	// wantLifetime is the time after which a want that was not repeated is dropped.
+	wantLifetime = 300 * time.Millisecond
+	// hostLifetime is the time after its last want for which a host counts as one of
+	// those that share a rate.
+	hostLifetime = time.Second
+	// allocationLifetime is the time after the last want for which the allocator keeps
+	// the state of a target.
+	allocationLifetime = time.Minute
+)
+
+// Allocator hands out the permits for the targets of a region. It starts without any
+// permits: those that an earlier allocator handed out may still be in use.
+type Allocator struct {
+	targets map[ident.TargetID]*allocation
+	// grants counts the permits handed out, and orders the hosts that got them.
+	grants uint64
+}
+
+// allocation is the state of one target.
+type allocation struct {
+	entry Entry
+	// permits is the number of permits that can be handed out, as of accruedAt.
+	permits   float64
+	accruedAt time.Time
+	wants     map[ident.HostID]*pendingWant
+	usedAt    time.Time
+}
+
+// pendingWant is what a host wants and has not got yet.
+type pendingWant struct {
+	permits  int
+	sequence uint64
+	at       time.Time
+	// lastGrant is the value of Allocator.grants when the host last got a permit.
+	lastGrant uint64
+}
+
+// NewAllocator returns an allocator without targets.
+func NewAllocator() *Allocator { return &Allocator{targets: map[ident.TargetID]*allocation{}} }
+
+// Want applies the wants of a host, which replace its earlier ones. share is the part of
+// the rate that this allocator may hand out, 0 to 1. It returns a response for each
+// target, with the permits that can be handed out at once.
+func (a *Allocator) Want(now time.Time, share float64, from ident.HostID, sequence uint64, wants []Want) []Granted {
+	var out []Granted
+	for _, w := range wants {
+		t := a.merge(now, w.Entry)
+		if t == nil {
+			continue
+		}
+		t.usedAt = now
+		t.accrue(now, share)
+		p := t.wants[from]
+		if p == nil {
+			p = &pendingWant{}
+			t.wants[from] = p
+		}
+		p.permits, p.sequence, p.at = w.Permits, sequence, now
+		granted := 0
+		if !t.othersWait(now, from) {
+			granted = min(p.permits, int(t.permits))
+			a.hand(t, p, granted)
+		}
+		out = append(out, Granted{Entry: t.entry, Permits: granted, Hosts: t.hosts(now)})
+	}
+	return out
+}
+
+// merge applies what a host knows of a target. It returns nil for an earlier process of
+// the target.
+func (a *Allocator) merge(now time.Time, e Entry) *allocation {
+	t := a.targets[e.Target]
+	if t != nil && e.StartUnixMilli < t.entry.StartUnixMilli {
+		return nil
+	}
+	if t == nil || e.StartUnixMilli > t.entry.StartUnixMilli {
+		t = &allocation{entry: Entry{Target: e.Target, StartUnixMilli: e.StartUnixMilli}, wants: map[ident.HostID]*pendingWant{}, accruedAt: now, usedAt: now}
+		a.targets[e.Target] = t
+	}
+	t.entry.Limit = t.entry.Limit.Merge(e.Limit)
+	return t
+}
+
+// accrue adds the permits of the time since the last call.
+func (t *allocation) accrue(now time.Time, share float64) {
+	rate := share * t.entry.Limit.EffectiveRate()
+	elapsed := now.Sub(t.accruedAt)
+	if elapsed < 0 || !t.entry.Limit.Limited {
+		elapsed = 0
+	}
+	t.accruedAt = now
+	t.permits = min(t.permits+rate*elapsed.Seconds(), max(1, rate*burstTime.Seconds()))
+}
+
+// othersWait reports whether other hosts wait for permits.
+func (t *allocation) othersWait(now time.Time, host ident.HostID) bool {
+	for id, p := range t.wants {
+		if id != host && p.waits(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pendingWant) waits(now time.Time) bool {
+	return p.permits > 0 && now.Sub(p.at) < wantLifetime
+}
+
+func (a *Allocator) hand(t *allocation, p *pendingWant, permits int) {
+	if permits <= 0 {
+		return
+	}
+	a.grants++
+	p.lastGrant = a.grants
+	p.permits -= permits
+	t.permits -= float64(permits)
+}
+
+// hosts returns the number of hosts that share the rate.
+func (t *allocation) hosts(now time.Time) int {
+	n := 0
+	for _, p := range t.wants {
+		if now.Sub(p.at) < hostLifetime {
+			n++
+		}
+	}
+	return n
+}
+
+// Delivery is a response of the allocator to an earlier message of a host.
+type Delivery struct {
+	To       ident.HostID
+	Sequence uint64
+	Granted  []Granted
+}
+
+// Tick hands out the permits that have accrued to the hosts that wait for them, one at a
+// time, to the host that has waited longest since its last one.
+func (a *Allocator) Tick(now time.Time, share float64) []Delivery {
+	var out []Delivery
+	for id, t := range a.targets {
+		t.accrue(now, share)
+		if now.Sub(t.usedAt) > allocationLifetime {
+			delete(a.targets, id)
+			continue
+		}
+		for host, n := range a.handOut(now, t) {
+			out = appendDelivery(out, host, t.wants[host].sequence, Granted{Entry: t.entry, Permits: n, Hosts: t.hosts(now)})
+		}
+		t.forgetHosts(now)
+	}
+	slices.SortFunc(out, func(a, b Delivery) int { return strings.Compare(string(a.To), string(b.To)) })
+	return out
+}
+
+func (a *Allocator) handOut(now time.Time, t *allocation) map[ident.HostID]int {
+	granted := map[ident.HostID]int{}
+	for t.permits >= 1 {
+		host := t.next(now)
+		if host == "" {
+			break
+		}
+		a.hand(t, t.wants[host], 1)
+		granted[host]++
+	}
+	return granted
+}
+
+// next returns the waiting host whose last permit is the oldest, empty if none waits.
+func (t *allocation) next(now time.Time) ident.HostID {
+	var next ident.HostID
+	for host, p := range t.wants {
+		if !p.waits(now) {
+			continue
+		}
+		q := t.wants[next]
+		if q == nil || p.lastGrant < q.lastGrant || (p.lastGrant == q.lastGrant && host < next) {
+			next = host
+		}
+	}
+	return next
+}
+
+// forgetHosts removes the hosts that no longer want permits.
+func (t *allocation) forgetHosts(now time.Time) {
+	for host, p := range t.wants {
+		if now.Sub(p.at) > allocationLifetime {
+			delete(t.wants, host)
+		}
+	}
+}
+
+func appendDelivery(list []Delivery, to ident.HostID, sequence uint64, g Granted) []Delivery {
+	i := slices.IndexFunc(list, func(d Delivery) bool { return d.To == to && d.Sequence == sequence })
+	if i < 0 {
+		return append(list, Delivery{To: to, Sequence: sequence, Granted: []Granted{g}})
+	}
+	list[i].Granted = append(list[i].Granted, g)
+	return list
+}
--- /dev/null
+++ b/internal/core/ratelimit/holder.go
@@ -0,0 +1,152 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// demandHalfLife is the half-life of the demand for a target.
+	demandHalfLife = 500 * time.Millisecond
+	// minDemand is the decayed demand below which no permits are requested.
+	minDemand = 0.2
+	// stockTime is the time for which a host keeps permits in stock. It covers the
+	// interval between two requests for permits and the delay of the response.
+	stockTime = 300 * time.Millisecond
+	// maxStockTime bounds the stock in terms of the target's rate, so that a host with
+	// high demand does not keep permits that others could use.
+	maxStockTime = 500 * time.Millisecond
+	// minPermitLifetime is the shortest time for which permits are valid.
+	minPermitLifetime = time.Second
+	// responseTimeout is the time without a response of the allocator after which no
+	// permits are expected.
+	responseTimeout = time.Second
+	// assumedHosts is the number of hosts that are assumed to share a rate until the
+	// allocator has responded.
+	assumedHosts = 8
+)
+
+// Holder is the state of one target's limit on one host. The zero value is a target
+// without a limit.
+type Holder struct {
+	limit Limit
+	// expiry holds the expiry times of the permits in stock, the earliest first.
+	expiry []time.Time
+	// demand is the decayed number of requests that used or lacked a permit.
+	demand   float64
+	demandAt time.Time
+	// hosts is the number of hosts that share the rate, as of respondedAt.
+	hosts       int
+	respondedAt time.Time
+}
+
+// Limit returns what is known of the target's limit.
+func (h *Holder) Limit() Limit { return h.limit }
+
+// Limited reports whether requests need a permit.
+func (h *Holder) Limited() bool { return h.limit.Limited }
+
+// Merge applies a limit that this or another host heard of, and reports whether the rate
+// to apply changed.
+func (h *Holder) Merge(now time.Time, l Limit) bool {
+	before := h.limit
+	h.limit = before.Merge(l)
+	if h.limit.sameAs(before) {
+		return false
+	}
+	if !before.Limited {
+		h.respondedAt, h.hosts = now, assumedHosts
+	}
+	if !h.limit.Limited {
+		h.expiry = nil
+	}
+	return true
+}
+
+// Allows reports whether a request may be sent now.
+func (h *Holder) Allows(now time.Time) bool {
+	if !h.limit.Limited {
+		return true
+	}
+	h.discardExpired(now)
+	return len(h.expiry) > 0
+}
+
+// Use takes a permit for a request that is sent. It has no effect without a limit.
+func (h *Holder) Use(now time.Time) {
+	if !h.limit.Limited {
+		return
+	}
+	h.AddDemand(now)
+	h.discardExpired(now)
+	if len(h.expiry) > 0 {
+		h.expiry = h.expiry[1:]
+	}
+}
+
+// AddDemand counts a request that would be sent to the target if there were a permit.
+func (h *Holder) AddDemand(now time.Time) {
+	h.demand = h.decayedDemand(now) + 1
+	h.demandAt = now
+}
+
+func (h *Holder) decayedDemand(now time.Time) float64 {
+	return h.demand * math.Exp2(-now.Sub(h.demandAt).Seconds()/demandHalfLife.Seconds())
+}
+
+// Missing returns the number of permits that the host can use beyond those in stock.
+func (h *Holder) Missing(now time.Time) int {
+	demand := h.decayedDemand(now)
+	if !h.limit.Limited || demand < minDemand {
+		return 0
+	}
+	perSecond := demand * math.Ln2 / demandHalfLife.Seconds()
+	stock := max(1, math.Ceil(perSecond*stockTime.Seconds()))
+	stock = min(stock, max(1, math.Ceil(h.limit.EffectiveRate()*maxStockTime.Seconds())))
+	h.discardExpired(now)
+	return max(0, int(stock)-len(h.expiry))
+}
+
+// permitLifetime returns the time for which permits are valid. In that time a low rate
+// brings two permits, so that a host with few requests can use one.
+func permitLifetime(rate float64) time.Duration {
+	return max(minPermitLifetime, time.Duration(2/rate*float64(time.Second)))
+}
+
+// Add adds the permits of a response to a request that was sent at the given time, and
+// notes how many hosts share the rate. Permits expire some time after the request, so that
+// those of a response that was delayed are not used.
+func (h *Holder) Add(now, sentAt time.Time, permits, hosts int) {
+	expiry := sentAt.Add(permitLifetime(h.limit.EffectiveRate()))
+	if !expiry.After(now) {
+		return
+	}
+	h.respondedAt, h.hosts = now, hosts
+	if !h.limit.Limited {
+		return
+	}
+	for range min(permits, int(h.limit.EffectiveRate())+1) {
+		h.expiry = append(h.expiry, expiry)
+	}
+}
+
+// Permits returns the number of permits in stock.
+func (h *Holder) Permits(now time.Time) int {
+	h.discardExpired(now)
+	return len(h.expiry)
+}
+
+// ExpectedRate returns the number of requests per second that this host can expect to
+// send to the target: its part of the rate, or 0 if the allocator does not respond.
+func (h *Holder) ExpectedRate(now time.Time) float64 {
+	if now.Sub(h.respondedAt) > responseTimeout {
+		return 0
+	}
+	return h.limit.EffectiveRate() / float64(max(1, h.hosts))
+}
+
+func (h *Holder) discardExpired(now time.Time) {
+	for len(h.expiry) > 0 && !h.expiry[0].After(now) {
+		h.expiry = h.expiry[1:]
+	}
+}
--- /dev/null
+++ b/internal/core/ratelimit/limit.go
@@ -0,0 +1,90 @@
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+)
+
+// MinRate is the lowest rate, in requests per second, that is applied. A target that
+// states a lower one, or zero, gets this one: without any request it could not state the
+// end of its limit.
+const MinRate = 0.5
+
+// Limit is what a host knows of the rate that a target accepts, from the most recent
+// response that it heard of.
+type Limit struct {
+	// Limited is set if the target states a rate, and Rate is that rate in requests per
+	// second.
+	Limited bool
+	Rate    float64
+	// SentAt is the time at which the request was sent whose response stated this, and
+	// HeardAt the time at which the response had arrived. Both are zero if nothing is
+	// known.
+	SentAt, HeardAt time.Time
+}
+
+// Known reports whether the target has ever stated a rate.
+func (l Limit) Known() bool { return !l.HeardAt.IsZero() }
+
+// EffectiveRate returns the rate to apply, in requests per second.
+func (l Limit) EffectiveRate() float64 { return max(MinRate, l.Rate) }
+
+// Merge returns the limit after another response. A response replaces an earlier one if
+// its request was sent after the earlier one had arrived. Of two responses whose requests
+// overlap, either may be the later one, and the lower limit holds until a further response
+// decides.
+func (l Limit) Merge(o Limit) Limit {
+	switch {
+	case !o.Known() || (!l.Known() && !o.Limited):
+		return l
+	case !l.Known() || o.SentAt.After(l.HeardAt):
+		return o
+	case l.sameAs(o):
+		l.SentAt, l.HeardAt = later(l.SentAt, o.SentAt), later(l.HeardAt, o.HeardAt)
+		return l
+	case l.SentAt.After(o.HeardAt) || l.stricterThan(o):
+		return l
+	}
+	return o
+}
+
+func (l Limit) sameAs(o Limit) bool {
+	return l.Limited == o.Limited && (!l.Limited || l.Rate == o.Rate)
+}
+
+func (l Limit) stricterThan(o Limit) bool {
+	return l.Limited && (!o.Limited || l.Rate < o.Rate)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Entry is the limit of one process of a target, as hosts tell each other.
+type Entry struct {
+	Target ident.TargetID
+	// StartUnixMilli is the start time of the target process. A limit does not outlast
+	// its process.
+	StartUnixMilli int64
+	Limit          Limit
+}
+
+// Want is a host's request for permits for one target.
+type Want struct {
+	Entry
+	// Permits is the number of permits that the host can use now. With 0 the host only
+	// tells of the limit.
+	Permits int
+}
+
+// Granted is the response of the allocator for one target.
+type Granted struct {
+	Entry
+	Permits int
+	// Hosts is the number of hosts that currently request permits for the target.
+	Hosts int
+}
