roster: the part of a coordinator in what a region hands out

Two coordinators are harmless for the choice of active hosts, but not for a rate that all hosts share. A host follows one coordinator at a time, so each of them gets the fraction of the region's hosts that follow it; the size of the region comes with the beacons, so that a new coordinator does not take its own side of a partition for the whole. Beacons also name the coordinators of the other regions and carry the limits of targets.

--- a/internal/core/roster/message.go
+++ b/internal/core/roster/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
 )
 
@@ -33,8 +34,14 @@
 	Active   []ident.HostID
 	// Remote holds the active hosts of the other regions.
 	Remote []ident.HostID
+	// RemoteCoordinators holds the coordinators of the other regions.
+	RemoteCoordinators []ident.HostID
+	// RegionSize is the number of hosts of the region, see Roster.FollowerShare.
+	RegionSize int
 	// State is the state of the sender's copy of the registry. The driver fills it in.
 	State State
+	// Limits holds the limits of targets that the sender knows. The driver fills it in.
+	Limits []ratelimit.Entry
 	// Forward holds the peer addresses of the hosts to which the receiver forwards the
 	// beacon.
 	Forward []string
@@ -137,6 +144,7 @@
 	}
 	leavingChanged := p.leaving != report.Leaving
 	p.lastHeard, p.leaving, p.starting, p.rate = now, report.Leaving, !report.Ready, report.Rate
+	p.follows = report.Coordinator
 	if p.Location.Region == r.self.Location.Region && r.IsCoordinator(now) {
 		switch {
 		case leavingChanged:
@@ -245,7 +253,8 @@
 	r.coordinatorIsolated = false
 	r.coordinator, r.beaconSequence, r.coordinatorIncarnation, r.lastBeaconAt = id, b.Sequence, b.From.Incarnation, now
 	from.lastHeard, from.leaving = now, b.Leaving
-	r.active, r.remoteHosts = b.Active, b.Remote
+	r.active, r.remoteHosts, r.remoteCoordinators = b.Active, b.Remote, b.RemoteCoordinators
+	r.regionSize, r.regionSizeAt = b.RegionSize, now
 	return true, actions
 }
 
@@ -269,7 +278,8 @@
 	}
 	r.coordinatorIsolated = false
 	r.coordinator, r.lastBeaconAt = r.self.ID, now
-	r.active, r.remoteHosts = r.selectActive(now), r.remoteActive(now)
+	r.active, r.remoteHosts, r.remoteCoordinators = r.selectActive(now), r.remoteActive(now), r.liveRemoteCoordinators(now)
+	r.updateRegionSize(now)
 	r.beaconsSent++
 	return SendBeacon{Beacon: r.currentBeacon(now), To: r.deliveries(now)}
 }
@@ -277,5 +287,5 @@
 // currentBeacon returns the most recently sent beacon.
 func (r *Roster) currentBeacon(now time.Time) Beacon {
 	isolated := now.Sub(r.lastMessageAt) >= r.cfg.FailureTimeout
-	return Beacon{From: r.self, Sequence: r.beaconsSent, Leaving: r.leaving, Isolated: isolated, Active: r.active, Remote: r.remoteHosts}
+	return Beacon{From: r.self, Sequence: r.beaconsSent, Leaving: r.leaving, Isolated: isolated, Active: r.active, Remote: r.remoteHosts, RemoteCoordinators: r.remoteCoordinators, RegionSize: r.regionSize}
 }
--- a/internal/core/roster/remote.go
+++ b/internal/core/roster/remote.go
@@ -44,7 +44,7 @@
 	}
 	slices.SortFunc(to, func(a, b Delivery) int { return compareHosts(&a.Host, &b.Host) })
 	b := r.currentBeacon(now)
-	b.Remote = nil
+	b.Remote, b.RemoteCoordinators = nil, nil
 	return []Action{SendBeacon{Beacon: b, To: to}}
 }
 
@@ -61,6 +61,19 @@
 	return list
 }
 
+// liveRemoteCoordinators returns the coordinators of the other regions whose beacons were
+// received within RemoteFailureTimeout.
+func (r *Roster) liveRemoteCoordinators(now time.Time) []ident.HostID {
+	var list []ident.HostID
+	for _, region := range r.regions {
+		if now.Sub(region.heardAt) < r.cfg.RemoteFailureTimeout {
+			list = append(list, region.coordinator)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // RemotePeers returns the active hosts of the other regions.
 func (r *Roster) RemotePeers() []registry.Host {
 	var list []registry.Host
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -89,6 +89,8 @@
 	// starting is set while the host reports that it cannot serve callers yet.
 	starting bool
 	rate     float64
+	// follows is the coordinator that the host follows, as of its last report.
+	follows ident.HostID
 }
 
 // Roster is one host's view of the hosts of its region. It is not safe for concurrent
@@ -109,6 +111,12 @@
 	// beacon of each of them and is used while this host coordinates.
 	remoteHosts []ident.HostID
 	regions     map[ident.Region]remoteRegion
+	// remoteCoordinators holds the coordinators of the other regions.
+	remoteCoordinators []ident.HostID
+	// regionSize is the number of hosts of the region as of regionSizeAt, see
+	// FollowerShare.
+	regionSize   int
+	regionSizeAt time.Time
 	// beaconsSent is the number of beacons that this host has sent.
 	beaconsSent uint64
 	// seeds holds the peer addresses of hosts that may know other hosts.
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -20,6 +20,8 @@
 	down  map[ident.HostID]bool
 	// isolated holds the hosts that no message reaches.
 	isolated map[ident.HostID]bool
+	// cut reports whether messages between two hosts are lost; nil if none are.
+	cut func(from, to ident.HostID) bool
 	// messages counts all messages. beaconsSent counts the beacons that each host sent
 	// or forwarded.
 	messages    int
@@ -75,11 +77,11 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case SendReport:
-			if to := n.hostAt(a.To); to != nil {
+			if to := n.hostAt(from, a.To); to != nil {
 				n.deliver(to, to.ReceiveReport(n.now, a.Report))
 			}
 		case SendWelcome:
-			if to := n.hostAt(a.To); to != nil {
+			if to := n.hostAt(from, a.To); to != nil {
 				n.deliver(to, to.ReceiveWelcome(n.now, a.Welcome))
 			}
 		case SendBeacon:
@@ -94,7 +96,7 @@
 // sender.
 func (n *network) deliverBeacon(from *Roster, address string, b Beacon, forward []string) {
 	n.beaconsSent[from.self.ID]++
-	to := n.hostAt(address)
+	to := n.hostAt(from, address)
 	if to == nil {
 		return
 	}
@@ -116,8 +118,17 @@
 	}
 }
 
-// hostAt counts a message and returns the live host at a peer address, or nil.
-func (n *network) hostAt(address string) *Roster {
+// hostAt counts a message and returns the live host at a peer address that the sender
+// reaches, or nil.
+func (n *network) hostAt(from *Roster, address string) *Roster {
+	if to := n.peerAt(address); to != nil && (n.cut == nil || !n.cut(from.self.ID, to.self.ID)) {
+		return to
+	}
+	return nil
+}
+
+// peerAt counts a message and returns the live host at a peer address, or nil.
+func (n *network) peerAt(address string) *Roster {
 	n.messages++
 	id := ident.HostID(strings.TrimSuffix(address, ":2"))
 	if n.down[id] || n.isolated[id] {
