schedule, app: keep the rate that targets state, summed over all hosts

Cause: the hosts did not know the header, a missing capability; one host alone exceeded the rate as well. A limit for all hosts together is state that needs an owner: the coordinator of the target's region hands out permits at the rate, a host without one sends nothing to the target, and all requests take the same way (first attempts, retries, tests, those for the floor, those that leave the queue). The limit reaches other hosts with requests for permits and with beacons. Where all targets of a service are limited, a request that gets no permit before its deadline is refused at once, with the time until the next permit.

Evidence: TestFleetKeepsStatedRate failed before (206 requests in 4 s at 1/s from three hosts, allowed 11; 196 at 5/s from one, allowed 35) and passes.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -135,6 +135,10 @@
 	if load := trace.Load; load != nil {
 		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, InFlight: load.InFlight, Slots: load.Slots})
 	}
+	if trace.RateLimit.Heard {
+		q.metrics.countRateStatement(trace.RateLimit)
+		q.backend.Engine.ReportLimit(start.Target, trace.RateLimit, q.attemptStart)
+	}
 	q.backend.Engine.Finish(start.Attempt, result)
 }
 
--- a/internal/adapter/ingress/log.go
+++ b/internal/adapter/ingress/log.go
@@ -49,6 +49,11 @@
 		"may_have_run":  !result.NotSent && !result.NotRun,
 		"response_head": result.FirstByte.Milliseconds(),
 	}
+	if selection.RateLimited {
+		fields["rate_limit"] = selection.RateLimit
+		fields["rate_limit_age_ms"] = selection.SinceRateLimit.Milliseconds()
+		fields["permits"] = selection.Permits
+	}
 	if trace.RateLimit.Limited {
 		fields["stated_rate"] = trace.RateLimit.Rate
 	}
--- a/internal/adapter/ingress/metrics.go
+++ b/internal/adapter/ingress/metrics.go
@@ -13,6 +13,7 @@
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 )
 
 // metricKey identifies a request class of a service.
@@ -26,7 +27,10 @@
 type classMetrics struct {
 	answered, notRun, unknown *metrics.Counter
 	results                   [attempt.Canceled + 1]*metrics.Counter
-	addedLatency              *metrics.Histogram
+	// limitedResponses counts the responses that stated a rate, malformedRates those with
+	// a value that is no rate.
+	limitedResponses, malformedRates *metrics.Counter
+	addedLatency                     *metrics.Histogram
 }
 
 // serverMetrics are the metrics of one server.
@@ -77,6 +81,8 @@
 		unknown:      requests(OutcomeUnknown),
 		addedLatency: m.set.GetOrCreateHistogram(fmt.Sprintf("sapphirehaven_added_latency_seconds{%s}", labels)),
 	}
+	c.limitedResponses = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_rate_statements_total{%s,result=\"valid\"}", labels))
+	c.malformedRates = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_rate_statements_total{%s,result=\"malformed\"}", labels))
 	for kind := range c.results {
 		c.results[kind] = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_attempts_total{%s,result=%q}", labels, attempt.Kind(kind)))
 	}
@@ -103,6 +109,16 @@
 	}
 }
 
+// countRateStatement counts a response that stated a rate or tried to.
+func (c *classMetrics) countRateStatement(s ratelimit.Statement) {
+	if s.Limited {
+		c.limitedResponses.Inc()
+	}
+	if s.Malformed {
+		c.malformedRates.Inc()
+	}
+}
+
 // recordMetrics updates the metrics at the end of a request.
 func (q *request) recordMetrics(problem *Problem) {
 	outcome := OutcomeUnknown
@@ -162,6 +178,8 @@
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_floor_active{service=%q}", name), boolGauge(status.Floor.Active))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="all"}`, name), uint64(status.Floor.Healthy))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="used"}`, name), uint64(status.Floor.Used))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_rate_limited_targets{service=%q}", name), uint64(status.Rates.Limited))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_permits{service=%q}", name), uint64(status.Rates.Permits))
 		}
 	}
 	if s.cfg.Transport == nil {
--- a/internal/adapter/peer/beacon.go
+++ b/internal/adapter/peer/beacon.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -16,6 +17,8 @@
 	maxBeaconListBytes = MaxDatagramBytes - 500
 	// listEntryOverhead is the encoded size of a list entry without its text.
 	listEntryOverhead = 2
+	// maxRegionSize bounds the number of hosts that a beacon states.
+	maxRegionSize = 1 << 20
 	// maxBeaconParts bounds the parts of a beacon, and maxIncompleteBeacons the
 	// number of senders whose incomplete beacons are kept.
 	maxBeaconParts       = 256
@@ -26,16 +29,18 @@
 func toBeaconParts(b roster.Beacon, via string) []*peerpb.Beacon {
 	head := &peerpb.Beacon{
 		State: toState(b.State), Host: toRegisteredHost(b.From), Sequence: b.Sequence, Leaving: b.Leaving, Isolated: b.Isolated, Via: via,
+		RegionSize: uint32(b.RegionSize),
 	}
 	parts := []*peerpb.Beacon{proto.Clone(head).(*peerpb.Beacon)}
 	used := 0
-	partWithSpace := func(text string) *peerpb.Beacon {
-		if used += len(text) + listEntryOverhead; used > maxBeaconListBytes {
+	partWithBytes := func(size int) *peerpb.Beacon {
+		if used += size + listEntryOverhead; used > maxBeaconListBytes {
 			parts = append(parts, proto.Clone(head).(*peerpb.Beacon))
-			used = len(text) + listEntryOverhead
+			used = size + listEntryOverhead
 		}
 		return parts[len(parts)-1]
 	}
+	partWithSpace := func(text string) *peerpb.Beacon { return partWithBytes(len(text)) }
 	for _, id := range b.Active {
 		part := partWithSpace(string(id))
 		part.Active = append(part.Active, string(id))
@@ -48,6 +53,16 @@
 		part := partWithSpace(address)
 		part.Forward = append(part.Forward, address)
 	}
+	for _, id := range b.RemoteCoordinators {
+		part := partWithSpace(string(id))
+		part.RemoteCoordinators = append(part.RemoteCoordinators, string(id))
+	}
+	now := time.Now()
+	for _, e := range b.Limits {
+		limit := toRateLimit(e, now)
+		part := partWithBytes(proto.Size(limit))
+		part.Limits = append(part.Limits, limit)
+	}
 	for i, part := range parts {
 		part.Part, part.Parts = uint32(i), uint32(len(parts))
 	}
@@ -96,13 +111,15 @@
 		complete.Active = append(complete.Active, part.GetActive()...)
 		complete.Remote = append(complete.Remote, part.GetRemote()...)
 		complete.Forward = append(complete.Forward, part.GetForward()...)
+		complete.RemoteCoordinators = append(complete.RemoteCoordinators, part.GetRemoteCoordinators()...)
+		complete.Limits = append(complete.Limits, part.GetLimits()...)
 	}
 	return complete
 }
 
 // fromBeacon decodes a complete beacon.
 func fromBeacon(pb *peerpb.Beacon) roster.Beacon {
-	return roster.Beacon{
+	b := roster.Beacon{
 		From:     fromRegisteredHost(pb.GetHost()),
 		Sequence: pb.GetSequence(),
 		Leaving:  pb.GetLeaving(),
@@ -111,7 +128,15 @@
 		Remote:   hostIDs(pb.GetRemote()),
 		State:    fromState(pb.GetState()),
 		Forward:  slices.Clone(pb.GetForward()),
+
+		RemoteCoordinators: hostIDs(pb.GetRemoteCoordinators()),
+		RegionSize:         int(min(pb.GetRegionSize(), maxRegionSize)),
+	}
+	now := time.Now()
+	for _, l := range pb.GetLimits() {
+		b.Limits = append(b.Limits, fromRateLimit(l, now))
 	}
+	return b
 }
 
 func hostIDs(names []string) []ident.HostID {
--- a/internal/adapter/peer/fleet.go
+++ b/internal/adapter/peer/fleet.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -12,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
 	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
@@ -93,6 +95,16 @@
 	return nil
 }
 
+// SendPermitRequest sends a request with at most port.MaxPermitEntries targets.
+func (f *Fleet) SendPermitRequest(address string, r ratelimit.Request) error {
+	return f.send(address, &peerpb.FleetMessage{PermitRequest: toPermitRequest(r, time.Now())})
+}
+
+// SendPermitResponse sends a response with at most port.MaxPermitEntries targets.
+func (f *Fleet) SendPermitResponse(address string, r ratelimit.Response) error {
+	return f.send(address, &peerpb.FleetMessage{PermitResponse: toPermitResponse(r, time.Now())})
+}
+
 func (f *Fleet) send(address string, m *peerpb.FleetMessage) error {
 	m.Sender = newSender(f.identity)
 	data, err := proto.Marshal(m)
@@ -140,6 +152,12 @@
 	if o := m.GetObservations(); o != nil {
 		handler.Observations(from, fromObservations(o))
 	}
+	if r := m.GetPermitRequest(); r != nil {
+		handler.PermitRequest(from, fromPermitRequest(r, time.Now()))
+	}
+	if r := m.GetPermitResponse(); r != nil {
+		handler.PermitResponse(from, fromPermitResponse(r, time.Now()))
+	}
 }
 
 // validHost reports whether the description of a host in a message has an ID, a region
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -85,16 +85,17 @@
 	// become active or passive.
 	activeChanged chan struct{}
 
-	mu     sync.Mutex
-	roster *roster.Roster
-	rate   rateMeter
+	mu      sync.Mutex
+	roster  *roster.Roster
+	permits permits
+	rate    rateMeter
 }
 
 // NewGateway creates a host. Run starts it.
 func NewGateway(settings GatewaySettings, store port.Registry, log logrus.FieldLogger) (*Gateway, error) {
 	now := time.Now()
 	incarnation := ident.Incarnation(now.UnixMicro())
-	g := &Gateway{settings: settings, log: log, activeChanged: make(chan struct{}, 1)}
+	g := &Gateway{settings: settings, log: log, activeChanged: make(chan struct{}, 1), permits: newPermits(incarnation)}
 	g.timeline = timeline.New(settings.Host, log)
 	g.identity = newIdentity(settings.Host, incarnation, g.timeline)
 	g.transport = target.New(gatewayTransportConfig(settings.Dialect))
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -75,6 +75,7 @@
 			r.SetReady(g.ingress.ActiveConfig() != nil)
 			return r.Tick(now)
 		})
+		g.handOutPermits()
 		sleep(ctx, rosterTickInterval)
 	}
 }
@@ -135,6 +136,7 @@
 			g.logSendError(g.fleet.SendWelcome(a.To, a.Welcome))
 		case roster.SendBeacon:
 			a.Beacon.State = g.replica.State()
+			a.Beacon.Limits = g.services.limits()
 			for _, to := range a.To {
 				a.Beacon.Forward = to.Forward
 				g.logSendError(g.fleet.SendBeacon(to.Host.PeerAddress, a.Beacon))
@@ -190,6 +192,7 @@
 		accepted, actions = ro.ReceiveBeacon(now, b)
 		return actions
 	})
+	h.gateway.services.observeLimits(b.Limits)
 	if accepted {
 		h.gateway.replica.HandleBeacon(h.ctx, via, b.State, func() { h.gateway.forwardBeacon(b, arrived) })
 	}
@@ -257,6 +260,7 @@
 	var remoteObservations port.Observations
 	for ctx.Err() == nil {
 		sleep(ctx, observationPollUnit*4)
+		g.requestPermits()
 		due := time.Since(lastSend) >= observationInterval
 		if !due && !g.services.hasUnsharedFailure() {
 			continue
--- a/internal/app/gateway_rate_limit_test.go
+++ b/internal/app/gateway_rate_limit_test.go
@@ -125,7 +125,7 @@
 
 // TestFleetKeepsStatedRate guards against hosts that together send a target more requests
 // than the rate that it states in its answers, while other targets could take them, and
-// against a single host that does so.
+// against a single host that does so. The targets still have to get requests.
 func TestFleetKeepsStatedRate(t *testing.T) {
 	for _, hosts := range []int{1, 3} {
 		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
@@ -156,6 +156,13 @@
 			t.Errorf("the target that states %v requests per second got %d in %v, allowed %d", rate, got, rateWindow, allowed)
 		}
 	}
+	for i, rate := range rates {
+		got := rated[i].Arrived(stated.Add(rateSettleTime), stated.Add(rateSettleTime+rateWindow))
+		if got == 0 {
+			t.Errorf("the target that states %v requests per second got none in %v, so that the end of its limit would not be noticed", rate, rateWindow)
+		}
+		t.Logf("%v requests per second stated: %d in %v", rate, got, rateWindow)
+	}
 	for status, n := range statuses {
 		if status != http.StatusOK {
 			t.Errorf("%d requests got status %d while three targets without a limit have free slots", n, status)
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -150,7 +150,10 @@
 	QueueFull        RefuseReason = "queue_full"
 	DeadlineTooShort RefuseReason = "deadline_too_short"
 	NoTarget         RefuseReason = "no_target"
-	UnknownClass     RefuseReason = "unknown_class"
+	// RateLimited means that all targets state the rate that they accept, and that it
+	// leaves no room for the request before its deadline.
+	RateLimited  RefuseReason = "rate_limited"
+	UnknownClass RefuseReason = "unknown_class"
 )
 
 // Action is an operation that the driver has to carry out.
@@ -192,6 +195,13 @@
 	WaitTime time.Duration
 	// KeepsFloor is set if the target was selected to keep the capacity floor.
 	KeepsFloor bool
+	// RateLimited is set if the target states a rate; RateLimit is that rate in requests
+	// per second, SinceRateLimit the age of the response that stated it, and Permits the
+	// number of permits that this host has left.
+	RateLimited    bool
+	RateLimit      float64
+	SinceRateLimit time.Duration
+	Permits        int
 }
 
 // Refuse ends a request that has not run.
@@ -281,10 +291,20 @@
 	RetriesLeft float64
 	// Floor is the state of the floor at the last selection of a target. It is zero with
 	// dispatchers that enforce no floor.
-	Floor   FloorStatus
+	Floor FloorStatus
+	// Rates is the state of the targets that state a rate. It is zero with dispatchers
+	// that apply none.
+	Rates   RateStatus
 	Classes []ClassStatus
 }
 
+// RateStatus is a host's view of the targets of a service that state a rate.
+type RateStatus struct {
+	// Limited is the number of those targets, Permits the number of permits that this
+	// host has for them.
+	Limited, Permits int
+}
+
 // FloorStatus is a host's view of the floor of a service.
 type FloorStatus struct {
 	// Active is set while the floor is enforced.
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -29,15 +29,20 @@
 	TargetDraining       Kind = "target_draining"
 	TargetAvoided        Kind = "target_avoided"
 	TargetTrusted        Kind = "target_trusted"
-	MemberJoined         Kind = "member_joined"
-	MemberSuspected      Kind = "member_suspected"
-	MemberFailed         Kind = "member_failed"
-	MemberLeaving        Kind = "member_leaving"
-	MemberLeft           Kind = "member_left"
-	RequestRefused       Kind = "request_refused"
-	OutcomeUnknown       Kind = "outcome_unknown"
-	TimerFailed          Kind = "timer_failed"
-	TicketsHandedOver    Kind = "tickets_handed_over"
+	RateLimitStated      Kind = "rate_limit_stated"
+	RateLimitEnded       Kind = "rate_limit_ended"
+	// RateStatementMalformed is recorded when a target begins to state values that are no
+	// rate.
+	RateStatementMalformed Kind = "rate_statement_malformed"
+	MemberJoined           Kind = "member_joined"
+	MemberSuspected        Kind = "member_suspected"
+	MemberFailed           Kind = "member_failed"
+	MemberLeaving          Kind = "member_leaving"
+	MemberLeft             Kind = "member_left"
+	RequestRefused         Kind = "request_refused"
+	OutcomeUnknown         Kind = "outcome_unknown"
+	TimerFailed            Kind = "timer_failed"
+	TicketsHandedOver      Kind = "tickets_handed_over"
 )
 
 // Stamp is a hybrid logical clock timestamp.
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -65,9 +65,12 @@
 func (t *target) recentlyUsed(now time.Time) bool { return now.Sub(t.lastUsed) < usageWindow }
 
 // countsForFloor reports whether the floor of this host includes the target: one in the
-// same region that has not failed for a time. Hosts in other regions maintain the floor
+// same region that has not failed for a time and does not ask for few requests. Hosts in other regions maintain the floor
 // there.
 func (t *target) countsForFloor(now time.Time, recovery time.Duration) bool {
+	if t.rate.Limited() && t.rate.Limit().Rate < minFloorRate {
+		return false
+	}
 	return t.distance != balance.OtherRegion && t.reachable(now) && !t.Unregistered && now.Sub(t.failedAt) >= recovery
 }
 
@@ -172,7 +175,7 @@
 	var best *target
 	var lowest float64
 	for _, t := range s.order {
-		if !unused(t) || !t.countsForFloor(now, recovery) || t.freeSlots(now) <= 0 || slices.Contains(r.tried, t.ID) {
+		if !unused(t) || !t.countsForFloor(now, recovery) || t.freeSlots(now) <= 0 || !t.allowsRate(now) || slices.Contains(r.tried, t.ID) {
 			continue
 		}
 		if rank := t.floorRank(now); best == nil || rank < lowest {
--- /dev/null
+++ b/internal/core/schedule/rate.go
@@ -0,0 +1,215 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
+)
+
+const (
+	// rateReports is the number of messages in which a change of a limit that this host
+	// heard of is told to the allocator, since datagrams may be lost.
+	rateReports = 3
+	// endedLimitLifetime is the time for which other hosts are told of the end of a
+	// limit.
+	endedLimitLifetime = 10 * time.Second
+	// minFloorRate is the rate in requests per second below which a limited target does
+	// not count for the floor: it is meant to get few requests.
+	minFloorRate = 2
+	// limitRefreshAfter is the age from which the next request tests whether a limit
+	// still holds, and limitRefreshBonus the cost reduction of its target. It is too
+	// small for a target that is believed to be failing.
+	limitRefreshAfter = 2 * time.Second
+	limitRefreshBonus = 0.1
+	// limitReportInterval is the time after which the allocator is told again that a
+	// limit still holds.
+	limitReportInterval = time.Second
+)
+
+// LimitReport is what a response states about the rate that its target accepts.
+type LimitReport struct {
+	Target    ident.TargetID
+	Statement ratelimit.Statement
+	// SentAt is the time at which the request was sent.
+	SentAt time.Time
+}
+
+// ReportLimit applies the statement of a response that arrived now.
+func (s *Scheduler) ReportLimit(now time.Time, r LimitReport) []dispatch.Action {
+	t := s.targets[r.Target]
+	if t == nil || !r.Statement.Heard {
+		return nil
+	}
+	if r.Statement.Malformed && !t.malformedRate {
+		s.record(event.RateStatementMalformed, t)
+	}
+	t.malformedRate = r.Statement.Malformed
+	if r.Statement.Malformed && !r.Statement.Limited {
+		return s.flush(now)
+	}
+	heard := ratelimit.Limit{Limited: r.Statement.Limited, Rate: r.Statement.Rate, SentAt: r.SentAt, HeardAt: now}
+	switch {
+	case s.mergeLimit(now, t, heard, "own request"):
+		t.rateReportsLeft = rateReports
+	case t.rate.Limit().Known() && now.Sub(t.rateReportedAt) > limitReportInterval:
+		t.rateReportsLeft = max(1, t.rateReportsLeft)
+	}
+	return s.flush(now)
+}
+
+// ObserveLimits applies limits that another host told of.
+func (s *Scheduler) ObserveLimits(now time.Time, entries []ratelimit.Entry) []dispatch.Action {
+	for _, e := range entries {
+		if t := s.targets[e.Target]; t != nil && t.StartUnixMilli == e.StartUnixMilli {
+			s.mergeLimit(now, t, e.Limit, "another host")
+		}
+	}
+	return s.flush(now)
+}
+
+// mergeLimit applies a limit and reports whether it changed the rate of the target.
+func (s *Scheduler) mergeLimit(now time.Time, t *target, l ratelimit.Limit, source string) bool {
+	if !t.rate.Merge(now, l) {
+		return false
+	}
+	if t.rate.Limited() {
+		s.record(event.RateLimitStated, t, event.F("rate", t.rate.Limit().Rate), event.F("source", source))
+	} else {
+		s.record(event.RateLimitEnded, t, event.F("source", source))
+	}
+	return true
+}
+
+// Limits returns what this host knows of the limits of its targets, including those that
+// ended within endedLimitLifetime.
+func (s *Scheduler) Limits(now time.Time) []ratelimit.Entry {
+	var list []ratelimit.Entry
+	for _, t := range s.order {
+		l := t.rate.Limit()
+		if l.Limited || (l.Known() && now.Sub(l.HeardAt) < endedLimitLifetime) {
+			list = append(list, t.rateEntry())
+		}
+	}
+	return list
+}
+
+func (t *target) rateEntry() ratelimit.Entry {
+	return ratelimit.Entry{Target: t.ID, StartUnixMilli: t.StartUnixMilli, Limit: t.rate.Limit()}
+}
+
+// HasLimitNews reports whether the allocator should be told of a limit at once.
+func (s *Scheduler) HasLimitNews() bool {
+	for _, t := range s.order {
+		if t.rateReportsLeft == rateReports {
+			return true
+		}
+	}
+	return false
+}
+
+// PermitWants returns the permits that this host can use, and the changes of limits that
+// it heard of, by the region of the target.
+func (s *Scheduler) PermitWants(now time.Time) map[ident.Region][]ratelimit.Want {
+	var wants map[ident.Region][]ratelimit.Want
+	for _, t := range s.order {
+		missing := t.rate.Missing(now)
+		if missing == 0 && len(s.waiting) > 0 && t.usable(now) && !t.allowsRate(now) {
+			missing = 1
+		}
+		if missing == 0 && t.rateReportsLeft == 0 {
+			continue
+		}
+		t.rateReportsLeft, t.rateReportedAt = max(0, t.rateReportsLeft-1), now
+		if wants == nil {
+			wants = map[ident.Region][]ratelimit.Want{}
+		}
+		region := t.Location.Region
+		wants[region] = append(wants[region], ratelimit.Want{Entry: t.rateEntry(), Permits: missing})
+	}
+	return wants
+}
+
+// GrantPermits applies the response of an allocator to a request that was sent at the
+// given time.
+func (s *Scheduler) GrantPermits(now, sentAt time.Time, granted []ratelimit.Granted) []dispatch.Action {
+	for _, g := range granted {
+		t := s.targets[g.Target]
+		if t == nil || t.StartUnixMilli != g.StartUnixMilli {
+			continue
+		}
+		s.mergeLimit(now, t, g.Limit, "allocator")
+		t.rate.Add(now, sentAt, g.Permits, g.Hosts)
+	}
+	return s.flush(now)
+}
+
+// allowsRate reports whether the rate of the target allows a request of this host now.
+func (t *target) allowsRate(now time.Time) bool { return t.rate.Allows(now) }
+
+// refreshBonus is the cost reduction of a target whose limit was not heard of lately.
+func (t *target) refreshBonus(now time.Time) float64 {
+	if l := t.rate.Limit(); l.Limited && now.Sub(l.HeardAt) > limitRefreshAfter {
+		return limitRefreshBonus
+	}
+	return 0
+}
+
+// countDenied counts the demand of a request for targets that only lack a permit: all of
+// them if no other target can take the request, otherwise the cheapest if it would have
+// been chosen. A request counts once.
+func (s *Scheduler) countDenied(now time.Time, r *request, denied []candidate, free candidate) {
+	if r.deniedCounted || len(denied) == 0 {
+		return
+	}
+	r.deniedCounted = true
+	if free.target == nil {
+		for _, c := range denied {
+			c.target.rate.AddDemand(now)
+		}
+		return
+	}
+	cheapest := denied[0]
+	for _, c := range denied[1:] {
+		if c.cost < cheapest.cost {
+			cheapest = c
+		}
+	}
+	if cheapest.cost <= free.cost {
+		cheapest.target.rate.AddDemand(now)
+	}
+}
+
+// permitRate returns the number of requests per second that this host can expect to send
+// if all usable targets have limits, and false if one of them has none.
+func (s *Scheduler) permitRate(now time.Time) (rate float64, limited bool) {
+	for _, t := range s.order {
+		if !t.usable(now) {
+			continue
+		}
+		if !t.rate.Limited() {
+			return 0, false
+		}
+		rate += t.rate.ExpectedRate(now)
+		limited = true
+	}
+	return rate, limited
+}
+
+// permitWait is the expected time until a request with others ahead of it gets a permit,
+// 0 if some usable target needs none.
+func (s *Scheduler) permitWait(now time.Time, ahead int) time.Duration {
+	rate, limited := s.permitRate(now)
+	if !limited {
+		return 0
+	}
+	if rate*maxPermitWait.Seconds() < float64(ahead+1) {
+		return maxPermitWait
+	}
+	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
+}
+
+// maxPermitWait bounds the time that permitWait returns.
+const maxPermitWait = time.Minute
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -30,6 +30,9 @@
 	// queue length.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// maxRateRetryAfter replaces maxRetryAfter when all targets state rates: the time
+	// until the next permit is then known.
+	maxRateRetryAfter = 10 * time.Second
 	// overdueFactor is the multiple of the mean response time after which an open
 	// attempt counts as a failure. Few responses take that long.
 	overdueFactor = 5
@@ -62,6 +65,8 @@
 	case len(s.order) == 0:
 		s.refuse(now, r, dispatch.NoTarget)
 	case s.queuePosition(r) == 0 && s.tryStart(now, r, 0):
+	case r.deadlineTooShort(now, s.permitWait(now, s.queuePosition(r))):
+		s.refuse(now, r, dispatch.RateLimited)
 	case r.deadlineTooShort(now, s.waitEstimate(now, r)):
 		s.refuse(now, r, dispatch.DeadlineTooShort)
 	case len(s.waiting) >= s.cfg.QueueLength:
@@ -83,7 +88,11 @@
 	s.recordOutcome(now, r, false)
 	delete(s.requests, r.ID)
 	wait := noTargetRetryAfter
-	if reason != dispatch.NoTarget {
+	switch reason {
+	case dispatch.NoTarget:
+	case dispatch.RateLimited:
+		wait = min(maxRateRetryAfter, max(minRetryAfter, s.permitWait(now, s.queuePosition(r))))
+	default:
 		wait = min(maxRetryAfter, max(minRetryAfter, s.waitEstimate(now, r)))
 	}
 	s.emit(dispatch.Refuse{Request: r.ID, Reason: reason, RetryAfter: wait})
@@ -136,6 +145,9 @@
 		case len(s.order) == 0:
 			s.dequeue(r)
 			s.endWaiting(now, r, dispatch.NoTarget)
+		case r.attempts == 0 && r.deadlineTooShort(now, s.permitWait(now, ahead)):
+			s.dequeue(r)
+			s.endWaiting(now, r, dispatch.RateLimited)
 		case s.tryStart(now, r, ahead):
 			s.dequeue(r)
 		default:
@@ -166,6 +178,9 @@
 		WaitTime:           now.Sub(r.arrived),
 		KeepsFloor:         r.forFloor && r.attempts == 0,
 	}
+	if l := t.rate.Limit(); l.Limited {
+		why.RateLimited, why.RateLimit, why.SinceRateLimit, why.Permits = true, l.Rate, now.Sub(l.HeardAt), t.rate.Permits(now)-1
+	}
 	s.lastID++
 	r.running = s.lastID
 	r.attempts++
@@ -174,6 +189,7 @@
 	t.started++
 	t.lastUsed = now
 	t.useIdleConnection(now)
+	t.rate.Use(now)
 	t.inFlightChanged = true
 	s.attempts[r.running] = &runningAttempt{id: r.running, request: r, target: t, started: now}
 	s.emit(dispatch.Start{Request: r.ID, Attempt: r.running, Target: t.ID, Timeout: r.Deadline.Sub(now), Selection: why})
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/gray"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/limit"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/retry"
 )
 
@@ -88,7 +89,15 @@
 	belief       gray.Belief
 	latencyRatio gray.LatencyRatio
 	limit        limit.Adaptive
-	otherLoad    balance.OtherLoad
+	// rate holds the limit that the target states and this host's permits for it.
+	// rateReportsLeft is the number of messages that still report it to the allocator,
+	// rateReportedAt the time of the latest one. malformedRate is set if the latest
+	// statement was malformed.
+	rate            ratelimit.Holder
+	rateReportsLeft int
+	rateReportedAt  time.Time
+	malformedRate   bool
+	otherLoad       balance.OtherLoad
 	// responded is set once the target has answered a request of any host.
 	responded bool
 	// affinity, 0 to 1, orders targets of equal cost differently on each host.
@@ -131,11 +140,13 @@
 	canceled       bool
 	// forFloor is set if the request was sent to its target to maintain the floor.
 	forFloor bool
-	queued   bool
-	arrived  time.Time
-	running  ident.AttemptID
-	last     ident.AttemptID
-	result   dispatch.Result
+	// deniedCounted is set once the request counted as demand for permits.
+	deniedCounted bool
+	queued        bool
+	arrived       time.Time
+	running       ident.AttemptID
+	last          ident.AttemptID
+	result        dispatch.Result
 }
 
 type runningAttempt struct {
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -69,6 +69,7 @@
 		c -= newTargetBonus
 	}
 	c -= s.usageBonus(now, r, t)
+	c -= t.refreshBonus(now)
 	if t.Unregistered {
 		c += unregisteredCost
 	}
@@ -118,7 +119,7 @@
 }
 
 // bestCandidates returns the cheapest target with a free slot and the cheapest one
-// without. Targets that the request has already tried are considered only if there
+// without, except those whose rate allows no request of this host now. Targets that the request has already tried are considered only if there
 // is no other.
 func (s *Scheduler) bestCandidates(now time.Time, r *request) (free, busy candidate) {
 	free, busy = s.scanTargets(now, r, true)
@@ -129,11 +130,16 @@
 }
 
 func (s *Scheduler) scanTargets(now time.Time, r *request, onlyUntried bool) (free, busy candidate) {
+	var denied []candidate
 	for _, t := range s.order {
 		if !t.usable(now) || (onlyUntried && slices.Contains(r.tried, t.ID)) {
 			continue
 		}
 		c := s.cost(now, r, t)
+		if !t.allowsRate(now) {
+			denied = append(denied, candidate{t, c})
+			continue
+		}
 		best := &busy
 		if t.freeSlots(now) > 0 {
 			best = &free
@@ -142,6 +148,7 @@
 			*best = candidate{t, c}
 		}
 	}
+	s.countDenied(now, r, denied, free)
 	return free, busy
 }
 
@@ -191,7 +198,7 @@
 	}
 	slots := 0
 	for _, t := range s.order {
-		if t.usable(now) && s.cost(now, r, t) <= busy.cost+loadCost {
+		if t.usable(now) && t.allowsRate(now) && s.cost(now, r, t) <= busy.cost+loadCost {
 			slots += t.Slots
 		}
 	}
@@ -210,7 +217,7 @@
 func (s *Scheduler) capacity(now time.Time) int {
 	sum := 0
 	for _, t := range s.order {
-		if t.usable(now) {
+		if t.usable(now) && t.allowsRate(now) {
 			sum += max(0, t.freeSlots(now)) + t.inFlight
 		}
 	}
--- a/internal/core/schedule/status.go
+++ b/internal/core/schedule/status.go
@@ -41,6 +41,12 @@
 		RetriesLeft: s.budget.Remaining(now),
 		Floor:       dispatch.FloorStatus{Active: s.floorEnforced, Healthy: s.healthyTargets, Used: s.usedTargets},
 	}
+	for _, t := range s.order {
+		if t.rate.Limited() {
+			status.Rates.Limited++
+			status.Rates.Permits += t.rate.Permits(now)
+		}
+	}
 	for _, cc := range s.cfg.Classes {
 		c := s.classes[cc.Name]
 		status.Classes = append(status.Classes, dispatch.ClassStatus{
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -10,6 +10,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/health"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/schedule"
 	"github.com/sapphirehaven/sapphirehaven/internal/recovery"
 )
@@ -199,6 +200,64 @@
 	s.handleEvent(func(now time.Time, d Decider) []dispatch.Action { return d.LoadReport(now, r) })
 }
 
+// ReportLimit reports what a response states about the rate that its target accepts. sent
+// is the time at which the request was sent.
+func (s *Service) ReportLimit(target ident.TargetID, statement ratelimit.Statement, sent time.Time) {
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
+		return d.ReportLimit(now, schedule.LimitReport{Target: target, Statement: statement, SentAt: sent})
+	})
+}
+
+// ObserveLimits applies limits that another host told of.
+func (s *Service) ObserveLimits(entries []ratelimit.Entry) {
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action { return d.ObserveLimits(now, entries) })
+}
+
+// GrantPermits applies the response of an allocator to a request that was sent at the given
+// time.
+func (s *Service) GrantPermits(sentAt time.Time, granted []ratelimit.Granted) {
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
+		return d.GrantPermits(now, sentAt, granted)
+	})
+}
+
+// Limits returns what this host knows of the limits of the service's targets.
+func (s *Service) Limits() []ratelimit.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.scheduler == nil {
+		return nil
+	}
+	return s.scheduler.Limits(monotonicNow())
+}
+
+// PermitWants returns the permits that this host can use, by the region of the target.
+func (s *Service) PermitWants() map[ident.Region][]ratelimit.Want {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.scheduler == nil {
+		return nil
+	}
+	return s.scheduler.PermitWants(monotonicNow())
+}
+
+// HasLimitNews reports whether an allocator should be told of a limit at once.
+func (s *Service) HasLimitNews() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler != nil && s.scheduler.HasLimitNews()
+}
+
+// schedule passes an event to the scheduler, if the service has one.
+func (s *Service) schedule(apply func(time.Time, *schedule.Scheduler) []dispatch.Action) {
+	s.handleEvent(func(now time.Time, _ Decider) []dispatch.Action {
+		if s.scheduler == nil {
+			return nil
+		}
+		return apply(now, s.scheduler)
+	})
+}
+
 // Evidence returns the health evidence for the other serving hosts.
 func (s *Service) Evidence() health.Evidence {
 	s.mu.Lock()
@@ -221,11 +280,8 @@
 
 // Observe applies the observations of another host.
 func (s *Service) Observe(from ident.HostID, observations schedule.Observations) {
-	s.handleEvent(func(now time.Time, _ Decider) []dispatch.Action {
-		if s.scheduler == nil {
-			return nil
-		}
-		return s.scheduler.Observe(now, from, observations)
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
+		return d.Observe(now, from, observations)
 	})
 }
 
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
 )
@@ -55,6 +56,10 @@
 	}
 }
 
+// MaxPermitEntries bounds the targets in one permit request or response, so that it fits
+// into a datagram.
+const MaxPermitEntries = 16
+
 // FleetHandler handles datagrams from other hosts.
 type FleetHandler interface {
 	Report(from Sender, r roster.Report)
@@ -64,6 +69,10 @@
 	// Confirmation handles the message of another host that it has read the store.
 	Confirmation(from Sender, s roster.State)
 	Observations(from Sender, o Observations)
+	// PermitRequest handles a request for permits for targets in this host's region.
+	PermitRequest(from Sender, r ratelimit.Request)
+	// PermitResponse handles a response to a permit request of this host.
+	PermitResponse(from Sender, r ratelimit.Response)
 }
 
 // RegistryDelta contains the parts of a host's registry replica that are newer than another host's.
