--- a/internal/core/ratelimit/allocator.go
+++ b/internal/core/ratelimit/allocator.go
@@ -101,10 +101,7 @@
 // accrue adds the permits of the time since the last call.
 func (t *allocation) accrue(now time.Time, share float64) {
 	rate := share * t.entry.Limit.EffectiveRate()
-	elapsed := now.Sub(t.accruedAt)
-	if elapsed < 0 || !t.entry.Limit.Limited {
-		elapsed = 0
-	}
+	elapsed := max(0, now.Sub(t.accruedAt))
 	t.accruedAt = now
 	t.permits = min(t.permits+rate*elapsed.Seconds(), max(1, rate*burstTime.Seconds()))
 }
