--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -54,6 +54,9 @@
 	Weight   float64 `json:"weight"`
 	InFlight int     `json:"in_flight"`
 	Score    float64 `json:"score"`
+	// RateLimit is the number of requests per second that the target states to accept
+	// from all hosts, nil if it states none.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
 }
 
 // Member is the state of a host as known to another host.
--- a/internal/app/gateway_rate_limit_test.go
+++ b/internal/app/gateway_rate_limit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -123,6 +124,19 @@
 	return res.StatusCode
 }
 
+// statusRates returns the rates of targets in a host's status.
+func statusRates(g *Gateway) map[string]float64 {
+	rates := map[string]float64{}
+	for _, s := range g.Status().Services {
+		for _, t := range s.Targets {
+			if t.RateLimit != nil {
+				rates[t.Name] = *t.RateLimit
+			}
+		}
+	}
+	return rates
+}
+
 // TestFleetKeepsStatedRate guards against hosts that together send a target more requests
 // than the rate that it states in its answers, while other targets could take them, and
 // against a single host that does so. The targets still have to get requests.
@@ -163,6 +177,11 @@
 		}
 		t.Logf("%v requests per second stated: %d in %v", rate, got, rateWindow)
 	}
+	for _, g := range fleet.gateways {
+		if got := statusRates(g); !maps.Equal(got, map[string]float64{"t0": rates[0], "t1": rates[1]}) {
+			t.Errorf("host %s reports the rates %v, stated are %v", g.settings.Host, got, rates)
+		}
+	}
 	for status, n := range statuses {
 		if status != http.StatusOK {
 			t.Errorf("%d requests got status %d while three targets without a limit have free slots", n, status)
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -45,13 +45,17 @@
 	service, targets := backend.Engine.Status()
 	svc.Queued = service.Waiting
 	for _, t := range targets {
-		svc.Targets = append(svc.Targets, adminapi.Target{
+		target := adminapi.Target{
 			Name:     string(t.Target),
 			State:    t.State.String(),
 			Weight:   t.Weight,
 			InFlight: t.InFlight,
 			Score:    t.Score,
-		})
+		}
+		if t.RateLimited {
+			target.RateLimit = &t.RateLimit
+		}
+		svc.Targets = append(svc.Targets, target)
 	}
 	return svc
 }
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -258,6 +258,10 @@
 	OtherLoad float64
 	// Paused is set while the target gets no attempts because it shed load.
 	Paused bool
+	// RateLimited is set if the target states a rate, and RateLimit is that rate in
+	// requests per second.
+	RateLimited bool
+	RateLimit   float64
 }
 
 // ClassStatus is the state of a request class.
--- a/internal/core/schedule/status.go
+++ b/internal/core/schedule/status.go
@@ -25,6 +25,9 @@
 			Limit:     t.freeSlots(s.now) + t.inFlight,
 			OtherLoad: t.otherLoad.Load(s.now),
 			Paused:    t.limit.Paused(s.now),
+
+			RateLimited: t.rate.Limited(),
+			RateLimit:   t.rate.Limit().Rate,
 		})
 	}
 	return list
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -90,7 +90,7 @@
 	}
 	for _, svc := range s.Services {
 		for _, t := range svc.Targets {
-			fmt.Fprintf(e.stdout, "  %-20s %-20s %-9s weight=%.2f in_flight=%d score=%.2f\n", svc.Name, t.Name, t.State, t.Weight, t.InFlight, t.Score)
+			fmt.Fprintf(e.stdout, "  %-20s %-20s %-9s weight=%.2f in_flight=%d score=%.2f%s\n", svc.Name, t.Name, t.State, t.Weight, t.InFlight, t.Score, rateLimitText(t))
 		}
 	}
 }
@@ -199,3 +199,11 @@
 	}
 	return ExitOK
 }
+
+// rateLimitText returns the rate that a target states, in requests per second.
+func rateLimitText(t adminapi.Target) string {
+	if t.RateLimit == nil {
+		return ""
+	}
+	return fmt.Sprintf(" rate_limit=%g", *t.RateLimit)
+}
--- a/internal/ctl/fleet_test.go
+++ b/internal/ctl/fleet_test.go
@@ -22,3 +22,17 @@
 		t.Fatalf("events of kind x: %v", filtered)
 	}
 }
+
+// TestRateLimitText guards against a status that shows a rate for a target without one, or
+// none for a target that states zero.
+func TestRateLimitText(t *testing.T) {
+	rate := func(perSecond float64) *float64 { return &perSecond }
+	for _, c := range []struct {
+		rate *float64
+		want string
+	}{{nil, ""}, {rate(0), " rate_limit=0"}, {rate(3.4), " rate_limit=3.4"}} {
+		if got := rateLimitText(adminapi.Target{RateLimit: c.rate}); got != c.want {
+			t.Errorf("%q, want %q", got, c.want)
+		}
+	}
+}
