--- a/internal/core/roster/order.go
+++ b/internal/core/roster/order.go
@@ -94,15 +94,18 @@
 	if r.coordinator == r.self.ID {
 		return true
 	}
-	rank := r.takeoverRank()
 	if !r.hasCoordinator() {
-		return now.Sub(r.startedAt) >= r.startWait(now)+r.takeoverWait(rank)
+		return now.Sub(r.startedAt) >= r.startWait(now)+r.takeoverWait(r.takeoverRank())
 	}
 	current := r.hosts[r.coordinator]
-	if rank == 0 && current != nil && (current.leaving || r.coordinatorIsolated) {
-		return true
+	mustReplace := current != nil && (current.leaving || r.coordinatorIsolated)
+	silence := now.Sub(r.lastBeaconAt) - r.cfg.FailureTimeout - r.cfg.TakeoverStep
+	if !mustReplace && silence < 0 {
+		// The rank is not needed, whose cost grows with the region.
+		return false
 	}
-	return now.Sub(r.lastBeaconAt) >= r.cfg.FailureTimeout+r.cfg.TakeoverStep+r.takeoverWait(rank)
+	rank := r.takeoverRank()
+	return (mustReplace && rank == 0) || silence >= r.takeoverWait(rank)
 }
 
 // startWait returns how long a starting host waits before it coordinates. If other
