schedule: queue by the rates of limited targets, not by permits in stock

While all targets of a service are limited, a host often has no permit in stock although the next one comes in milliseconds. The wait was then estimated as if one slot were left, and requests were refused: of 8 orders at 40 per second with 0.5 s of work and 2 s of time, the last five (TestQueueFollowsRates failed before). The capacity of a limited target is now the number of slots that its rate keeps in use. Without limits nothing changes. The loopback test also ends a rate on all hosts.

--- a/internal/app/gateway_rate_limit_test.go
+++ b/internal/app/gateway_rate_limit_test.go
@@ -139,7 +139,8 @@
 
 // TestFleetKeepsStatedRate guards against hosts that together send a target more requests
 // than the rate that it states in its answers, while other targets could take them, and
-// against a single host that does so. The targets still have to get requests.
+// against a single host that does so. The targets still have to get requests, and all hosts have to learn of the end
+// of a rate.
 func TestFleetKeepsStatedRate(t *testing.T) {
 	for _, hosts := range []int{1, 3} {
 		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
@@ -187,4 +188,11 @@
 			t.Errorf("%d requests got status %d while three targets without a limit have free slots", n, status)
 		}
 	}
+	rated[1].State("")
+	fleet.send(interval, rateSettleTime)
+	for _, g := range fleet.gateways {
+		if got := statusRates(g); !maps.Equal(got, map[string]float64{"t0": rates[0]}) {
+			t.Errorf("host %s reports the rates %v although t1 has stated none for %v", g.settings.Host, got, rateSettleTime)
+		}
+	}
 }
--- a/internal/core/ratelimit/exchange.go
+++ b/internal/core/ratelimit/exchange.go
@@ -8,7 +8,7 @@
 
 // rememberedMessages is the number of messages of this host to which responses are
 // accepted.
-const rememberedMessages = 64
+const rememberedMessages = 256
 
 // Request is the message in which a host asks for permits.
 type Request struct {
--- a/internal/core/schedule/rate_test.go
+++ b/internal/core/schedule/rate_test.go
@@ -161,3 +161,25 @@
 		t.Errorf("the limit of the earlier process holds: %+v", f.Limits(f.now))
 	}
 }
+
+// TestQueueFollowsRates guards against requests that are refused because no permit is in
+// stock at the moment, although the rates of the targets let them start soon.
+func TestQueueFollowsRates(t *testing.T) {
+	cfg := config(hostZone, hostZone)
+	for i := range cfg.Targets {
+		cfg.Targets[i].Slots = 20
+	}
+	f := newFixture(t, cfg)
+	for range 4 {
+		f.serveRequest("order", 500*time.Millisecond, answered)
+	}
+	for _, target := range []ident.TargetID{"t0", "t1"} {
+		f.stateRate(target, "20")
+		f.grant(target, 0)
+	}
+	for i := range 8 {
+		if end := f.ends[f.arrive("order")]; end != nil {
+			t.Errorf("request %d of 8 at 40 per second ended with %+v", i+1, end)
+		}
+	}
+}
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -118,7 +118,8 @@
 
 // waitEstimate is the expected queueing time of a new request.
 func (s *Scheduler) waitEstimate(now time.Time, r *request) time.Duration {
-	return limit.QueueWait(r.class.serviceTime.Mean(now), s.queuePosition(r), s.capacity(now))
+	mean := r.class.serviceTime.Mean(now)
+	return limit.QueueWait(mean, s.queuePosition(r), s.capacity(now, mean))
 }
 
 func (s *Scheduler) enqueue(r *request) {
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -213,13 +213,20 @@
 	return float64(wait) / float64(left)
 }
 
-// capacity is the number of slots that this host may use now.
-func (s *Scheduler) capacity(now time.Time) int {
-	sum := 0
+// capacity is the number of slots that this host may use now for requests of a mean
+// response time. Of a limited target it is the number that its rate keeps in use.
+func (s *Scheduler) capacity(now time.Time, mean time.Duration) int {
+	sum := 0.0
 	for _, t := range s.order {
-		if t.usable(now) && t.allowsRate(now) {
-			sum += max(0, t.freeSlots(now)) + t.inFlight
+		if !t.usable(now) {
+			continue
+		}
+		slots := float64(max(0, t.freeSlots(now)) + t.inFlight)
+		if t.rate.Limited() {
+			perSecond, _ := t.rate.ExpectedRate(now)
+			slots = min(slots, perSecond*mean.Seconds())
 		}
+		sum += slots
 	}
-	return sum
+	return int(math.Ceil(sum))
 }
--- a/internal/core/schedule/status.go
+++ b/internal/core/schedule/status.go
@@ -54,7 +54,7 @@
 		c := s.classes[cc.Name]
 		status.Classes = append(status.Classes, dispatch.ClassStatus{
 			Class:       cc.Name,
-			Capacity:    s.capacity(now),
+			Capacity:    s.capacity(now, c.serviceTime.Mean(now)),
 			ServiceTime: c.serviceTime.Mean(now),
 		})
 	}
