ratelimit: only hosts with demand share a rate

Hosts that told the allocator of a limit without asking for permits counted as well, so the others expected a smaller part and refused requests early (TestAllocatorCountsHostsWithDemand failed: 11 hosts instead of 1).

--- a/internal/core/ratelimit/allocator.go
+++ b/internal/core/ratelimit/allocator.go
@@ -47,7 +47,8 @@
 type pendingWant struct {
 	permits  int
 	sequence uint64
-	at       time.Time
+	// at is the time of the latest want for at least one permit, zero if there was none.
+	at time.Time
 }
 
 // NewAllocator returns an allocator without targets.
@@ -72,11 +73,14 @@
 			p = &pendingWant{}
 			t.wants[from] = p
 		}
-		p.permits, p.sequence, p.at = w.Permits, sequence, now
+		p.permits, p.sequence = w.Permits, sequence
+		if w.Permits > 0 {
+			p.at = now
+		}
 		granted := 0
 		if !t.othersWait(now, from) {
 			granted = min(p.permits, int(t.permits))
-			a.hand(t, from, granted)
+			a.give(t, from, granted)
 		}
 		out = append(out, Granted{Entry: t.entry, Permits: granted, Hosts: t.hosts(now)})
 	}
@@ -120,8 +124,8 @@
 	return p.permits > 0 && now.Sub(p.at) < wantLifetime
 }
 
-// hand hands out permits for a target to a host that waits for them.
-func (a *Allocator) hand(t *allocation, host ident.HostID, permits int) {
+// give gives permits for a target to a host that waits for them.
+func (a *Allocator) give(t *allocation, host ident.HostID, permits int) {
 	if permits <= 0 {
 		return
 	}
@@ -180,7 +184,7 @@
 		if host == "" {
 			break
 		}
-		a.hand(t, host, 1)
+		a.give(t, host, 1)
 		granted[host]++
 	}
 	return granted
--- a/internal/core/ratelimit/allocator_test.go
+++ b/internal/core/ratelimit/allocator_test.go
@@ -161,3 +161,15 @@
 		t.Error("a target whose limit ended needs permits")
 	}
 }
+
+// TestAllocatorCountsHostsWithDemand guards against hosts that only tell of a limit and
+// make the part of the others look smaller, so that these refuse requests.
+func TestAllocatorCountsHostsWithDemand(t *testing.T) {
+	a := NewAllocator()
+	for i := range 10 {
+		a.Want(epoch, 1, ident.HostID(fmt.Sprint("h", i)), 1, []Want{{Entry: limitedEntry(1, 0)}})
+	}
+	if got := a.Want(epoch, 1, "h", 1, []Want{{Entry: limitedEntry(1, 0), Permits: 1}}); got[0].Hosts != 1 {
+		t.Errorf("%d hosts share the rate, want 1", got[0].Hosts)
+	}
+}
