--- a/internal/core/ratelimit/fleet_rate_test.go
+++ b/internal/core/ratelimit/fleet_rate_test.go
@@ -8,7 +8,8 @@
 
 const (
 	// settleTime is the time after the first statement of a rate from which it must be
-	// kept, and rateWindow the length of the windows in which it is.
+	// kept, and rateWindow the length of the windows in which it is. faultAfter is the time
+	// after the statement at which a fault begins.
 	settleTime = 4 * time.Second
 	rateWindow = 4 * time.Second
 	faultAfter = 6 * time.Second
@@ -84,9 +85,9 @@
 			h.side = i + 1
 		}
 	}},
-	{"deaf coordinator", func(f *fleet) {
+	{"isolated coordinator", func(f *fleet) {
 		for _, h := range f.coordinators("r0") {
-			h.deaf = true
+			h.isolated = true
 		}
 	}},
 }
@@ -159,7 +160,7 @@
 			f.state(limited, "")
 			ended := f.now
 			f.run(ended + settleTime)
-			if n := f.believers(limited); n > 0 {
+			if n := f.hostsThatLimit(limited); n > 0 {
 				t.Errorf("%d hosts apply the limit %v after its end", n, settleTime)
 			}
 		})
--- a/internal/core/ratelimit/fleet_test.go
+++ b/internal/core/ratelimit/fleet_test.go
@@ -61,8 +61,8 @@
 	clockLag time.Duration
 	// side is the side of a partition; only hosts of the same side hear each other.
 	side int
-	// deaf is set while no message reaches the host.
-	deaf bool
+	// isolated is set while no message reaches the host.
+	isolated bool
 }
 
 // process is the state that a restart loses.
@@ -256,7 +256,7 @@
 // send delivers a datagram.
 func (f *fleet) send(from *host, address string, receive func(to *host)) {
 	to := f.byAddress[address]
-	if from.side != to.side || to.deaf || to.down || f.rng.Float64() < f.lossShare {
+	if from.side != to.side || to.isolated || to.down || f.rng.Float64() < f.lossShare {
 		return
 	}
 	delay := linkDelay
@@ -477,8 +477,8 @@
 // state changes what a target states from now on.
 func (f *fleet) state(t *target, value string) { t.stated, t.statedSince = value, f.now }
 
-// believers returns the number of hosts that take a target for limited.
-func (f *fleet) believers(t *target) int {
+// hostsThatLimit returns the number of hosts that take a target for limited.
+func (f *fleet) hostsThatLimit(t *target) int {
 	n := 0
 	for _, h := range f.hosts {
 		for _, e := range h.proc.scheduler.Limits(f.clock(h)) {
--- a/internal/core/ratelimit/statement_test.go
+++ b/internal/core/ratelimit/statement_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"strings"
 	"testing"
 )
@@ -38,3 +39,20 @@
 		t.Errorf("no header: %+v", got)
 	}
 }
+
+// FuzzParseStatement guards against a header value that crashes the host or becomes a rate
+// with which it cannot calculate.
+func FuzzParseStatement(f *testing.F) {
+	for _, value := range []string{"3.4", "0", "", "-1", "NaN", "1e400", "0x1p-2", "99999999999999999999", "1,2"} {
+		f.Add(value)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		s := ParseStatement([]string{value})
+		if s.Limited && (math.IsNaN(s.Rate) || s.Rate < 0 || s.Rate >= MaxRate) {
+			t.Errorf("%q: %+v", value, s)
+		}
+		if s.Limited && s.Malformed {
+			t.Errorf("%q is a rate and malformed", value)
+		}
+	})
+}
