schedule: use a permit that is in stock

With hundreds of hosts at 1/s a permit often expired unused: the host had asked for it when the target was the cheapest, and found a slightly cheaper one at its next request. A target for which the host has a permit now costs 0.05 less.

--- a/internal/core/schedule/rate.go
+++ b/internal/core/schedule/rate.go
@@ -24,6 +24,10 @@
 	// small for a target that is believed to be failing.
 	limitRefreshAfter = 2 * time.Second
 	limitRefreshBonus = 0.1
+	// permitBonus is the cost reduction of a target for which the host has a permit. The
+	// permit was asked for because the target was the cheapest; if a slightly cheaper one
+	// is used instead, it expires, and no other host can use it.
+	permitBonus = 0.05
 	// limitReportInterval is the time after which the allocator is told again that a
 	// limit still holds.
 	limitReportInterval = time.Second
@@ -140,12 +144,21 @@
 // allowsRate reports whether the rate of the target allows a request of this host now.
 func (t *target) allowsRate(now time.Time) bool { return t.rate.Allows(now) }
 
-// refreshBonus is the cost reduction of a target whose limit was not heard of lately.
-func (t *target) refreshBonus(now time.Time) float64 {
-	if l := t.rate.Limit(); l.Limited && now.Sub(l.HeardAt) > limitRefreshAfter {
-		return limitRefreshBonus
+// limitBonus is the cost reduction of a limited target for which the host has a permit, or
+// whose limit was not heard of lately.
+func (t *target) limitBonus(now time.Time) float64 {
+	l := t.rate.Limit()
+	if !l.Limited {
+		return 0
+	}
+	bonus := 0.0
+	if now.Sub(l.HeardAt) > limitRefreshAfter {
+		bonus += limitRefreshBonus
+	}
+	if t.allowsRate(now) {
+		bonus += permitBonus
 	}
-	return 0
+	return bonus
 }
 
 // countDenied counts the demand of a request for targets that only lack a permit: all of
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -69,7 +69,7 @@
 		c -= newTargetBonus
 	}
 	c -= s.usageBonus(now, r, t)
-	c -= t.refreshBonus(now)
+	c -= t.limitBonus(now)
 	if t.Unregistered {
 		c += unregisteredCost
 	}
