ratelimit: stop telling of a limit some time after its end

Each regular answer after the end of a limit counted as news of it, so beacons and messages to the allocator named it for as long as the target answered (TestEndedLimitIsForgotten failed). The end now keeps the time of the first answer without a rate. Permits are also kept in the order of their expiry when the rate changes.

--- a/internal/core/ratelimit/holder.go
+++ b/internal/core/ratelimit/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -133,6 +134,8 @@
 	for range min(permits, int(h.limit.EffectiveRate())+1) {
 		h.expiry = append(h.expiry, expiry)
 	}
+	// The lifetime changes with the rate.
+	slices.SortFunc(h.expiry, time.Time.Compare)
 }
 
 // Permits returns the number of permits in stock.
--- a/internal/core/ratelimit/limit.go
+++ b/internal/core/ratelimit/limit.go
@@ -21,8 +21,8 @@
 	Limited bool
 	Rate    float64
 	// SentAt is the time at which the request was sent whose response stated this, and
-	// HeardAt the time at which the response had arrived. Both are zero if nothing is
-	// known.
+	// HeardAt the time at which the response had arrived: of the latest response that
+	// stated the rate, or of the first one without. Both are zero if nothing is known.
 	SentAt, HeardAt time.Time
 }
 
@@ -40,11 +40,13 @@
 	switch {
 	case !o.Known() || (!l.Known() && !o.Limited):
 		return l
+	case l.Known() && l.sameAs(o):
+		if l.Limited {
+			l.SentAt, l.HeardAt = later(l.SentAt, o.SentAt), later(l.HeardAt, o.HeardAt)
+		}
+		return l
 	case !l.Known() || o.SentAt.After(l.HeardAt):
 		return o
-	case l.sameAs(o):
-		l.SentAt, l.HeardAt = later(l.SentAt, o.SentAt), later(l.HeardAt, o.HeardAt)
-		return l
 	case l.SentAt.After(o.HeardAt) || l.stricterThan(o):
 		return l
 	}
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -65,8 +65,8 @@
 func (t *target) recentlyUsed(now time.Time) bool { return now.Sub(t.lastUsed) < usageWindow }
 
 // countsForFloor reports whether the floor of this host includes the target: one in the
-// same region that has not failed for a time and does not ask for few requests. Hosts in other regions maintain the floor
-// there.
+// same region that has not failed for a time and does not ask for few requests. Hosts in
+// other regions maintain the floor there.
 func (t *target) countsForFloor(now time.Time, recovery time.Duration) bool {
 	if t.rate.Limited() && t.rate.Limit().Rate < minFloorRate {
 		return false
--- a/internal/core/schedule/rate.go
+++ b/internal/core/schedule/rate.go
@@ -58,7 +58,7 @@
 	switch {
 	case s.mergeLimit(t, heard, "own request"):
 		t.rateReportsLeft, s.limitNews = rateReports, true
-	case t.rate.Limit().Known() && now.Sub(t.rateReportedAt) > limitReportInterval:
+	case t.rate.Limited() && now.Sub(t.rateReportedAt) > limitReportInterval:
 		t.rateReportsLeft = max(1, t.rateReportsLeft)
 	}
 	return s.flush(now)
--- a/internal/core/schedule/rate_test.go
+++ b/internal/core/schedule/rate_test.go
@@ -183,3 +183,23 @@
 		}
 	}
 }
+
+// TestEndedLimitIsForgotten guards against messages about a limit that go on for as long
+// as its target answers requests after its end.
+func TestEndedLimitIsForgotten(t *testing.T) {
+	f := newFixture(t, config(hostZone))
+	f.stateRate("t0", "1")
+	f.endRate("t0")
+	ended := f.now
+	for f.now.Sub(ended) < endedLimitLifetime {
+		if len(f.Limits(f.now)) != 1 {
+			t.Fatalf("%v after its end the limit is no longer told to other hosts", f.now.Sub(ended))
+		}
+		f.PermitWants(f.now)
+		f.advance(time.Second)
+		f.endRate("t0")
+	}
+	if limits, wants := f.Limits(f.now), f.PermitWants(f.now); len(limits) > 0 || len(wants) > 0 {
+		t.Errorf("%v after its end other hosts are told %+v, the allocator %+v", f.now.Sub(ended), limits, wants)
+	}
+}
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -119,8 +119,8 @@
 }
 
 // bestCandidates returns the cheapest target with a free slot and the cheapest one
-// without, except those whose rate allows no request of this host now. Targets that the request has already tried are considered only if there
-// is no other.
+// without, except those whose rate allows no request of this host now. Targets that the
+// request has already tried are considered only if there is no other.
 func (s *Scheduler) bestCandidates(now time.Time, r *request) (free, busy candidate) {
 	free, busy = s.scanTargets(now, r, true)
 	if free.target == nil && busy.target == nil && len(r.tried) > 0 {
