ratelimit: a test of services whose targets take more than arrives

Guards against permits that expire on one host while requests wait on others. Asking only for as many permits as requests wait was tried (trial) and gained nothing.

--- a/internal/core/ratelimit/fleet_rate_test.go
+++ b/internal/core/ratelimit/fleet_rate_test.go
@@ -226,3 +226,29 @@
 		t.Logf("%d hosts: %d sent, %d refused", hosts, total, f.refused-refused)
 	}
 }
+
+// TestFleetServesBelowRates guards against permits that expire unused on one host while
+// requests wait on others: all targets of a service are limited, and fewer requests arrive
+// than the targets take.
+func TestFleetServesBelowRates(t *testing.T) {
+	for _, hosts := range []int{4, 36} {
+		const targets, rate, load = 10, 5.0, 0.8
+		f := newFleet(6, hosts, targets, load*rate*targets/float64(hosts))
+		f.run(3 * time.Second)
+		for _, limited := range f.targets {
+			f.state(limited, fmt.Sprint(rate))
+		}
+		f.run(f.now + 6*time.Second)
+		from, refused := f.now, f.refused
+		f.run(from + 20*time.Second)
+		sent := 0
+		for _, limited := range f.targets {
+			sent += limited.arrived(from, f.now)
+		}
+		refused = f.refused - refused
+		if share := float64(refused) / float64(sent+refused); share > 0.05 {
+			t.Errorf("%d hosts: %d requests sent in 20s and %d refused", hosts, sent, refused)
+		}
+		t.Logf("%d hosts: %d sent, %d refused", hosts, sent, refused)
+	}
+}
