app: log the callers' connections by state when a host stops

The host now logs new, idle and active connections at both moments, and host_stopped has the requests that were cut (in_flight). TestStopUnderLoad and TestGatewayStopsGracefully pass.

--- a/internal/app/gateway_callers.go
+++ b/internal/app/gateway_callers.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
@@ -29,10 +31,11 @@
 
 	mu         sync.Mutex
 	idleTimers map[net.Conn]*time.Timer
+	states     map[net.Conn]http.ConnState
 }
 
 func newCallerServer(handler *ingress.Server) *callerServer {
-	c := &callerServer{idleTimers: map[net.Conn]*time.Timer{}}
+	c := &callerServer{idleTimers: map[net.Conn]*time.Timer{}, states: map[net.Conn]http.ConnState{}}
 	c.idleTimeout.Store(int64(gatewayIdleTimeout))
 	c.http = &http.Server{
 		Handler:           handler,
@@ -57,6 +60,10 @@
 func (c *callerServer) trackIdle(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.states[conn] = state
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.states, conn)
+	}
 	if t := c.idleTimers[conn]; t != nil {
 		t.Stop()
 		delete(c.idleTimers, conn)
@@ -66,6 +73,17 @@
 	}
 }
 
+// openConnections returns the number of open connections by their state.
+func (c *callerServer) openConnections() map[http.ConnState]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open := map[http.ConnState]int{}
+	for _, state := range c.states {
+		open[state]++
+	}
+	return open
+}
+
 // Parameters of a graceful stop.
 const (
 	// forcedCloseMargin is the time before the end of the grace period at which a stopping host
@@ -96,11 +114,24 @@
 			requests, lastActivity = n, time.Now()
 		}
 	}
+	g.logConnections().WithFields(logrus.Fields{"after": time.Since(started).Round(time.Millisecond), "requests": requests}).Info("no longer accepting connections from callers")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := g.callers.http.Shutdown(ctx); err != nil {
-		g.log.WithField("in_flight", g.ingress.InFlight()).Warn("drain deadline reached; closing connections with requests in flight")
+		g.logConnections().Warn("drain deadline reached; closing the remaining connections")
 		_ = g.callers.http.Close()
 	}
-	g.timeline.Record(event.HostStopped, event.F("drained_in", time.Since(started).Round(time.Millisecond)))
+	g.timeline.Record(event.HostStopped, event.F("in_flight", g.ingress.InFlight()), event.F("drained_in", time.Since(started).Round(time.Millisecond)))
+}
+
+// logConnections returns a logger with the requests in flight and the callers' connections by state:
+// without any request yet, idle between two requests, or with a request that is read or served.
+func (g *Gateway) logConnections() logrus.FieldLogger {
+	open := g.callers.openConnections()
+	return g.log.WithFields(logrus.Fields{
+		"in_flight": g.ingress.InFlight(),
+		"new":       open[http.StateNew],
+		"idle":      open[http.StateIdle],
+		"active":    open[http.StateActive],
+	})
 }
