sapphirehaven: own the signals of the process from start to end

What callers saw: all requests in flight on a host ended at once without a response when the host got SIGHUP while it stopped after SIGTERM.

Cause: the handler of SIGHUP called signal.Stop as soon as SIGTERM had canceled its context, which gave the signal its default action back, and that ends the process. Nothing is logged then, and there is no host_stopped. The handler was also set only in a goroutine at the end of the start, so a SIGHUP or SIGTERM before that ended the process too, and the mode with a log service had no handler of SIGHUP at all.

Ruled out, by the same test on the code before: a repeated SIGTERM, SIGINT after SIGTERM (both were received and dropped) and SIGUSR1/2 (the Go runtime ignores them) lost nothing. They were not logged; now they are.

Why this works: one owner registers SIGINT, SIGTERM and SIGHUP as the first step of main and never gives them back. Signals that arrive before the logger exists wait in its channel. A repeated SIGTERM is logged and changes nothing, a SIGHUP while starting or stopping likewise. SIGQUIT keeps its default action, which operators use for a dump of all goroutines.

What remains: a signal before main runs (package initialization) has its default action. The host has no connections then.

--- a/cmd/sapphirehaven/main.go
+++ b/cmd/sapphirehaven/main.go
@@ -2,12 +2,9 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -21,6 +18,7 @@
 )
 
 func main() {
+	signals := receiveSignals()
 	settings, err := app.ParseSettings(os.Args[1:], os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return
@@ -33,29 +31,24 @@
 	if settings.ConfigPath != "" {
 		run = runOnPlatform
 	}
-	if err := run(settings); err != nil {
+	if err := run(settings, signals); err != nil {
 		fmt.Fprintln(os.Stderr, "sapphirehaven:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-// shutdownContext returns a context that is canceled on SIGINT or SIGTERM.
-func shutdownContext() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-}
-
 // runWithLogService runs a host that uses the append-only log service, the host
 // list, and documents proposed by operators.
-func runWithLogService(settings app.Settings) error {
+func runWithLogService(settings app.Settings, signals *signals) error {
 	log, err := app.NewLogger(os.Stderr, settings.LogLevel, settings.HostID)
 	if err != nil {
 		return err
 	}
-	ctx, stop := shutdownContext()
-	defer stop()
+	ctx := signals.handle(log)
 	host, err := app.New(settings, log)
 	if err != nil {
 		return err
 	}
+	signals.serving.Store(true)
 	return host.Run(ctx)
 }
--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -5,9 +5,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,7 +31,7 @@
 
 // runOnPlatform runs a host that takes configuration and targets from the
 // platform's store.
-func runOnPlatform(settings app.Settings) error {
+func runOnPlatform(settings app.Settings, signals *signals) error {
 	platformSettings, err := platform.LoadSettings(settings.ConfigPath)
 	if err != nil {
 		return errors.Wrap(err, "-config")
@@ -45,7 +43,7 @@
 	if platformSettings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(platformSettings.MemoryBytes)))
 	}
-	ctx, stop := shutdownContext()
+	ctx, stop := context.WithCancel(signals.handle(log))
 	defer stop()
 	gateway, err := app.NewGateway(gatewaySettings(platformSettings), platform.NewStore(platformSettings, log), log)
 	if err != nil {
@@ -65,7 +63,8 @@
 			}
 		}()
 	}
-	go checkSettingsOnSIGHUP(ctx, settings.ConfigPath, platformSettings, log)
+	go checkSettings(ctx, signals.hangups, settings.ConfigPath, platformSettings, log)
+	signals.serving.Store(true)
 	return gateway.Run(ctx)
 }
 
@@ -89,16 +88,13 @@
 	}
 }
 
-// checkSettingsOnSIGHUP reads the settings file again on SIGHUP and logs the result.
-// It does not change the settings of the running host: seeds are used only at the
-// start, and addresses cannot change.
-func checkSettingsOnSIGHUP(ctx context.Context, path string, initial platform.Settings, log logrus.FieldLogger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// checkSettings reads the settings file again on each hangup and logs the result. It does not
+// change the settings of the running host: seeds are used only at the start, and addresses cannot
+// change.
+func checkSettings(ctx context.Context, hangups <-chan struct{}, path string, initial platform.Settings, log logrus.FieldLogger) {
 	for {
 		select {
-		case <-signals:
+		case <-hangups:
 		case <-ctx.Done():
 			return
 		}
