app: one owner for the end of connections of all HTTP servers

Looked for elsewhere, after the loss of requests whose connection was closed as idle: the host with a log service closed callers' connections through net/http as well, and both hosts cut requests to the admin API and to the readiness and resolution addresses when they ended. All of them use package httpserver now, and the log of both hosts tells the open connections at a forced close.

TestStopUnderLoad gets a class whose timeout is half of the grace period.

--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/httpserver"
 	"github.com/sapphirehaven/sapphirehaven/internal/app"
 	"github.com/sapphirehaven/sapphirehaven/platform"
 )
@@ -19,6 +20,10 @@
 // resolution addresses.
 const headerTimeout = 5 * time.Second
 
+// resolutionStopTimeout limits how long a stopped host waits for requests to the readiness
+// and resolution addresses.
+const resolutionStopTimeout = 50 * time.Millisecond
+
 // addressMaxAge is how long callers may cache an address response. It is short, so
 // that callers soon stop using a host that is gone.
 const addressMaxAge = time.Second
@@ -49,8 +54,8 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: platform.NewHandler(gateway), ReadHeaderTimeout: headerTimeout}
-	defer server.Close()
+	server := httpserver.New(httpserver.Config{Handler: platform.NewHandler(gateway), ReadHeaderTimeout: headerTimeout})
+	defer server.Stop(resolutionStopTimeout)
 	for _, address := range []string{platformSettings.ReadyAddress, platformSettings.ResolveAddress} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -145,6 +145,15 @@
 	}
 }
 
+// Stop is Shutdown with a timeout, after which all connections are closed.
+func (s *Server) Stop(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
 // Close closes all listeners and connections at once, whatever requests they have.
 func (s *Server) Close() error {
 	s.mu.Lock()
--- a/internal/adapter/httpserver/server_test.go
+++ b/internal/adapter/httpserver/server_test.go
@@ -189,9 +189,7 @@
 	if err := s.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("Shutdown returned %v", err)
 	}
-	if err := s.Close(); err != nil {
-		t.Error(err)
-	}
+	s.Stop(50 * time.Millisecond)
 	if _, err := br.ReadByte(); err == nil {
 		t.Error("the connection is still open")
 	}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -212,11 +212,11 @@
 type gatewayListeners struct {
 	gateway                                     *Gateway
 	callerListener, peerListener, adminListener net.Listener
-	adminServer                                 *http.Server
+	adminServer                                 *httpserver.Server
 }
 
 func (g *Gateway) listen() (*gatewayListeners, error) {
-	l := &gatewayListeners{gateway: g, adminServer: &http.Server{Handler: g.admin, ReadHeaderTimeout: readHeaderTimeout}}
+	l := &gatewayListeners{gateway: g, adminServer: newAdminServer(g.admin)}
 	for _, open := range []struct {
 		name, address string
 		target        *net.Listener
@@ -231,13 +231,10 @@
 	return l, nil
 }
 
-// httpListener is an HTTP server that accepts connections.
-type httpListener interface{ Serve(net.Listener) error }
-
 // serve starts the servers and returns a channel that receives their failures.
 func (l *gatewayListeners) serve() <-chan error {
 	failed := make(chan error, 2)
-	serve := func(server httpListener, listener net.Listener) {
+	serve := func(server *httpserver.Server, listener net.Listener) {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
@@ -253,7 +250,7 @@
 	}
 }
 
-func (l *gatewayListeners) close() { _ = l.adminServer.Close() }
+func (l *gatewayListeners) close() { l.adminServer.Stop(adminStopTimeout) }
 
 // Ready reports whether the host can serve callers.
 func (g *Gateway) Ready() bool { return !g.draining.Load() && g.ingress.ActiveConfig() != nil }
--- a/internal/app/gateway_callers.go
+++ b/internal/app/gateway_callers.go
@@ -70,11 +70,11 @@
 	g.announceLeaving()
 	g.timeline.Record(event.HostDraining, event.F("in_flight", g.ingress.InFlight()))
 	reason := g.awaitCallersLeaving(started)
-	g.logConnections().WithFields(logrus.Fields{"reason": reason, "after": time.Since(started).Round(time.Millisecond)}).Info("no longer accepting connections from callers")
+	logConnections(g.log, g.callers, g.ingress).WithFields(logrus.Fields{"reason": reason, "after": time.Since(started).Round(time.Millisecond)}).Info("no longer accepting connections from callers")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := g.callers.Shutdown(ctx); err != nil {
-		g.logConnections().WithError(err).Warn("drain deadline reached; closing the remaining connections")
+		logConnections(g.log, g.callers, g.ingress).WithError(err).Warn("drain deadline reached; closing the remaining connections")
 		_ = g.callers.Close()
 	}
 	g.timeline.Record(event.HostStopped, event.F("in_flight", g.ingress.InFlight()), event.F("drained_in", time.Since(started).Round(time.Millisecond)))
@@ -99,10 +99,10 @@
 
 // logConnections returns a logger with the requests in flight and the callers' connections by what they
 // are used for.
-func (g *Gateway) logConnections() logrus.FieldLogger {
-	open := g.callers.Connections()
-	return g.log.WithFields(logrus.Fields{
-		"in_flight": g.ingress.InFlight(),
+func logConnections(log logrus.FieldLogger, callers *httpserver.Server, server *ingress.Server) logrus.FieldLogger {
+	open := callers.Connections()
+	return log.WithFields(logrus.Fields{
+		"in_flight": server.InFlight(),
 		"new":       open.New,
 		"idle":      open.Idle,
 		"reading":   open.Reading,
--- a/internal/app/gateway_stop_test.go
+++ b/internal/app/gateway_stop_test.go
@@ -11,13 +11,18 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
 )
 
 // TestStopUnderLoad guards against requests that a stopping host has read but does not answer
 // completely, including requests on connections that it has just accepted. Callers keep using the host
 // over new and open connections while it stops.
 func TestStopUnderLoad(t *testing.T) {
-	g, stop := runGateway(t, func(w http.ResponseWriter, r *http.Request) {
+	// With this timeout the host serves for half of the grace period.
+	const timeout = 3 * time.Second
+	class := document.Class{Deadline: document.Duration(timeout), Timeout: document.Duration(timeout)}
+	g, stop := runGatewayFor(t, gatewayConfigurationFor(class), 4, func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(5 * time.Millisecond)
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		_, _ = io.WriteString(w, "done")
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/httpserver"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/peer"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 )
@@ -16,6 +17,8 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
+	// adminStopTimeout limits how long a stopping host waits for requests to its admin API.
+	adminStopTimeout = 100 * time.Millisecond
 	// departurePropagationTime is the time until all hosts omit a departing host from their address
 	// responses. Callers cache the last response that contains it for AddressMaxAge.
 	departurePropagationTime = 3 * time.Second
@@ -23,7 +26,7 @@
 
 // listeners holds the listeners and HTTP servers of a host.
 type listeners struct {
-	caller, admin                 *http.Server
+	caller, admin                 *httpserver.Server
 	callerListener, adminListener net.Listener
 	peerListener                  net.Listener
 	host                          *Host
@@ -32,8 +35,8 @@
 func (h *Host) listen() (*listeners, error) {
 	l := &listeners{
 		host:   h,
-		caller: &http.Server{Handler: h.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: h.settings.MaxHeaderBytes, ConnState: h.ingress.ConnState},
-		admin:  &http.Server{Handler: h.admin, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout},
+		caller: httpserver.New(httpserver.Config{Handler: h.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: h.settings.MaxHeaderBytes, ConnState: h.ingress.ConnState}),
+		admin:  newAdminServer(h.admin),
 	}
 	var err error
 	if l.callerListener, err = net.Listen("tcp", h.settings.CallerListen); err != nil {
@@ -51,11 +54,16 @@
 	return l, nil
 }
 
+// newAdminServer returns the server of the admin API.
+func newAdminServer(handler http.Handler) *httpserver.Server {
+	return httpserver.New(httpserver.Config{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})
+}
+
 // serve starts the servers and returns a channel that receives their failures.
 func (l *listeners) serve() <-chan error {
 	failed := make(chan error, 2)
 	for _, s := range []struct {
-		server   *http.Server
+		server   *httpserver.Server
 		listener net.Listener
 	}{{l.caller, l.callerListener}, {l.admin, l.adminListener}} {
 		go func() {
@@ -94,13 +102,13 @@
 		h.tickets.handOver(ctx)
 	}()
 	if err := l.caller.Shutdown(ctx); err != nil {
-		h.log.WithField("in_flight", h.ingress.InFlight()).Warn("drain limit reached; closing connections with requests in flight")
+		logConnections(h.log, l.caller, h.ingress).WithError(err).Warn("drain limit reached; closing the remaining connections")
 		_ = l.caller.Close()
 	}
 	<-handedOver
 	h.tickets.sendUpdates(ctx)
 	h.timeline.Record(event.HostStopped, event.F("drained_in", time.Since(started).Round(time.Millisecond)))
 	h.membership.announceStopped()
-	_ = l.admin.Close()
+	l.admin.Stop(adminStopTimeout)
 	h.membership.datagrams.Close()
 }
