--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -5,14 +5,13 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/httpserver"
 	"github.com/sapphirehaven/sapphirehaven/internal/app"
 	"github.com/sapphirehaven/sapphirehaven/platform"
 )
@@ -21,6 +20,10 @@
 // resolution addresses.
 const headerTimeout = 5 * time.Second
 
+// resolutionStopTimeout limits how long a stopped host waits for requests to the readiness
+// and resolution addresses.
+const resolutionStopTimeout = 50 * time.Millisecond
+
 // addressMaxAge is how long callers may cache an address response. It is short, so
 // that callers soon stop using a host that is gone.
 const addressMaxAge = time.Second
@@ -33,7 +36,7 @@
 
 // runOnPlatform runs a host that takes configuration and targets from the
 // platform's store.
-func runOnPlatform(settings app.Settings) error {
+func runOnPlatform(settings app.Settings, signals *signals) error {
 	platformSettings, err := platform.LoadSettings(settings.ConfigPath)
 	if err != nil {
 		return errors.Wrap(err, "-config")
@@ -45,14 +48,14 @@
 	if platformSettings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(platformSettings.MemoryBytes)))
 	}
-	ctx, stop := shutdownContext()
+	ctx, stop := context.WithCancel(signals.handle(log))
 	defer stop()
 	gateway, err := app.NewGateway(gatewaySettings(platformSettings), platform.NewStore(platformSettings, log), log)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: platform.NewHandler(gateway), ReadHeaderTimeout: headerTimeout}
-	defer server.Close()
+	server := httpserver.New(httpserver.Config{Handler: platform.NewHandler(gateway), ReadHeaderTimeout: headerTimeout})
+	defer server.Stop(resolutionStopTimeout)
 	for _, address := range []string{platformSettings.ReadyAddress, platformSettings.ResolveAddress} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
@@ -65,7 +68,8 @@
 			}
 		}()
 	}
-	go checkSettingsOnSIGHUP(ctx, settings.ConfigPath, platformSettings, log)
+	go checkSettings(ctx, signals.hangups, settings.ConfigPath, platformSettings, log)
+	signals.serving.Store(true)
 	return gateway.Run(ctx)
 }
 
@@ -89,16 +93,13 @@
 	}
 }
 
-// checkSettingsOnSIGHUP reads the settings file again on SIGHUP and logs the result.
-// It does not change the settings of the running host: seeds are used only at the
-// start, and addresses cannot change.
-func checkSettingsOnSIGHUP(ctx context.Context, path string, initial platform.Settings, log logrus.FieldLogger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// checkSettings reads the settings file again on each hangup and logs the result. It does not
+// change the settings of the running host: seeds are used only at the start, and addresses cannot
+// change.
+func checkSettings(ctx context.Context, hangups <-chan struct{}, path string, initial platform.Settings, log logrus.FieldLogger) {
 	for {
 		select {
-		case <-signals:
+		case <-hangups:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/admin"
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/httpserver"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/peer"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
@@ -70,7 +71,7 @@
 	ingress        *ingress.Server
 	requests       *requestlog.Log
 	admin          *admin.Server
-	callers        *callerServer
+	callers        *httpserver.Server
 	compiledRoutes compiledRoutes
 	// generation and retryAllowance are those of the active configuration.
 	generation     uint64
@@ -211,11 +212,11 @@
 type gatewayListeners struct {
 	gateway                                     *Gateway
 	callerListener, peerListener, adminListener net.Listener
-	adminServer                                 *http.Server
+	adminServer                                 *httpserver.Server
 }
 
 func (g *Gateway) listen() (*gatewayListeners, error) {
-	l := &gatewayListeners{gateway: g, adminServer: &http.Server{Handler: g.admin, ReadHeaderTimeout: readHeaderTimeout}}
+	l := &gatewayListeners{gateway: g, adminServer: newAdminServer(g.admin)}
 	for _, open := range []struct {
 		name, address string
 		target        *net.Listener
@@ -233,12 +234,12 @@
 // serve starts the servers and returns a channel that receives their failures.
 func (l *gatewayListeners) serve() <-chan error {
 	failed := make(chan error, 2)
-	serve := func(server *http.Server, listener net.Listener) {
+	serve := func(server *httpserver.Server, listener net.Listener) {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	}
-	go serve(l.gateway.callers.http, l.callerListener)
+	go serve(l.gateway.callers, l.callerListener)
 	go serve(l.adminServer, l.adminListener)
 	return failed
 }
@@ -249,7 +250,7 @@
 	}
 }
 
-func (l *gatewayListeners) close() { _ = l.adminServer.Close() }
+func (l *gatewayListeners) close() { l.adminServer.Stop(adminStopTimeout) }
 
 // Ready reports whether the host can serve callers.
 func (g *Gateway) Ready() bool { return !g.draining.Load() && g.ingress.ActiveConfig() != nil }
--- a/internal/app/gateway_callers.go
+++ b/internal/app/gateway_callers.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/httpserver"
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/ingress"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
@@ -21,48 +20,21 @@
 	gatewayIdleTimeout   = time.Minute
 )
 
-// callerServer serves the connections from callers. A change of the idle timeout in the configuration
-// also applies to open connections, from the next time they become idle.
-type callerServer struct {
-	http        *http.Server
-	idleTimeout atomic.Int64
-
-	mu         sync.Mutex
-	idleTimers map[net.Conn]*time.Timer
-}
-
-func newCallerServer(handler *ingress.Server) *callerServer {
-	c := &callerServer{idleTimers: map[net.Conn]*time.Timer{}}
-	c.idleTimeout.Store(int64(gatewayIdleTimeout))
-	c.http = &http.Server{
+func newCallerServer(handler *ingress.Server) *httpserver.Server {
+	return httpserver.New(httpserver.Config{
 		Handler:           handler,
 		ReadHeaderTimeout: gatewayHeaderTimeout,
 		MaxHeaderBytes:    gatewayHeaderBytes,
-		ConnState: func(conn net.Conn, state http.ConnState) {
-			handler.ConnState(conn, state)
-			c.trackIdle(conn, state)
-		},
-	}
-	return c
+		IdleTimeout:       gatewayIdleTimeout,
+		ConnState:         handler.ConnState,
+	})
 }
 
-// applyLimits applies the idle timeout of a configuration, if it sets one.
-func (c *callerServer) applyLimits(l registry.CallerLimits) {
+// applyCallerLimits applies the idle timeout of a configuration, if it sets one. Open connections get it
+// when they next become idle.
+func (g *Gateway) applyCallerLimits(l registry.CallerLimits) {
 	if l.IdleTimeout > 0 {
-		c.idleTimeout.Store(int64(l.IdleTimeout))
-	}
-}
-
-// trackIdle closes a connection that stays idle for longer than the idle timeout.
-func (c *callerServer) trackIdle(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t := c.idleTimers[conn]; t != nil {
-		t.Stop()
-		delete(c.idleTimers, conn)
-	}
-	if state == http.StateIdle {
-		c.idleTimers[conn] = time.AfterFunc(time.Duration(c.idleTimeout.Load()), func() { _ = conn.Close() })
+		g.callers.SetIdleTimeout(l.IdleTimeout)
 	}
 }
 
@@ -71,36 +43,69 @@
 	// forcedCloseMargin is the time before the end of the grace period at which a stopping host
 	// closes the remaining connections.
 	forcedCloseMargin = 400 * time.Millisecond
-	// drainIdleTime is the time without requests, on top of AddressMaxAge, after which a stopping
-	// host no longer accepts them.
-	drainIdleTime = 1200 * time.Millisecond
+	// responseMargin is the time before the forced close by which all requests should be answered.
+	responseMargin = 100 * time.Millisecond
+	// quietTime is the time without requests, on top of AddressMaxAge, after which a stopping host no
+	// longer accepts connections.
+	quietTime = 1200 * time.Millisecond
 	// drainPollInterval is the time between two checks for requests while a host stops.
 	drainPollInterval = 50 * time.Millisecond
 )
 
-// shutDown stops the host gracefully. The host withdraws from address responses, serves until requests
-// from callers cease, then closes idle connections and waits for requests in flight. All of this ends
-// forcedCloseMargin before the end of the grace period.
+// Reasons for which a stopping host no longer accepts connections.
+const (
+	callersGone    = "no requests"
+	nothingToAdmit = "no request could be answered in time"
+)
+
+// shutDown stops the host gracefully. The host withdraws from address responses and serves the requests
+// that it can answer in time. When callers have left, or nothing can be answered in time any more, it
+// stops accepting connections and waits for the requests in flight. All of this ends forcedCloseMargin
+// before the end of the grace period.
 func (g *Gateway) shutDown() {
 	started := time.Now()
 	deadline := started.Add(g.settings.GracePeriod - forcedCloseMargin)
 	g.draining.Store(true)
-	g.ingress.Drain()
+	g.ingress.Drain(deadline.Add(-responseMargin))
 	g.announceLeaving()
 	g.timeline.Record(event.HostDraining, event.F("in_flight", g.ingress.InFlight()))
+	reason := g.awaitCallersLeaving(started)
+	logConnections(g.log, g.callers, g.ingress).WithFields(logrus.Fields{"reason": reason, "after": time.Since(started).Round(time.Millisecond)}).Info("no longer accepting connections from callers")
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := g.callers.Shutdown(ctx); err != nil {
+		logConnections(g.log, g.callers, g.ingress).WithError(err).Warn("drain deadline reached; closing the remaining connections")
+		_ = g.callers.Close()
+	}
+	g.timeline.Record(event.HostStopped, event.F("in_flight", g.ingress.InFlight()), event.F("drained_in", time.Since(started).Round(time.Millisecond)))
+}
+
+// awaitCallersLeaving waits until callers send no more requests or none could be answered in time, and
+// returns which of the two it is.
+func (g *Gateway) awaitCallersLeaving(started time.Time) (reason string) {
 	lastActivity := started
 	requests := g.ingress.TotalRequests()
-	for time.Now().Before(deadline.Add(-drainIdleTime)) && time.Since(lastActivity) < drainIdleTime+g.settings.AddressMaxAge {
+	for g.ingress.AdmitsRequests(time.Now()) {
+		if time.Since(lastActivity) >= quietTime+g.settings.AddressMaxAge {
+			return callersGone
+		}
 		time.Sleep(drainPollInterval)
 		if n := g.ingress.TotalRequests(); n != requests || g.ingress.InFlight() > 0 {
 			requests, lastActivity = n, time.Now()
 		}
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := g.callers.http.Shutdown(ctx); err != nil {
-		g.log.WithField("in_flight", g.ingress.InFlight()).Warn("drain deadline reached; closing connections with requests in flight")
-		_ = g.callers.http.Close()
-	}
-	g.timeline.Record(event.HostStopped, event.F("drained_in", time.Since(started).Round(time.Millisecond)))
+	return nothingToAdmit
+}
+
+// logConnections returns a logger with the requests in flight and the callers' connections by what they
+// are used for.
+func logConnections(log logrus.FieldLogger, callers *httpserver.Server, server *ingress.Server) logrus.FieldLogger {
+	open := callers.Connections()
+	return log.WithFields(logrus.Fields{
+		"in_flight": server.InFlight(),
+		"new":       open.New,
+		"idle":      open.Idle,
+		"reading":   open.Reading,
+		"serving":   open.Serving,
+	})
 }
