target: a repeated rejection proves nothing about a later request

Callers saw: "not run, try again" (503) for requests that a target ran, and non-idempotent requests that ran at two or three targets.

Cause: a rejection was taken as the response to a request if it carried the ID of the request. A request that was rejected may be sent to the same target again (the only one, or all were tried), on the connection that carried the rejection. A faulty target that writes the rejection once more, in front of or instead of the second response, then made the running request count as not run. Where targets need not return IDs, a rejection without an ID was believed on any kept connection, so the copy of an earlier one counted for any later request.

Fix: who may believe a rejection is decided where connections are kept. A connection remembers the requests that were rejected on it and is not used for them again; it is closed after 32 rejections, which bounds the memory. A rejection without the ID of its request closes its connection, so that no kept connection has an earlier one to repeat. A rejection without an ID is no proof on a connection whose target has returned IDs, and neither is one that is followed by further bytes, which may be the real response.

Ruled out: with targets that always return IDs, a copy that carries the ID of another request, or none, is skipped or ends the attempt with unknown outcome, at every moment, in an early response to an upload as well. Bytes that arrive while a connection is idle keep it from being reused.

--- a/internal/adapter/target/conn.go
+++ b/internal/adapter/target/conn.go
@@ -31,6 +31,12 @@
 	// keepAlive is the idle timeout announced in the target's latest response,
 	// less keepAliveReserve; 0 if the target announced none.
 	keepAlive time.Duration
+	// rejected holds the IDs of the requests that the target rejected on this
+	// connection without running them.
+	rejected []string
+	// echoesID reports whether a response on this connection carried the ID of its
+	// request.
+	echoesID bool
 
 	mu          sync.Mutex
 	interrupted bool
@@ -57,6 +63,21 @@
 	}
 }
 
+// maxRejectedIDs bounds the IDs that a connection remembers. It is not reused after that
+// many rejections.
+const maxRejectedIDs = 32
+
+// recordRejection records that the target stated that it did not run a request. It
+// returns false if the connection must not be reused: the target may write the rejection
+// once more, and the copy could not be told from a rejection of a later request.
+func (c *conn) recordRejection(id string, identified bool) (reusable bool) {
+	if !identified {
+		return false
+	}
+	c.rejected = append(c.rejected, id)
+	return len(c.rejected) < maxRejectedIDs
+}
+
 // connReader reads from the connection, counts the bytes and enforces the size
 // limit of the response head.
 type connReader struct{ c *conn }
--- a/internal/adapter/target/doc.go
+++ b/internal/adapter/target/doc.go
@@ -20,6 +20,16 @@
 // reused connection turns out to be dead or unresponsive, all idle connections
 // to that target are closed.
 //
+// # Rejections
+//
+// A rejection proves that its request did not run only if it is known to belong to that
+// request: it carries the ID of the request, or it has no ID and the connection has
+// carried no earlier rejection without one. Targets may write an earlier rejection once
+// more, at any time. Therefore a connection is not reused after a rejection without the
+// ID of its request, nor for a request that was rejected on it before. A rejection
+// without an ID proves nothing if the target has returned IDs on its connection, and
+// neither does one that is followed by further bytes or is incomplete.
+//
 // # Memory
 //
 // An attempt holds one read buffer (Config.ReadBufferBytes, default 4 KiB),
--- a/internal/adapter/target/pool.go
+++ b/internal/adapter/target/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -75,19 +76,23 @@
 }
 
 // acquireIdle returns the idle connection with the most recent response, or nil if
-// there is none or it is too old for a non-idempotent request.
+// there is none or it is too old for a non-idempotent request. A connection on which the
+// target has already rejected this request is left out: a copy of that rejection would
+// carry the ID of the request and look like the response to it.
 func (p *pool) acquireIdle(tp *targetPool, a *Attempt, now time.Time) *conn {
-	for len(tp.idle) > 0 {
-		last := len(tp.idle) - 1
-		c := tp.idle[last]
+	for i := len(tp.idle) - 1; i >= 0; i-- {
+		c := tp.idle[i]
 		if p.expired(tp, c, now) || !reusable(c.Conn) {
-			p.closeIdle(tp, last)
+			p.closeIdle(tp, i)
 			continue
 		}
 		if !a.Idempotent && now.Sub(c.lastResponse) > p.cfg.NonIdempotentReuse {
 			return nil
 		}
-		tp.idle = tp.idle[:last]
+		if slices.Contains(c.rejected, a.RequestID) {
+			continue
+		}
+		tp.idle = slices.Delete(tp.idle, i, i+1)
 		return c
 	}
 	return nil
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -113,6 +113,13 @@
 	return x.a.RequestID != "" && id != x.a.RequestID
 }
 
+// mayAnswerEarlier reports whether a response without an ID may belong to an earlier
+// request although its dialect does not require targets to return IDs: this target has
+// returned one on this connection. Such a response proves nothing about the request.
+func (x *exchange) mayAnswerEarlier(head *http.Response) bool {
+	return x.c.reused && x.c.echoesID && head.Header.Get(x.t.cfg.Dialect.RequestID) == ""
+}
+
 // discardLateResponse reads the rest of a late response to an earlier request, so
 // that the expected response can be read from the same connection. It returns false
 // if the end of the late response cannot be determined.
@@ -155,6 +162,10 @@
 		// The address now belongs to another target.
 		r.classification.Kind, r.classification.NotRun = attempt.Draining, true
 	}
+	if x.mayAnswerEarlier(head) {
+		r.classification.NotRun = false
+	}
+	x.c.echoesID = x.c.echoesID || r.requestIDMatches
 	if x.a.Trace != nil && d.RateLimit != "" {
 		x.a.Trace.RateLimit = rateStatement(head.Header.Values(d.RateLimit), r.classification.Kind)
 	}
--- a/internal/adapter/target/response.go
+++ b/internal/adapter/target/response.go
@@ -88,6 +88,15 @@
 		r.endWithError(ErrResponseTooLong)
 		return
 	}
+	if extra {
+		// The further bytes may be the response to the request, so that a rejection
+		// before them does not prove that the target did not run it.
+		r.classification.NotRun = false
+	}
+	reuse := !extra && !r.close && !r.Draining
+	if r.classification.NotRun {
+		reuse = x.c.recordRejection(x.a.RequestID, r.requestIDMatches) && reuse
+	}
 	r.ended, r.err = true, io.EOF
 	x.stopWriter(x.t.cfg.BodyFlushWait)
 	wholeRequest := x.requestWritten()
@@ -95,7 +104,7 @@
 	// The result is determined first: as soon as the connection is in the pool,
 	// another attempt may modify it.
 	r.result = x.end(outcome.Event{Kind: outcome.ResponseComplete, Classification: r.classification}, nil)
-	if wholeRequest && contextLive && !extra && !r.close && !r.Draining {
+	if wholeRequest && contextLive && reuse {
 		x.t.pool.putIdle(x.c, time.Now())
 	} else {
 		x.t.pool.closeInUse(x.c, false)
