ingress: a large rejection is not streamed to the caller

Callers saw: status 503, 429, 421 or 408, which tells them that the request did not run, for a rejection in which the target did not say so, or which was cut.

Cause: a response larger than the buffer of its class was streamed with its status, whatever the status. For smaller ones the host decides after their end whether the rejection is complete and states that the request did not run.

Fix: rejections are never streamed. One that does not fit into the buffer counts as a response that is not complete: the outcome is unknown, and an idempotent request is retried.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -143,18 +143,22 @@
 }
 
 // handleResponse buffers the response until it is complete, or streams it if it
-// exceeds the buffer limit. It returns true if the response was streamed.
+// exceeds the buffer limit. It returns true if the response was streamed. A rejection is
+// never streamed: its status may tell the caller that the request did not run, which is
+// known only once the rejection is complete.
 func (q *request) handleResponse(start dispatch.Start, trace *target.Trace, response *target.Response) bool {
 	limit := int64(q.class.MaxBufferedAnswerBytes)
 	body, err := readUpTo(response, limit+1)
-	if err == nil && int64(len(body)) > limit && !response.Unverifiable {
+	tooLarge := err == nil && int64(len(body)) > limit
+	if tooLarge && !response.Unverifiable && !response.Rejection() {
 		q.streamResponse(start, trace, response, body)
 		return true
 	}
 	result := response.Finish()
-	if response.Unverifiable {
+	if response.Unverifiable || tooLarge {
 		// Without a declared length, truncation can't be detected, and a response
-		// that may be truncated is no proof that the request did not run.
+		// that may be truncated is no proof that the request did not run. Neither is
+		// a rejection whose end is not awaited because of its size.
 		result.Kind, result.NotRun = attempt.BadAnswer, false
 	}
 	if result.Kind == attempt.Answered || result.Kind == attempt.ServerError || result.NotRun || result.Kind == attempt.Shed {
--- a/internal/adapter/target/response.go
+++ b/internal/adapter/target/response.go
@@ -42,6 +42,12 @@
 // end, and of reads after that.
 var errUnreadBody = errors.New("target: the response was finished before its end")
 
+// Rejection reports whether the status and header of the response state that the target
+// rejected the request. Whether the request did not run is part of the result.
+func (r *Response) Rejection() bool {
+	return r.classification.Kind == attempt.Shed || r.classification.Kind == attempt.Draining
+}
+
 type bodyReader struct{ r *Response }
 
 // Read reads the body. io.EOF means that the response is complete.
