--- a/internal/adapter/target/fuzz_test.go
+++ b/internal/adapter/target/fuzz_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -52,6 +53,52 @@
 	})
 }
 
+// FuzzKeptConnection guards against delivering anything but the response to the request
+// on a connection that has carried another one, and against taking it for proof that the
+// request did not run. The target rejects or answers request r1 and responds to r2 with
+// arbitrary bytes, then closes the connection.
+func FuzzKeptConnection(f *testing.F) {
+	const rejection, answer = "HTTP/1.1 503 x\r\nX-Not-Run: 1\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nab"
+	for _, rejects := range []bool{true, false} {
+		for _, echo := range []bool{true, false} {
+			f.Add(rejects, echo, fmt.Sprintf(rejection, "r1")+fmt.Sprintf(answer, "r2"))
+			f.Add(rejects, echo, fmt.Sprintf(rejection, "r2")+fmt.Sprintf(answer, "r2"))
+			f.Add(rejects, echo, fmt.Sprintf(answer, "r1")+fmt.Sprintf(rejection, "r2"))
+			f.Add(rejects, echo, "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n"+fmt.Sprintf(answer, "r2"))
+			f.Add(rejects, echo, "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 429 x\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n")
+		}
+	}
+	f.Fuzz(func(t *testing.T, rejects, echo bool, raw string) {
+		first := answer
+		if rejects {
+			first = rejection
+		}
+		cfg := DefaultConfig()
+		cfg.Dialect = strayDialect(echo)
+		cfg.Dial = pipeDial(func(_ int, c net.Conn) {
+			br := bufio.NewReader(c)
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, first, "r1")
+			if _, err := http.ReadRequest(br); err == nil {
+				_, _ = io.WriteString(c, raw)
+			}
+		})
+		tr := New(cfg)
+		defer tr.Close()
+		if _, _, res := doAndReadBody(t, tr, Attempt{Address: "a", RequestID: "r1", Idempotent: true}); res.NotRun != rejects {
+			t.Fatalf("r1: %+v", res)
+		}
+		trace := &Trace{}
+		resp, _, res := doAndReadBody(t, tr, Attempt{Address: "a", RequestID: "r2", ExpectTarget: "t", Idempotent: true, Trace: trace})
+		own := resp != nil && resp.Header.Get("X-Id") == "r2"
+		if !trace.Reused || res.NotSent || res.NotRun && !own || echo && res.Kind == attempt.Answered && !own {
+			t.Fatalf("own response %v, result %+v, trace %+v", own, res, trace)
+		}
+	})
+}
+
 // FuzzRequestHead guards against request smuggling: a request that a target
 // parses as a different request, or as two requests.
 func FuzzRequestHead(f *testing.F) {
