target: two heads joined by a cut are not one response

Callers would see: "not run, try again" (503) for a request that a target ran, or a success where the target had failed.

Cause: a target that writes an earlier response once more and stops in the middle of its head, directly in front of the next response, sends one head to the parser: the second status line ends the reason phrase or the header value in which the first head was cut. The joined head had the status and the statement "not run" of the copy, and the ID of the request that the target was running.

Fix: a head that contains a second status line is malformed. The attempt ends with unknown outcome and its connection is closed.

Evidence: TestCutCopyBeforeResponse cuts copies of six responses at every byte in front of a 500.

--- a/internal/adapter/target/cut_test.go
+++ b/internal/adapter/target/cut_test.go
@@ -125,3 +125,54 @@
 	}
 	return res.Kind, res.NotRun, body
 }
+
+// TestCutCopyBeforeResponse guards against reading a copy of an earlier response that is
+// cut in its head, together with the response that follows it, as one head: the status or
+// the statement of the copy would get the ID of the running request.
+func TestCutCopyBeforeResponse(t *testing.T) {
+	for name, stray := range map[string]string{
+		"rejection, ID last":  "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-A: some value\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n",
+		"rejection, ID first": "HTTP/1.1 429 Many\r\nX-Id: r1\r\nX-Not-Run: 1\r\nX-A: some value\r\nContent-Length: 4\r\n\r\nfull",
+		"declared status":     "HTTP/1.1 409 Not now\r\nX-A: some value\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n",
+		"other target":        "HTTP/1.1 421 Other target\r\nX-A: some value\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n",
+		"answer":              "HTTP/1.1 200 OK\r\nX-A: some value\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nlate",
+		"chunked answer":      "HTTP/1.1 200 OK\r\nX-A: some value\r\nTransfer-Encoding: chunked\r\nX-Id: r1\r\n\r\n4\r\nlate\r\n0\r\n\r\n",
+	} {
+		for _, echo := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/echo=%v", name, echo), func(t *testing.T) {
+				t.Parallel()
+				for size := range len(stray) {
+					checkCutCopy(t, stray[:size], echo)
+				}
+			})
+		}
+	}
+}
+
+// checkCutCopy sends a request to which the target responds with a cut copy and the
+// failed response to the request.
+func checkCutCopy(t *testing.T, stray string, echo bool) {
+	address := serveTCP(t, func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		_, _ = http.ReadRequest(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n")
+		_, _ = http.ReadRequest(br)
+		_, _ = io.WriteString(c, stray+"HTTP/1.1 500 No\r\nX-Id: r2\r\nContent-Length: 4\r\n\r\nmine")
+	})
+	tr := newTransport(t, func(c *Config) { c.Dialect = strayDialect(echo) })
+	doAndReadBody(t, tr, Attempt{Address: address, RequestID: "r1"})
+	trace := &Trace{}
+	response, body, res := doAndReadBody(t, tr, Attempt{
+		Address: address, RequestID: "r2", ExpectTarget: "t", Trace: trace,
+		Statuses: Statuses{Shed: []int{409, 429, 503}, NotRun: []int{409}, Failure: []int{500}},
+	})
+	if !trace.Reused {
+		t.Fatal("the connection was not kept")
+	}
+	if res.NotRun || res.Kind == attempt.Answered {
+		t.Errorf("after %q: %+v", stray, res)
+	}
+	if res.Kind == attempt.ServerError && (response.Status != 500 || body != "mine") {
+		t.Errorf("after %q: status %d, body %q", stray, response.Status, body)
+	}
+}
--- a/internal/adapter/target/doc.go
+++ b/internal/adapter/target/doc.go
@@ -28,7 +28,9 @@
 // more, at any time. Therefore a connection is not reused after a rejection without the
 // ID of its request, nor for a request that was rejected on it before. A rejection
 // without an ID proves nothing if the target has returned IDs on its connection, and
-// neither does one that is followed by further bytes or is incomplete.
+// neither does one that is followed by further bytes or is incomplete. A head that
+// contains a second status line is malformed: it may be the start of an earlier rejection
+// joined with the response to the request.
 //
 // # Memory
 //
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -72,9 +73,30 @@
 	if err != nil {
 		return nil, headError(err)
 	}
+	if containsStatusLine(head) {
+		return nil, fmt.Errorf("%w: a second status line within the head", ErrBadResponse)
+	}
 	return head, nil
 }
 
+// embeddedStatusLine matches the start of a status line.
+var embeddedStatusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+
+// containsStatusLine reports whether a head contains the status line of another one. A
+// target may write the start of an earlier response directly in front of the next one;
+// the parser joins the two where the first ends in a reason phrase or a header value.
+func containsStatusLine(head *http.Response) bool {
+	embedded := func(text string) bool {
+		return strings.Contains(text, "HTTP/1.") && embeddedStatusLine.MatchString(text)
+	}
+	for _, values := range head.Header {
+		if slices.ContainsFunc(values, embedded) {
+			return true
+		}
+	}
+	return embedded(head.Status)
+}
+
 // awaitFirstByte waits for the first byte of a response head.
 func (x *exchange) awaitFirstByte() error {
 	if x.firstByteTimeoutApplies() {
--- a/internal/adapter/target/response_test.go
+++ b/internal/adapter/target/response_test.go
@@ -64,6 +64,8 @@
 		{name: "body after head", method: "HEAD", raw: ok + "Content-Length: 2\r\n\r\nab", kind: attempt.BadAnswer, err: ErrResponseTooLong},
 		{name: "body after 204", raw: "HTTP/1.1 204 No Content\r\n\r\nab", kind: attempt.BadAnswer, err: ErrResponseTooLong},
 		{name: "garbled", raw: "SSH-2.0-x\r\n\r\n", kind: attempt.BadAnswer, err: ErrBadResponse},
+		{name: "two heads", raw: ok + "A: bHTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nab", kind: attempt.BadAnswer, err: ErrBadResponse},
+		{name: "version in a value", raw: ok + "Via: HTTP/1.1 a, HTTP/1.1 2001\r\nContent-Length: 0\r\n\r\n", reused: true},
 		{name: "two lengths", raw: ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", kind: attempt.BadAnswer, err: ErrBadResponse},
 		{name: "other ID", raw: ok + "Sapphirehaven-Request-Id: r2\r\nContent-Length: 0\r\n\r\n", kind: attempt.BadAnswer, err: ErrRequestIDMismatch},
 		{name: "upgrade", raw: "HTTP/1.1 101 Switching Protocols\r\n\r\n", kind: attempt.BadAnswer, err: ErrBadResponse},
