--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -72,9 +73,30 @@
 	if err != nil {
 		return nil, headError(err)
 	}
+	if containsStatusLine(head) {
+		return nil, fmt.Errorf("%w: a second status line within the head", ErrBadResponse)
+	}
 	return head, nil
 }
 
+// embeddedStatusLine matches the start of a status line.
+var embeddedStatusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+
+// containsStatusLine reports whether a head contains the status line of another one. A
+// target may write the start of an earlier response directly in front of the next one;
+// the parser joins the two where the first ends in a reason phrase or a header value.
+func containsStatusLine(head *http.Response) bool {
+	embedded := func(text string) bool {
+		return strings.Contains(text, "HTTP/1.") && embeddedStatusLine.MatchString(text)
+	}
+	for _, values := range head.Header {
+		if slices.ContainsFunc(values, embedded) {
+			return true
+		}
+	}
+	return embedded(head.Status)
+}
+
 // awaitFirstByte waits for the first byte of a response head.
 func (x *exchange) awaitFirstByte() error {
 	if x.firstByteTimeoutApplies() {
@@ -113,6 +135,13 @@
 	return x.a.RequestID != "" && id != x.a.RequestID
 }
 
+// mayAnswerEarlier reports whether a response without an ID may belong to an earlier
+// request although its dialect does not require targets to return IDs: this target has
+// returned one on this connection. Such a response proves nothing about the request.
+func (x *exchange) mayAnswerEarlier(head *http.Response) bool {
+	return x.c.reused && x.c.echoesID && head.Header.Get(x.t.cfg.Dialect.RequestID) == ""
+}
+
 // discardLateResponse reads the rest of a late response to an earlier request, so
 // that the expected response can be read from the same connection. It returns false
 // if the end of the late response cannot be determined.
@@ -155,6 +184,10 @@
 		// The address now belongs to another target.
 		r.classification.Kind, r.classification.NotRun = attempt.Draining, true
 	}
+	if x.mayAnswerEarlier(head) {
+		r.classification.NotRun = false
+	}
+	x.c.echoesID = x.c.echoesID || r.requestIDMatches
 	if x.a.Trace != nil && d.RateLimit != "" {
 		x.a.Trace.RateLimit = rateStatement(head.Header.Values(d.RateLimit), r.classification.Kind)
 	}
