ingress: a stopping host goes by what attempts of a class usually take

The limit is now the mean of the class's answered attempts plus four mean deviations, as in TCP's retransmission timeout; the objective before eight attempts have ended. Requests that arrived in the first half, for 3 s at most, may wait for a target until that much of the stop is left. Later ones are passed on only if their deadline lies within the stop, as before.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -128,6 +128,9 @@
 // target.
 func (q *request) reportResult(start dispatch.Start, trace *target.Trace, result attempt.Result) {
 	q.metrics.results[result.Kind].Inc()
+	if result.Kind == attempt.Answered {
+		q.metrics.attemptTimes.add(time.Since(q.attemptStart))
+	}
 	q.logAttempt(start, trace, result)
 	if trace.Draining {
 		q.backend.Engine.LoadReport(dispatch.LoadReport{Target: start.Target, Draining: true, FromResponse: true})
--- a/internal/adapter/ingress/drain.go
+++ b/internal/adapter/ingress/drain.go
@@ -13,10 +13,17 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
 )
 
-// maxTypicalTime is the longest time after the start of a stop within which a host passes on a request
-// whose latency objective fits into the rest of the stop, but whose deadline does not. Meanwhile callers
-// replace their cached addresses. Later ones are rejected, so that they go to another host.
-const maxTypicalTime = 3 * time.Second
+// maxTypicalArrival is the longest time after the start of a stop in which a host accepts requests that
+// usually end within the rest of the stop, but whose deadline does not. Meanwhile callers replace their
+// cached addresses. Later ones are rejected, so that they go to another host.
+const maxTypicalArrival = 3 * time.Second
+
+// timing is what the time that a request needs depends on.
+type timing struct {
+	arrivedAt, deadline time.Time
+	// typical is a time that few attempts of the class exceed; 0: unknown.
+	typical time.Duration
+}
 
 // drain tells which requests a stopping host may still pass on to targets, so that it can answer them
 // before it closes the remaining connections.
@@ -47,29 +54,23 @@
 
 // latestStart returns the latest time at which a request may be passed on to a target, and false if there
 // is no limit because the request's own deadline lies within the stop.
-func (d *drain) latestStart(deadline time.Time, objective time.Duration) (latest time.Time, limited bool) {
-	if !deadline.After(d.deadline) {
+func (d *drain) latestStart(t timing) (latest time.Time, limited bool) {
+	if !t.deadline.After(d.deadline) {
 		return time.Time{}, false
 	}
-	if objective <= 0 {
+	lastArrival := d.startedAt.Add(min(maxTypicalArrival, d.deadline.Sub(d.startedAt)/2))
+	if t.typical <= 0 || t.arrivedAt.After(lastArrival) {
 		return d.startedAt, true
 	}
-	return earlier(d.startedAt.Add(min(maxTypicalTime, d.deadline.Sub(d.startedAt)/2)), d.deadline.Add(-objective)), true
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+	return d.deadline.Add(-t.typical), true
 }
 
 // admits reports whether a request may be passed on to a target now.
-func (d *drain) admits(now, deadline time.Time, objective time.Duration) bool {
+func (d *drain) admits(now time.Time, t timing) bool {
 	if !d.draining() {
 		return true
 	}
-	latest, limited := d.latestStart(deadline, objective)
+	latest, limited := d.latestStart(t)
 	return !limited || !now.After(latest)
 }
 
@@ -80,9 +81,10 @@
 	if active == nil {
 		return false
 	}
-	for _, backend := range active.Backends {
-		for _, class := range backend.Classes {
-			if s.drain.admits(now, now.Add(classTimeout(class)), time.Duration(class.Objective)) {
+	for service, backend := range active.Backends {
+		for name, class := range backend.Classes {
+			typical := s.metrics.class(service, name).attemptTimes.upperBound(time.Duration(class.Objective))
+			if s.drain.admits(now, timing{arrivedAt: now, deadline: now.Add(classTimeout(class)), typical: typical}) {
 				return true
 			}
 		}
@@ -102,9 +104,18 @@
 // errStopping is the cause of the end of a wait for a target that ends because the host is stopping.
 var errStopping = errors.New("the host is stopping")
 
+// timing returns what the time that the request needs depends on.
+func (q *request) timing() timing {
+	return timing{
+		arrivedAt: q.arrivedAt,
+		deadline:  q.deadline,
+		typical:   q.metrics.attemptTimes.upperBound(time.Duration(q.class.Objective)),
+	}
+}
+
 // admitted reports whether the request may be passed on to a target now.
 func (q *request) admitted() bool {
-	return q.server.drain.admits(time.Now(), q.deadline, time.Duration(q.class.Objective))
+	return !q.server.drain.draining() || q.server.drain.admits(time.Now(), q.timing())
 }
 
 // next waits for the next action of the dispatcher. The error is errStopping if the host is stopping and
@@ -116,7 +127,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(q.server.drain.started, func() {
-		latest, limited := q.server.drain.latestStart(q.deadline, time.Duration(q.class.Objective))
+		latest, limited := q.server.drain.latestStart(q.timing())
 		if !limited {
 			return
 		}
--- a/internal/adapter/ingress/drain_test.go
+++ b/internal/adapter/ingress/drain_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,30 +15,54 @@
 func TestLatestStart(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
-	d := newDrain()
-	d.startedAt, d.deadline = start, at(5.5)
 	for _, c := range []struct {
-		name                        string
-		deadline, objective, latest float64
-		limited                     bool
+		name                                  string
+		end, arrival, deadline, typical, want float64
+		limited                               bool
 	}{
-		{"deadline within the stop", 5.4, 0, 0, false},
-		{"deadline at the end of the stop", 5.5, 1, 0, false},
-		{"deadline after the stop, no objective", 5.6, 0, 0, true},
-		{"deadline after the stop, short objective", 20, 0.5, 2.75, true},
-		{"deadline after the stop, long objective", 20, 4, 1.5, true},
-		{"objective longer than the stop", 20, 8, -2.5, true},
+		{name: "deadline within the stop", end: 5.5, arrival: 4, deadline: 5.4},
+		{name: "deadline at the end of the stop", end: 5.5, arrival: 4, deadline: 5.5, typical: 1},
+		{name: "deadline after the stop, typical time unknown", end: 5.5, deadline: 5.6, limited: true},
+		{name: "typical time fits", end: 5.5, arrival: 2.7, deadline: 20, typical: 0.5, want: 5, limited: true},
+		{name: "arrived before the stop", end: 5.5, arrival: -3, deadline: 20, typical: 0.5, want: 5, limited: true},
+		{name: "typical time longer than the stop", end: 5.5, deadline: 20, typical: 8, want: -2.5, limited: true},
+		{name: "arrived in the second half", end: 5.5, arrival: 2.8, deadline: 20, typical: 0.5, limited: true},
+		{name: "arrived late in a long stop", end: 30, arrival: 3.1, deadline: 40, typical: 1, limited: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			got, limited := d.latestStart(at(c.deadline), time.Duration(c.objective*float64(time.Second)))
-			if limited != c.limited || limited && !got.Equal(at(c.latest)) {
-				t.Errorf("latest start %s after the start of the stop (limited: %v), want %v s (%v)", got.Sub(start), limited, c.latest, c.limited)
+			d := newDrain()
+			d.startedAt, d.deadline = start, at(c.end)
+			got, limited := d.latestStart(timing{at(c.arrival), at(c.deadline), time.Duration(c.typical * float64(time.Second))})
+			if limited != c.limited || limited && !got.Equal(at(c.want)) {
+				t.Errorf("latest start %s after the start of the stop (limited: %v), want %v s (%v)", got.Sub(start), limited, c.want, c.limited)
 			}
 		})
 	}
-	d.deadline = at(30)
-	if got, _ := d.latestStart(at(40), time.Second); !got.Equal(start.Add(maxTypicalTime)) {
-		t.Errorf("latest start %s after the start of a long stop, want %s", got.Sub(start), maxTypicalTime)
+}
+
+// TestAttemptTimes guards against an estimate that too many attempts exceed, or that stays far above them
+// after their time has changed.
+func TestAttemptTimes(t *testing.T) {
+	var e attemptTimes
+	if got := e.upperBound(3 * time.Second); got != 3*time.Second {
+		t.Errorf("without attempts %s, want the fallback", got)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, mean := range []time.Duration{2 * time.Second, 200 * time.Millisecond} {
+		exceeded := 0
+		for i := range 1000 {
+			took := mean/2 + time.Duration(rng.Int64N(int64(mean)))
+			if i > 100 && took > e.upperBound(0) {
+				exceeded++
+			}
+			e.add(took)
+		}
+		if exceeded > 10 {
+			t.Errorf("%d of 900 attempts took longer than the estimate", exceeded)
+		}
+		if got := e.upperBound(0); got > 3*mean {
+			t.Errorf("estimate %s for attempts of %s on average", got, mean)
+		}
 	}
 }
 
--- a/internal/adapter/ingress/metrics.go
+++ b/internal/adapter/ingress/metrics.go
@@ -31,6 +31,8 @@
 	// a value that is no rate.
 	limitedResponses, malformedRates *metrics.Counter
 	addedLatency                     *metrics.Histogram
+	// attemptTimes tells a stopping host whether a request can be finished.
+	attemptTimes attemptTimes
 }
 
 // serverMetrics are the metrics of one server.
