ingress: deliver the response of a target when a stop ends the retries

Cause: a request whose attempt had failed with a complete response, and which gets no further attempt because the host is stopping, was answered with a problem of the host's own. A failed request without retries gets the target's response; so does this one now, unless its status alone would say that the request has not run.

--- a/internal/adapter/ingress/drain.go
+++ b/internal/adapter/ingress/drain.go
@@ -142,13 +142,17 @@
 	return action, err
 }
 
-// stoppingProblem cancels a request that the host may no longer pass on and returns its problem.
-func (q *request) stoppingProblem() *Problem {
+// stop cancels a request that the host may no longer pass on. It sends the response of an earlier attempt
+// if there is one, or returns a problem.
+func (q *request) stop() *Problem {
 	q.call.Cancel()
-	return q.stoppedProblem()
+	if q.buffered != nil && !impliesNotRun(q.buffered.status) {
+		return q.sendBuffered(q.buffered.attempt)
+	}
+	return q.stoppingProblem()
 }
 
-func (q *request) stoppedProblem() *Problem {
+func (q *request) stoppingProblem() *Problem {
 	if q.mayHaveRun {
 		return unknownOutcomeProblem(http.StatusBadGateway, "host_stopping", "the host is stopping and makes no further attempt; an earlier one may have run")
 	}
--- a/internal/adapter/ingress/drain_test.go
+++ b/internal/adapter/ingress/drain_test.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -96,3 +98,27 @@
 		t.Errorf("%d requests were passed on", len(started))
 	}
 }
+
+// TestStopDeliversResponseOfTarget guards against a stopping host that replaces the response of a failed
+// attempt by one of its own because it makes no further attempt.
+func TestStopDeliversResponseOfTarget(t *testing.T) {
+	started, release := make(chan struct{}, 10), make(chan struct{})
+	handle := func(_ int, c net.Conn, _ *http.Request) bool {
+		started <- struct{}{}
+		<-release
+		_, _ = io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed")
+		return true
+	}
+	h := newTestHost(t, 1, newRawTarget(t, handle).address, newRawTarget(t, handle).address)
+	response := make(chan testResponse, 1)
+	go func() { response <- h.send(t.Context(), http.MethodGet, "/lookup", "") }()
+	<-started
+	h.Drain(time.Now().Add(2 * time.Second))
+	close(release)
+	if r := <-response; r.status != http.StatusInternalServerError || r.body != "failed" || r.outcome != OutcomeAnswered {
+		t.Errorf("response %+v, want that of the target", r)
+	}
+	if n := len(started); n != 0 {
+		t.Errorf("%d further attempts", n)
+	}
+}
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -281,7 +281,7 @@
 // an action ends with ctx; attempts run under attemptCtx.
 func (q *request) run(ctx, attemptCtx context.Context) *Problem {
 	if !q.admitted() {
-		return q.stoppedProblem()
+		return q.stoppingProblem()
 	}
 	q.call = q.backend.Engine.Arrive(dispatch.Request{
 		ID:            q.id,
@@ -295,7 +295,7 @@
 	for {
 		action, err := q.next(ctx)
 		if errors.Is(err, errStopping) {
-			return q.stoppingProblem()
+			return q.stop()
 		}
 		if err != nil {
 			return q.cancelProblem()
@@ -304,7 +304,7 @@
 		case dispatch.Start:
 			if !q.admitted() {
 				q.withdrawAttempt(a)
-				return q.stoppingProblem()
+				return q.stop()
 			}
 			if q.attempt(attemptCtx, a) {
 				served = true
