sapphirehaven: keep serving when the output of the log is closed

What callers saw: all requests in flight on a host ended without a response, at any time, once the process that reads the host's output had gone.

Cause: the Go runtime ends a process whose write to standard output or standard error fails with SIGPIPE, unless the process ignores or receives that signal. The first line of the log after the reader had closed the pipe ended the host.

Why this works: with SIGPIPE ignored the write fails with EPIPE, which the logger drops. Writes to sockets are not affected: the runtime never ended the process for them.

--- a/cmd/sapphirehaven/signals.go
+++ b/cmd/sapphirehaven/signals.go
@@ -27,6 +27,9 @@
 func receiveSignals() *signals {
 	s := &signals{received: make(chan os.Signal, signalBacklog), hangups: make(chan struct{}, 1)}
 	signal.Notify(s.received, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	// The runtime ends the process if a write to standard output fails with SIGPIPE. A host that can
+	// no longer write its log still serves.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -95,7 +96,7 @@
 	t.Helper()
 	waitFor(t, h.ID+" is ready", func() bool {
 		if h.hasExited() {
-			t.Fatalf("%s exited: %s", h.ID, h.out)
+			t.Fatalf("%s ended with %s: %v", h.ID, h.cmd.ProcessState, h.out)
 		}
 		res, err := httpClient.Get("http://" + h.Ready + "/api/ready")
 		if err != nil {
@@ -106,6 +107,21 @@
 	})
 }
 
+// stop sends SIGTERM, and SIGKILL at the end of the grace period like the platform. It returns the
+// time of SIGTERM and whether the host exited before SIGKILL.
+func (h *platformHost) stop() (signaledAt time.Time, graceful bool) {
+	signaledAt = time.Now()
+	h.signal(syscall.SIGTERM)
+	select {
+	case <-h.exited:
+		return signaledAt, true
+	case <-time.After(platformGrace):
+	}
+	h.signal(syscall.SIGKILL)
+	<-h.exited
+	return signaledAt, false
+}
+
 // slowTarget answers each request after a fixed time and records the IDs of the requests that
 // reached it.
 type slowTarget struct {
--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -75,7 +76,8 @@
 
 // process is a running program.
 type process struct {
-	cmd    *exec.Cmd
+	cmd *exec.Cmd
+	// out is nil if the test reads the output itself.
 	out    *output
 	exited chan struct{}
 }
@@ -84,8 +86,17 @@
 // running. The kernel kills it if the test process dies first.
 func start(t testing.TB, program string, args ...string) *process {
 	t.Helper()
-	p := &process{cmd: exec.Command(filepath.Join(binaryDir, program), args...), out: &output{}, exited: make(chan struct{})}
-	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	out := &output{}
+	p := startWithOutput(t, out, program, args...)
+	p.out = out
+	return p
+}
+
+// startWithOutput starts a program like start does, with another destination of its output.
+func startWithOutput(t testing.TB, out io.Writer, program string, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(filepath.Join(binaryDir, program), args...), exited: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
