app: do not wait for the output of the log

What callers saw: a host whose output was not read took no part in its own stop: after SIGTERM it served on until SIGKILL, which cut the requests in flight.

Cause: the logger wrote each line with its lock held. Once the pipe to the log collector is full, the writer of request lines waits in the write, and with it whoever logs an event: the stop waited in its first line (host_draining), before it closed the listener.

--- a/cmd/sapphirehaven/main.go
+++ b/cmd/sapphirehaven/main.go
@@ -40,10 +40,11 @@
 // runWithLogService runs a host that uses the append-only log service, the host
 // list, and documents proposed by operators.
 func runWithLogService(settings app.Settings, signals *signals) error {
-	log, err := app.NewLogger(os.Stderr, settings.LogLevel, settings.HostID)
+	log, flush, err := app.NewLogger(os.Stderr, settings.LogLevel, settings.HostID)
 	if err != nil {
 		return err
 	}
+	defer flush()
 	ctx := signals.handle(log)
 	host, err := app.New(settings, log)
 	if err != nil {
--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -41,10 +41,11 @@
 	if err != nil {
 		return errors.Wrap(err, "-config")
 	}
-	log, err := app.NewLogger(os.Stdout, settings.LogLevel, string(platformSettings.Host))
+	log, flush, err := app.NewLogger(os.Stdout, settings.LogLevel, string(platformSettings.Host))
 	if err != nil {
 		return err
 	}
+	defer flush()
 	if platformSettings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(platformSettings.MemoryBytes)))
 	}
--- a/internal/systemtest/output_test.go
+++ b/internal/systemtest/output_test.go
@@ -57,6 +57,13 @@
 	testFailedLogCollector(t, func(read *os.File) { read.Close() })
 }
 
+// TestStalledLogPipe guards against a host that waits for the reader of its output: it could not stop
+// and was killed with requests in flight.
+func TestStalledLogPipe(t *testing.T) {
+	t.Parallel()
+	testFailedLogCollector(t, func(*os.File) {})
+}
+
 // testFailedLogCollector stops a host after its log collector has failed, and requires that no
 // request is lost.
 func testFailedLogCollector(t *testing.T, fail func(read *os.File)) {
