target, ingress: tests of repeated rejections that don't depend on short deadlines

A request of these tests had 300 ms, so that on a slow machine a rejection could miss its deadline and the test would fail or check nothing. Only the case in which the target stays silent needs a short deadline. The connection is now closed where the copy comes instead of the response.

--- a/internal/adapter/ingress/repeated_rejection_test.go
+++ b/internal/adapter/ingress/repeated_rejection_test.go
@@ -31,8 +31,8 @@
 
 // repeatingHandler returns a handler that rejects the first request of each connection
 // and runs the later ones. write sends the response to a later request, together with a
-// copy of the rejection.
-func (rc *rejectionCounts) repeatingHandler(withID bool, write func(c net.Conn, r *http.Request, stray, answer string)) func(int, net.Conn, *http.Request) bool {
+// copy of the rejection, and reports whether the connection stays open.
+func (rc *rejectionCounts) repeatingHandler(withID bool, write func(c net.Conn, r *http.Request, stray, answer string) (keep bool)) func(int, net.Conn, *http.Request) bool {
 	var mu sync.Mutex
 	strays := map[net.Conn]string{}
 	return func(n int, c net.Conn, r *http.Request) bool {
@@ -54,9 +54,7 @@
 		mu.Lock()
 		stray := strays[c]
 		mu.Unlock()
-		write(c, r, stray, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\nContent-Length: 4\r\n\r\nmine")
-		_, _ = io.Copy(io.Discard, r.Body)
-		return true
+		return write(c, r, stray, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\nContent-Length: 4\r\n\r\nmine")
 	}
 }
 
@@ -65,25 +63,29 @@
 // caller would be told so, or the request would run at a second target. The request may
 // be the rejected one itself, which is sent to the same target again.
 func TestRepeatedRejection(t *testing.T) {
-	moments := map[string]func(c net.Conn, r *http.Request, stray, answer string){
-		"before the body": func(c net.Conn, r *http.Request, stray, answer string) {
+	moments := map[string]func(c net.Conn, r *http.Request, stray, answer string) (keep bool){
+		"before the body": func(c net.Conn, r *http.Request, stray, answer string) bool {
 			_, _ = io.WriteString(c, stray)
 			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = io.WriteString(c, answer)
+			return true
 		},
-		"while it runs": func(c net.Conn, r *http.Request, stray, answer string) {
+		"while it runs": func(c net.Conn, r *http.Request, stray, answer string) bool {
 			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = io.WriteString(c, stray)
 			time.Sleep(20 * time.Millisecond)
 			_, _ = io.WriteString(c, answer)
+			return true
 		},
-		"directly before the response": func(c net.Conn, r *http.Request, stray, answer string) {
+		"directly before the response": func(c net.Conn, r *http.Request, stray, answer string) bool {
 			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = io.WriteString(c, stray+answer)
+			return true
 		},
-		"instead of the response": func(c net.Conn, r *http.Request, stray, _ string) {
+		"instead of the response": func(c net.Conn, r *http.Request, stray, _ string) bool {
 			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = io.WriteString(c, stray)
+			return false
 		},
 	}
 	for moment, write := range moments {
@@ -133,7 +135,7 @@
 	if path == "/upload" {
 		size = 100 << 10
 	}
-	r := h.send(t.Context(), "POST", path, strings.Repeat("x", size), "X-Id", id, "X-Left", "300")
+	r := h.send(t.Context(), "POST", path, strings.Repeat("x", size), "X-Id", id, "X-Left", "2000")
 	runs := rc.count(id)
 	if impliesNotRun(r.status) && runs > 0 {
 		t.Errorf("%s: status %d %s for a request that ran", id, r.status, r.body)
--- a/internal/adapter/target/rejection_test.go
+++ b/internal/adapter/target/rejection_test.go
@@ -176,7 +176,11 @@
 		if size > 0 {
 			a.Body, a.ContentLength = bytes.NewReader(make([]byte, size)), int64(size)
 		}
-		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		timeout := testTimeout
+		if i > 0 && rt.moment == thenSilence {
+			timeout = 200 * time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
 		response, res := tr.Do(ctx, a)
 		var body []byte
 		if response != nil {
@@ -193,7 +197,9 @@
 		if res.Kind == attempt.Answered && string(body) != "mine" && rt.moment != inAnswerBody {
 			t.Errorf("%s got %q", id, body)
 		}
-		time.Sleep(40 * time.Millisecond)
+		if rt.moment == whileIdle {
+			time.Sleep(40 * time.Millisecond)
+		}
 	}
 	if identified := rt.copyID("r0", "r0") != ""; identified && rt.moment != whileIdle && !sentOnKept {
 		t.Error("no request was sent on a kept connection")
