httpserver: read what has arrived when the wait for a request ends

What callers saw: a connection that was closed without an answer although their request had arrived at the host before the close. A caller without a view of the host's socket can't tell whether the request ran, so a non-idempotent one is not repeated.

Cause: the wait for a request ends through a read deadline. The runtime reports an expired deadline before it looks at the socket. A host that is suspended or short of processor time until the idle timeout has passed, or that starts its shutdown before the goroutine of a new connection has run, drops requests that lie in its socket buffers.

Ruled out: a longer deadline in place of the read. It only moves the race, and the tests that pause for about the idle timeout then no longer meet it (TestRacingIdleTimeout did not end, because no connection was closed any more).

Change: when the wait has ended without a byte, one read that does not block takes what is in the socket. Such a request is then served, or rejected by a stopping host with "Connection: close".

Evidence: TestWaitEndReadsWhatHasArrived holds back the first read of a new connection until Shutdown has ended the wait. Before: "no response: unexpected EOF". After: served.

--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -1,8 +1,10 @@
 package httpserver
 
 import (
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,7 +48,10 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && (c.phase == phaseNew || c.phase == phaseIdle) {
+	if isTimeout(err) && c.waitEnded() {
+		n, err = c.readArrived(p, err)
+	}
+	if n > 0 && c.waiting() {
 		c.phase = phaseReading
 		c.setWaitEnd(time.Time{})
 	}
@@ -56,6 +61,45 @@
 	return n, err
 }
 
+// readArrived reads what has arrived by the end of the wait for a request, or returns the given timeout.
+// An expired read deadline hides it if the process had no processor time to read it earlier. The caller
+// holds the lock.
+func (c *conn) readArrived(p []byte, timeout error) (int, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, timeout
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	defer func() { _ = c.applyDeadline() }()
+	n := -1
+	// The socket does not block, and returning true ends the read if nothing has arrived.
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), p)
+		return true
+	})
+	switch {
+	case n > 0:
+		return n, nil
+	case n == 0:
+		return 0, io.EOF
+	}
+	return 0, timeout
+}
+
+// waiting reports whether no byte of the next request has been read. The caller holds the lock.
+func (c *conn) waiting() bool { return c.phase == phaseNew || c.phase == phaseIdle }
+
+// waitEnded reports whether the wait for a request has ended without a byte. The caller holds the lock.
+func (c *conn) waitEnded() bool {
+	return c.waiting() && !c.closed && !c.waitEnd.IsZero() && !c.waitEnd.After(time.Now())
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
@@ -125,7 +169,7 @@
 func (c *conn) endWait() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseNew || c.phase == phaseIdle {
+	if c.waiting() {
 		c.setWaitEnd(time.Now())
 	}
 }
--- a/internal/adapter/httpserver/server_test.go
+++ b/internal/adapter/httpserver/server_test.go
@@ -153,6 +153,63 @@
 	}
 }
 
+// gatedListener accepts connections of which nothing is read before the gate is opened.
+type gatedListener struct {
+	net.Listener
+	gate chan struct{}
+}
+
+type gatedConn struct {
+	*net.TCPConn
+	gate chan struct{}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return gatedConn{c.(*net.TCPConn), l.gate}, nil
+}
+
+func (c gatedConn) Read(p []byte) (int, error) {
+	<-c.gate
+	return c.TCPConn.Read(p)
+}
+
+// TestWaitEndReadsWhatHasArrived guards against a request that has arrived but is dropped unread, because
+// the process was suspended or short of processor time until the wait for the request had ended.
+func TestWaitEndReadsWhatHasArrived(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Config{Handler: http.HandlerFunc(echoPath)})
+	gate := make(chan struct{})
+	go func() { _ = s.Serve(gatedListener{l, gate}) }()
+	defer s.Close()
+	c, br := dial(t, l.Addr().String())
+	write(t, c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	awaitConnections(t, s, Connections{New: 1})
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(t.Context()) }()
+	for !s.isClosing() {
+		time.Sleep(time.Millisecond)
+	}
+	close(gate)
+	expectBody(t, br, "/1")
+	expectClosed(t, br)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
 // TestShutdownEndsIdleConnections guards against a response without "Connection: close" after which a
 // connection keeps a shutdown waiting.
 func TestShutdownEndsIdleConnections(t *testing.T) {
