httpserver: wait in Shutdown until callers have closed their connections

What callers saw: a response that ends early although the host had written all of it, when it is the last one of a connection on which further requests were sent and the process ends then.

Cause: Shutdown returned when net/http had closed all connections. The kernel resets connections with unread bytes then and discards what has not been sent.

Ruled out: a pause of a second before the end of the process, which delays each stop and does not help while the bytes stay unread.

Change: a connection that net/http has closed is read and discarded until its caller has closed it, one second at most, and Shutdown waits for that. Connections are now closed as soon as the caller has done so, instead of a second later.

--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -23,10 +23,15 @@
 	phaseServing
 )
 
-// lingerTime is the time between the end of writing and the close of a connection. A connection that is
+// Parameters of the time between the end of writing and the close of a connection. A connection that is
 // closed while bytes of its peer are unread is reset, and the reset discards what has not reached the
 // peer yet.
-const lingerTime = time.Second
+const (
+	// lingerTime is the longest time for which the peer is given to close the connection.
+	lingerTime = time.Second
+	// maxLingerBytes is the number of bytes that are read and discarded meanwhile.
+	maxLingerBytes = 256 << 10
+)
 
 // conn is a connection of a Server. Its wait for a request ends at waitEnd, without effect on bytes that
 // have been read.
@@ -41,6 +46,9 @@
 	// peerClosed is set after the peer has closed or reset the connection.
 	peerClosed bool
 	closed     bool
+	// lingerEnd is the end of the time that the peer is given to close the connection, or the zero time
+	// if it needs none.
+	lingerEnd time.Time
 }
 
 // Read implements net.Conn.
@@ -182,22 +190,37 @@
 	return nil
 }
 
-// Close ends writing and closes the connection lingerTime later, or at once if the peer has closed it.
+// Close ends writing, or closes the connection if the peer has closed it. After the former, linger closes it.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return net.ErrClosed
 	}
+	c.closed = true
 	if c.peerClosed || c.CloseWrite() != nil {
-		c.closed = true
 		return c.Conn.Close()
 	}
-	// A read in the background must not go on until the connection is closed.
-	err := c.Conn.SetReadDeadline(time.Now())
-	c.closed = true
-	time.AfterFunc(lingerTime, func() { _ = c.Conn.Close() })
-	return err
+	c.lingerEnd = time.Now().Add(lingerTime)
+	// A read of net/http in the background must not go on.
+	return c.Conn.SetReadDeadline(time.Now())
+}
+
+// linger waits after Close until the peer has closed the connection as well, and closes it.
+func (c *conn) linger() {
+	c.mu.Lock()
+	end := c.lingerEnd
+	c.mu.Unlock()
+	if end.IsZero() {
+		return
+	}
+	defer c.Conn.Close()
+	if c.Conn.SetReadDeadline(end) != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, c.Conn, maxLingerBytes); err == nil {
+		time.Sleep(time.Until(end))
+	}
 }
 
 // abort closes the connection at once.
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -39,6 +39,9 @@
 	idleTimeout time.Duration
 	listeners   []net.Listener
 	conns       map[*conn]struct{}
+	// lingering holds the connections that net/http has closed and that wait for their peer to close
+	// them as well.
+	lingering map[*conn]struct{}
 	// closing is set when no further connections are accepted.
 	closing bool
 	// allClosed is closed when the last connection is closed after the start of Shutdown.
@@ -57,7 +60,7 @@
 
 // New returns a server that accepts no connections until Serve is called.
 func New(cfg Config) *Server {
-	s := &Server{idleTimeout: cfg.IdleTimeout, conns: map[*conn]struct{}{}}
+	s := &Server{idleTimeout: cfg.IdleTimeout, conns: map[*conn]struct{}{}, lingering: map[*conn]struct{}{}}
 	s.http = &http.Server{
 		Handler:           cfg.Handler,
 		ReadHeaderTimeout: cfg.ReadHeaderTimeout,
@@ -123,7 +126,8 @@
 }
 
 // Shutdown stops accepting connections, ends the wait for further requests on all open ones and returns
-// when all are closed, or an error when ctx ends before. A request of which a byte has been read is
+// when all are closed, or an error when ctx ends before: a process that ends with an open connection may
+// reset it and so cut the end of a response. A request of which a byte has been read is
 // still served, and the handler should close its connection.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
@@ -176,7 +180,7 @@
 
 // signalIfAllClosed wakes Shutdown after the last connection. The caller holds the lock.
 func (s *Server) signalIfAllClosed() {
-	if s.allClosed != nil && len(s.conns) == 0 {
+	if s.allClosed != nil && len(s.conns)+len(s.lingering) == 0 {
 		select {
 		case <-s.allClosed:
 		default:
@@ -199,12 +203,25 @@
 		c.startServing()
 	case http.StateIdle:
 		c.startWaiting(s.nextWaitEnd())
-	case http.StateClosed, http.StateHijacked:
+	case http.StateClosed:
+		delete(s.conns, c)
+		s.lingering[c] = struct{}{}
+		go s.linger(c)
+	case http.StateHijacked:
 		delete(s.conns, c)
 		s.signalIfAllClosed()
 	}
 }
 
+// linger waits until a connection that net/http has closed is closed by its peer as well.
+func (s *Server) linger(c *conn) {
+	c.linger()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.lingering, c)
+	s.signalIfAllClosed()
+}
+
 // nextWaitEnd returns the time at which a wait for a request that starts now ends, or the zero time if
 // it has no limit. The caller holds the lock.
 func (s *Server) nextWaitEnd() time.Time {
--- a/internal/adapter/httpserver/server_test.go
+++ b/internal/adapter/httpserver/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -279,6 +280,69 @@
 	}
 }
 
+// TestShutdownWaitsForPeers guards against a process that ends right after Shutdown while a caller has not
+// read its whole response: the kernel resets connections with unread bytes then, and discards the rest of
+// the response.
+func TestShutdownWaitsForPeers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := &recordingListener{Listener: l}
+	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<12)
+	served := make(chan struct{}, 1)
+	s := New(Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served <- struct{}{}
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		_, _ = w.Write(body)
+	})})
+	go func() { _ = s.Serve(accepted) }()
+	defer s.Close()
+	c, br := dial(t, l.Addr().String())
+	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	write(t, c, strings.Repeat("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", 400))
+	<-served
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	expectBody(t, br, string(body))
+	expectClosed(t, br)
+	_ = c.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if n := accepted.open.Load(); n != 0 {
+		t.Errorf("Shutdown returned while %d connections were open", n)
+	}
+}
+
+// recordingListener counts the connections that it has accepted and that are not closed.
+type recordingListener struct {
+	net.Listener
+	open atomic.Int64
+}
+
+type recordingConn struct {
+	*net.TCPConn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (l *recordingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &recordingConn{TCPConn: c.(*net.TCPConn), open: &l.open}, nil
+}
+
+func (c *recordingConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.TCPConn.Close()
+}
+
 // TestRacingIdleTimeout guards against requests that the handler serves on a connection that the idle
 // timeout has closed. Callers pause for about as long as the timeout.
 func TestRacingIdleTimeout(t *testing.T) {
