app: TestStopUnderLoad waits for its load instead of a time

The test failed twice beside other work: "555 of 555" and "729 of 729 requests that the host read got a complete response". All were answered; what failed is the condition that 1,000 requests arrive in the 3.3 s of the run, which depends on the speed of the machine.

The stop now begins after 1,000 requests, so that a run has more of them than before, and 100 or more have to arrive while the host stops, which was not checked.

--- a/internal/app/gateway_stop_test.go
+++ b/internal/app/gateway_stop_test.go
@@ -38,15 +38,22 @@
 			}
 		})
 	}
-	time.Sleep(300 * time.Millisecond)
+	for g.ingress.TotalRequests() < 1000 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	before := int64(g.ingress.TotalRequests())
 	if err := stop(); err != nil {
 		t.Error(err)
 	}
 	cancel()
 	callers.Wait()
-	if arrived := int64(g.ingress.TotalRequests()); arrived != answered.Load() || arrived < 1000 {
+	arrived := int64(g.ingress.TotalRequests())
+	if arrived != answered.Load() {
 		t.Errorf("%d of %d requests that the host read got a complete response", answered.Load(), arrived)
 	}
+	if arrived-before < 100 {
+		t.Errorf("only %d requests arrived while the host stopped", arrived-before)
+	}
 }
 
 // callUntilClosed sends requests over one connection until it is closed, or a single request if once is
