ingress: a stopping host does not wait for bodies of requests it rejects

What callers saw: a request that came too late in a stop, or whose body was still arriving when the stop began, was rejected only after its body had arrived. With a slow body the connection was cut at the forced close, with no answer, although the host had known for seconds that it would not pass the request on.

Ruled out: waiting for the body and answering before the forced close (the caller learns seconds later what is known at once); the same for requests with a ticket, whose stored response may depend on the body. They are read as before.

Change: a request without a ticket is rejected before its body is read if it may not be passed on, and the read of a body ends when that becomes so. The rejection says that the request did not run and ends the connection.

Evidence: TestStopDoesNotAwaitBodies, both cases before: no response within 2 s ("i/o timeout"), deadline of the request 20 s. After: 503, not run, "Connection: close", at once.

--- a/internal/adapter/ingress/drain.go
+++ b/internal/adapter/ingress/drain.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -118,6 +120,74 @@
 	return !q.server.drain.draining() || q.server.drain.admits(time.Now(), q.timing())
 }
 
+// afterLatestStart calls f when the host is stopping and the request may no longer be passed on, unless
+// ctx has ended or the returned function has been called before.
+func (q *request) afterLatestStart(ctx context.Context, f func()) (stop func() bool) {
+	return context.AfterFunc(q.server.drain.started, func() {
+		latest, limited := q.server.drain.latestStart(q.timing())
+		if !limited {
+			return
+		}
+		timer := time.AfterFunc(time.Until(latest), f)
+		context.AfterFunc(ctx, func() { timer.Stop() })
+	})
+}
+
+// ticketed reports whether the request has a ticket. Its ticket is looked up before it is rejected, because
+// the response to an earlier request with the ticket may be stored.
+func (q *request) ticketed() bool {
+	_, ok := q.server.ticketOf(q.r)
+	return ok
+}
+
+// bodyInterrupt ends the read of a request body when the request may no longer be passed on.
+type bodyInterrupt struct {
+	stop func() bool
+
+	mu sync.Mutex
+	// ended is set after the read, interrupted if it was ended early.
+	ended, interrupted bool
+}
+
+// interruptBodyWhenStopping returns an interrupt that is active until its end is called or ctx ends.
+func (q *request) interruptBodyWhenStopping(ctx context.Context) *bodyInterrupt {
+	b := &bodyInterrupt{}
+	b.stop = q.afterLatestStart(ctx, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if !b.ended {
+			b.interrupted = true
+			q.setReadDeadline(time.Now())
+		}
+	})
+	return b
+}
+
+// end reports whether the read was interrupted. A later interrupt has no effect on the connection.
+func (b *bodyInterrupt) end() (interrupted bool) {
+	b.stop()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	return b.interrupted
+}
+
+// readWholeBody reads the request body. The error is errStopping if the read was ended because the host is
+// stopping and the request may no longer be passed on.
+func (q *request) readWholeBody() ([]byte, error) {
+	if q.ticketed() {
+		return io.ReadAll(q.limitedBody())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	interrupt := q.interruptBodyWhenStopping(ctx)
+	body, err := io.ReadAll(q.limitedBody())
+	if interrupt.end() && err != nil {
+		return nil, errStopping
+	}
+	return body, err
+}
+
 // next waits for the next action of the dispatcher. The error is errStopping if the host is stopping and
 // the request may no longer be passed on.
 func (q *request) next(ctx context.Context) (dispatch.Action, error) {
@@ -126,15 +196,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := context.AfterFunc(q.server.drain.started, func() {
-		latest, limited := q.server.drain.latestStart(q.timing())
-		if !limited {
-			return
-		}
-		timer := time.AfterFunc(time.Until(latest), func() { cancel(errStopping) })
-		context.AfterFunc(ctx, func() { timer.Stop() })
-	})
-	defer stop()
+	defer q.afterLatestStart(ctx, func() { cancel(errStopping) })()
 	action, err := q.call.Next(ctx)
 	if err != nil && errors.Is(context.Cause(ctx), errStopping) {
 		return nil, errStopping
--- a/internal/adapter/ingress/drain_test.go
+++ b/internal/adapter/ingress/drain_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -122,3 +123,43 @@
 		t.Errorf("%d further attempts", n)
 	}
 }
+
+// TestStopDoesNotAwaitBodies guards against a stopping host that reads the body of a request which it may
+// not pass on, and cuts the connection without an answer at the end of the stop if the body is slow.
+func TestStopDoesNotAwaitBodies(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// late is set if the request arrives after the start of the stop.
+		late bool
+	}{{"body is read when the stop starts", false}, {"request arrives in the stop", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			handle, started, _ := silentHandler()
+			h := newTestHost(t, 1, newRawTarget(t, handle).address)
+			if c.late {
+				h.Drain(time.Now().Add(3 * time.Second))
+			}
+			conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "POST /order HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nx")
+			waitFor(t, "the request is not read", func() bool { return h.TotalRequests() == 1 })
+			if !c.late {
+				h.Drain(time.Now().Add(3 * time.Second))
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no response: %v", err)
+			}
+			defer response.Body.Close()
+			if outcome := response.Header.Get(dialect.Native().Outcome); response.StatusCode != http.StatusServiceUnavailable || outcome != OutcomeNotRun || !response.Close {
+				t.Errorf("status %d, outcome %q, close %v; want a rejection that ends the connection", response.StatusCode, outcome, response.Close)
+			}
+			if len(started) != 0 {
+				t.Error("the request was passed on")
+			}
+		})
+	}
+}
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -159,6 +159,9 @@
 	if problem := q.readDeadline(q.arrivedAt); problem != nil {
 		return problem
 	}
+	if !q.ticketed() && !q.admitted() {
+		return q.stoppingProblem()
+	}
 	if problem := q.readBody(); problem != nil {
 		return problem
 	}
@@ -225,12 +228,14 @@
 		return nil
 	}
 	q.setReadDeadline(q.deadline)
-	bufferedBody, err := io.ReadAll(q.limitedBody())
+	bufferedBody, err := q.readWholeBody()
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
 	case errors.As(err, &tooLarge):
 		return q.bodyTooLarge()
+	case errors.Is(err, errStopping):
+		return q.stoppingProblem()
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return notRunProblem(http.StatusRequestTimeout, "body_timeout", "the request body did not arrive before the deadline")
 	case err != nil:
