tests: one source of free addresses, below the ephemeral ports

What was seen: TestStopTakesNoRequestItCannotAnswer failed once, beside load: "gateway stopped: admin address: listen tcp 127.0.0.1:37257: bind: address already in use".

Cause: the tests of internal/app asked the kernel for a port, closed it and listened there later. The port is in the ephemeral range, and the hundreds of connections of the tests that run at the same time take their local ports from it. The system tests had solved this with ports below that range.

Change: both use standin.FreeAddress, which is the code of the system tests. No check changes.

Evidence: TestFreeAddress states the property. The old function returns ports from 32768 up by its nature (port 0), so the test fails with it.

--- a/internal/app/gateway_test.go
+++ b/internal/app/gateway_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +17,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
 	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
+	"github.com/sapphirehaven/sapphirehaven/internal/standin"
 )
 
 // memoryRegistry is an in-memory port.Registry with a fixed configuration and fixed targets.
@@ -87,12 +87,12 @@
 }
 
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := standin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // runGateway starts a gateway with one target and waits until it is ready.
--- /dev/null
+++ b/internal/standin/address_test.go
@@ -0,0 +1,35 @@
+package standin
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// TestFreeAddress guards against an address that an outgoing connection may take before the test that asked
+// for it listens there, and against an address that two tests get.
+func TestFreeAddress(t *testing.T) {
+	ephemeral := 32768
+	if data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
+		if ephemeral, err = strconv.Atoi(strings.Fields(string(data))[0]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	seen := map[string]bool{}
+	for range 200 {
+		address, err := FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, port, err := net.SplitHostPort(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := strconv.Atoi(port); err != nil || n >= ephemeral || seen[address] {
+			t.Errorf("address %s (%v), want an unused port below %d", address, err, ephemeral)
+		}
+		seen[address] = true
+	}
+}
--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -16,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/standin"
 )
 
 // binaryDir is the directory of the built programs.
@@ -162,29 +163,11 @@
 	return true
 }
 
-var usedPorts sync.Map
-
-// freeAddress returns a loopback address that is free for TCP and UDP. Its port is
-// below the ephemeral range, which the kernel uses for outgoing connections.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))
-		if _, used := usedPorts.LoadOrStore(address, true); used {
-			continue
-		}
-		tcp, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		udp, err := net.ListenPacket("udp", address)
-		tcp.Close()
-		if err != nil {
-			continue
-		}
-		udp.Close()
-		return address
+	address, err := standin.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port found")
-	return ""
+	return address
 }
