app: a stalled host goes by when its stop may have been requested

What callers saw: a host that gets little processor time, or is suspended, took their requests in the last seconds of its stop and passed them on. SIGKILL then cut them, among them requests that may not be repeated.

Cause: the platform counts the grace period from SIGTERM, the host counted it from when it handled the signal. All limits of a stop (which requests are accepted, the forced close) lay later than the platform's SIGKILL by that delay.

TestStopOfSuspendedHost repeats it with SIGSTOP, SIGTERM and SIGCONT 4 s later.

The time of the signal can't be asked of the kernel.

Change: the loop that waits for the stop checks every 50 ms that the process runs. If it did not for 200 ms before the stop, the stop may have been requested at the last but one check, and requests are accepted by a grace period that starts there. This works because the signal can't have come before a check that found none. The forced close stays where it was: a stall that came before the signal must not cut requests in flight that still have time. Both engines use it. host_draining has stalled_ms.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -174,12 +174,8 @@
 	} {
 		running.Go(func() { recovery.Loop(background, g.log, task.name, task.run) })
 	}
-	failed := listeners.serve()
-	select {
-	case <-ctx.Done():
-	case err = <-failed:
-	}
-	g.shutDown()
+	since, err := awaitStop(ctx, listeners.serve())
+	g.shutDown(since)
 	stop()
 	listeners.close()
 	g.fleet.Close()
--- a/internal/app/gateway_callers.go
+++ b/internal/app/gateway_callers.go
@@ -61,14 +61,16 @@
 // shutDown stops the host gracefully. The host withdraws from address responses and serves the requests
 // that it can answer in time. When callers have left, or nothing can be answered in time any more, it
 // stops accepting connections and waits for the requests in flight. All of this ends forcedCloseMargin
-// before the end of the grace period.
-func (g *Gateway) shutDown() {
+// before the end of the grace period. The grace period may have started at the given time: requests are
+// accepted according to that, but those in flight are not cut earlier than the platform may do.
+func (g *Gateway) shutDown(since time.Time) {
 	started := time.Now()
-	deadline := started.Add(g.settings.GracePeriod - forcedCloseMargin)
+	period := g.settings.GracePeriod - forcedCloseMargin
+	deadline := started.Add(period)
 	g.draining.Store(true)
-	g.ingress.Drain(deadline.Add(-responseMargin))
+	g.ingress.Drain(since.Add(period - responseMargin))
 	g.announceLeaving()
-	g.timeline.Record(event.HostDraining, event.F("in_flight", g.ingress.InFlight()))
+	g.timeline.Record(event.HostDraining, event.F("in_flight", g.ingress.InFlight()), event.F("stalled_ms", started.Sub(since).Milliseconds()))
 	reason := g.awaitCallersLeaving(started)
 	logConnections(g.log, g.callers, g.ingress).WithFields(logrus.Fields{"reason": reason, "after": time.Since(started).Round(time.Millisecond)}).Info("no longer accepting connections from callers")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -189,12 +189,8 @@
 			run(background)
 		}()
 	}
-	failed := listeners.serve()
-	select {
-	case <-ctx.Done():
-	case err = <-failed:
-	}
-	h.shutDown(listeners)
+	since, err := awaitStop(ctx, listeners.serve())
+	h.shutDown(listeners, since)
 	stop()
 	running.Wait()
 	metrics.UnregisterSet(h.ingress.Metrics(), false)
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -84,13 +84,13 @@
 
 // shutDown stops the host gracefully. The host withdraws from address responses, serves until all
 // cached responses have expired, then closes idle connections and waits for requests in flight, up to
-// the drain limit.
-func (h *Host) shutDown(l *listeners) {
+// the drain limit. Requests are accepted according to a drain limit that starts at the given time.
+func (h *Host) shutDown(l *listeners, since time.Time) {
 	started := time.Now()
 	h.draining.Store(true)
-	h.ingress.Drain(started.Add(h.settings.DrainLimit - responseMargin))
+	h.ingress.Drain(since.Add(h.settings.DrainLimit - responseMargin))
 	h.membership.announceLeaving()
-	h.timeline.Record(event.HostDraining, event.F("in_flight", h.ingress.InFlight()))
+	h.timeline.Record(event.HostDraining, event.F("in_flight", h.ingress.InFlight()), event.F("stalled_ms", started.Sub(since).Milliseconds()))
 	time.Sleep(min(h.settings.AddressMaxAge+departurePropagationTime, h.settings.DrainLimit))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.settings.DrainLimit))
 	defer cancel()
--- a/internal/app/shutdown_test.go
+++ b/internal/app/shutdown_test.go
@@ -66,7 +66,7 @@
 	h.tickets.receiveMember(member.Info{ID: "b", Version: member.Version{Incarnation: 1}, PeerAddress: "127.0.0.1:1"}, member.Alive)
 	successor := &unresponsiveSuccessor{callerAddress: l.callerListener.Addr().String()}
 	h.tickets.peers = successor
-	h.shutDown(l)
+	h.shutDown(l, time.Now())
 	if !successor.callersClosed {
 		t.Fatal("the host accepted connections from callers until the drain limit")
 	}
@@ -86,7 +86,7 @@
 		h.tickets.End(tk.ID, run.Run, ticket.Completion{})
 		close(ended)
 	}()
-	h.shutDown(l)
+	h.shutDown(l, time.Now())
 	select {
 	case <-ended:
 	default:
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -112,16 +112,24 @@
 func (h *platformHost) stop() (signaledAt time.Time, graceful bool) {
 	signaledAt = time.Now()
 	h.signal(syscall.SIGTERM)
-	select {
-	case <-h.exited:
+	if h.exitsBefore(signaledAt.Add(platformGrace)) {
 		return signaledAt, true
-	case <-time.After(platformGrace):
 	}
 	h.signal(syscall.SIGKILL)
 	<-h.exited
 	return signaledAt, false
 }
 
+// exitsBefore waits for the host to exit and reports whether it did by the given time.
+func (h *platformHost) exitsBefore(end time.Time) bool {
+	select {
+	case <-h.exited:
+		return true
+	case <-time.After(time.Until(end)):
+		return false
+	}
+}
+
 // slowTarget answers each request after a fixed time and records the IDs of the requests that
 // reached it.
 type slowTarget struct {
--- a/internal/systemtest/signals_test.go
+++ b/internal/systemtest/signals_test.go
@@ -59,6 +59,29 @@
 	}
 }
 
+// TestStopOfSuspendedHost guards against a host that measures its grace period from when it gets processor
+// time after the signal, passes on requests that its target can't answer before SIGKILL, and so loses them.
+func TestStopOfSuspendedHost(t *testing.T) {
+	t.Parallel()
+	const (
+		latency   = 2500 * time.Millisecond
+		suspended = 4 * time.Second
+	)
+	d := newDeployment(t, latency)
+	h := d.startHost(t, "host-1")
+	callers := startKeptCallers(h, signalTestCallers)
+	time.Sleep(latency / 2)
+	signaledAt := time.Now()
+	h.signal(syscall.SIGSTOP)
+	h.signal(syscall.SIGTERM)
+	resume := time.AfterFunc(suspended, func() { h.signal(syscall.SIGCONT) })
+	defer resume.Stop()
+	if !h.exitsBefore(signaledAt.Add(platformGrace)) {
+		h.signal(syscall.SIGKILL)
+	}
+	d.target.checkNoneLost(t, callers.wait(), signaledAt)
+}
+
 // TestSignalsWhileStarting guards against a host that is ended by a signal that arrives before it
 // serves.
 func TestSignalsWhileStarting(t *testing.T) {
