httpserver: accept the connections that wait when a shutdown begins

On a host that is short of processor time many connections can wait.

Cause: Shutdown closed the listeners at once. The kernel resets the connections in the accept queue of a closed listener.

Change: each listener first accepts what waits, for at most 20 ms at a time, and then closes. The deadline is set by the goroutine that accepts, since an expired one would hide connections that wait. Shutdown ends when the listeners have closed as well; Close still closes them at once.

--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -37,8 +37,9 @@
 
 	mu          sync.Mutex
 	idleTimeout time.Duration
-	listeners   []net.Listener
-	conns       map[*conn]struct{}
+	// listeners holds the listeners that accept connections.
+	listeners map[*listener]struct{}
+	conns     map[*conn]struct{}
 	// lingering holds the connections that net/http has closed and that wait for their peer to close
 	// them as well.
 	lingering map[*conn]struct{}
@@ -60,7 +61,12 @@
 
 // New returns a server that accepts no connections until Serve is called.
 func New(cfg Config) *Server {
-	s := &Server{idleTimeout: cfg.IdleTimeout, conns: map[*conn]struct{}{}, lingering: map[*conn]struct{}{}}
+	s := &Server{
+		idleTimeout: cfg.IdleTimeout,
+		listeners:   map[*listener]struct{}{},
+		conns:       map[*conn]struct{}{},
+		lingering:   map[*conn]struct{}{},
+	}
 	s.http = &http.Server{
 		Handler:           cfg.Handler,
 		ReadHeaderTimeout: cfg.ReadHeaderTimeout,
@@ -77,24 +83,30 @@
 
 // Serve accepts connections until Shutdown or Close is called. Then it returns http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
-	if !s.addListener(l) {
+	wrapped := &listener{Listener: l}
+	if !s.addListener(wrapped) {
 		_ = l.Close()
 		return http.ErrServerClosed
 	}
-	err := s.http.Serve(&listener{Listener: l, server: s})
+	err := s.http.Serve(wrapped)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.listeners, wrapped)
+	s.signalIfAllClosed()
 	if s.closing {
 		return http.ErrServerClosed
 	}
 	return errors.Wrap(err, "serve")
 }
 
-func (s *Server) addListener(l net.Listener) bool {
+func (s *Server) addListener(l *listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listeners = append(s.listeners, l)
-	return !s.closing
+	if s.closing {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
 }
 
 // SetIdleTimeout changes the idle timeout of all connections. An open connection gets the new one when
@@ -128,10 +140,14 @@
 // Shutdown stops accepting connections, ends the wait for further requests on all open ones and returns
 // when all are closed, or an error when ctx ends before: a process that ends with an open connection may
 // reset it and so cut the end of a response. A request of which a byte has been read is
-// still served, and the handler should close its connection.
+// still served, and the handler should close its connection. So is one that has arrived on a connection
+// that waits to be accepted.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
-	s.closeListeners()
+	s.closing = true
+	for l := range s.listeners {
+		l.acceptLast()
+	}
 	for c := range s.conns {
 		c.endWait()
 	}
@@ -161,7 +177,10 @@
 // Close closes all listeners and connections at once, whatever requests they have.
 func (s *Server) Close() error {
 	s.mu.Lock()
-	s.closeListeners()
+	s.closing = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
 	for c := range s.conns {
 		c.abort()
 	}
@@ -169,18 +188,9 @@
 	return s.http.Close()
 }
 
-// closeListeners closes the listeners. The caller holds the lock.
-func (s *Server) closeListeners() {
-	s.closing = true
-	for _, l := range s.listeners {
-		_ = l.Close()
-	}
-	s.listeners = nil
-}
-
 // signalIfAllClosed wakes Shutdown after the last connection. The caller holds the lock.
 func (s *Server) signalIfAllClosed() {
-	if s.allClosed != nil && len(s.conns)+len(s.lingering) == 0 {
+	if s.allClosed != nil && len(s.listeners)+len(s.conns)+len(s.lingering) == 0 {
 		select {
 		case <-s.allClosed:
 		default:
@@ -233,19 +243,3 @@
 	}
 	return time.Time{}
 }
-
-// listener wraps the connections that it accepts.
-type listener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		// net/http recognizes temporary errors by their type.
-		return nil, err
-	}
-	return &conn{Conn: c}, nil
-}
