target: drop an empty body before the context of the attempt is watched

Seen: the race detector failed TestFrozenConnections once in 900 runs beside load: exchange.interrupt, which runs when the context ends, read the body of the attempt while send cleared it.

Cause: send replaced a body of length 0 by none after acquireConn had started to watch the context. Two goroutines used the field without a lock. Nothing worse than an interrupt of an empty body could follow on the machines that Go supports, but the field is an interface, whose two words are not read at once.

Change: Do drops the body before the exchange exists.

--- a/internal/adapter/target/send.go
+++ b/internal/adapter/target/send.go
@@ -26,8 +26,7 @@
 // writer of the body.
 func (x *exchange) send() error {
 	a := x.a
-	if a.Body == nil || a.ContentLength == 0 {
-		a.Body = nil
+	if a.Body == nil {
 		return x.sendWhole(nil)
 	}
 	if a.ContentLength > 0 && a.ContentLength <= x.t.cfg.InlineBodyBytes {
--- a/internal/adapter/target/transport.go
+++ b/internal/adapter/target/transport.go
@@ -43,6 +43,9 @@
 // sent to the target. If the response is nil, the result is final. Otherwise the
 // caller must call Response.Finish, which returns the final result.
 func (t *Transport) Do(ctx context.Context, a Attempt) (*Response, attempt.Result) {
+	if a.ContentLength == 0 {
+		a.Body = nil
+	}
 	x := &exchange{t: t, a: &a, ctx: ctx, start: time.Now()}
 	if err := x.acquireConn(); err != nil {
 		return nil, x.failAcquire(err)
