app: log the requests that a forced close cuts

Cause: an attempt is logged when it ends. Run ended the request log right after the forced close, before the handlers of the cut requests returned, and the log left out lines that were still queued.

Change: after a forced close the host waits up to 200 ms for the handlers to end, inside the 400 ms that the close leaves before the end of the grace period, and the request log writes what is queued when it ends. Both engines.

--- a/internal/app/gateway_callers.go
+++ b/internal/app/gateway_callers.go
@@ -45,11 +45,16 @@
 	forcedCloseMargin = 400 * time.Millisecond
 	// responseMargin is the time before the forced close by which all requests should be answered.
 	responseMargin = 100 * time.Millisecond
+	// cutRequestTime limits the wait for the requests that the forced close cuts, whose attempts are logged
+	// when they end. It leaves forcedCloseMargin time for the rest of the stop.
+	cutRequestTime = 200 * time.Millisecond
 	// quietTime is the time without requests, on top of AddressMaxAge, after which a stopping host no
 	// longer accepts connections.
 	quietTime = 1200 * time.Millisecond
 	// drainPollInterval is the time between two checks for requests while a host stops.
 	drainPollInterval = 50 * time.Millisecond
+	// cutRequestPollInterval is the time between two checks for requests that were cut.
+	cutRequestPollInterval = 5 * time.Millisecond
 )
 
 // Reasons for which a stopping host no longer accepts connections.
@@ -78,6 +83,7 @@
 	if err := g.callers.Shutdown(ctx); err != nil {
 		logConnections(g.log, g.callers, g.ingress).WithError(err).Warn("drain deadline reached; closing the remaining connections")
 		_ = g.callers.Close()
+		awaitCutRequests(g.ingress)
 	}
 	g.timeline.Record(event.HostStopped, event.F("in_flight", g.ingress.InFlight()), event.F("drained_in", time.Since(started).Round(time.Millisecond)))
 }
@@ -99,6 +105,13 @@
 	return nothingToAdmit
 }
 
+// awaitCutRequests waits until the handlers of requests whose connections were closed have ended.
+func awaitCutRequests(server *ingress.Server) {
+	for end := time.Now().Add(cutRequestTime); server.InFlight() > 0 && time.Now().Before(end); {
+		time.Sleep(cutRequestPollInterval)
+	}
+}
+
 // logConnections returns a logger with the requests in flight and the callers' connections by what they
 // are used for.
 func logConnections(log logrus.FieldLogger, callers *httpserver.Server, server *ingress.Server) logrus.FieldLogger {
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -104,6 +104,7 @@
 	if err := l.caller.Shutdown(ctx); err != nil {
 		logConnections(h.log, l.caller, h.ingress).WithError(err).Warn("drain limit reached; closing the remaining connections")
 		_ = l.caller.Close()
+		awaitCutRequests(h.ingress)
 	}
 	<-handedOver
 	h.tickets.sendUpdates(ctx)
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -81,7 +81,7 @@
 	droppedLines.Inc()
 }
 
-// Run writes queued lines until ctx ends.
+// Run writes queued lines until ctx ends, and then those that are still queued.
 func (l *Log) Run(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
@@ -95,6 +95,19 @@
 				l.log.WithField("lines", n).Info("lines about requests were left out")
 			}
 		case <-ctx.Done():
+			l.flush()
+			return
+		}
+	}
+}
+
+// flush writes the lines that are queued.
+func (l *Log) flush() {
+	for {
+		select {
+		case line := <-l.lines:
+			l.write(line)
+		default:
 			return
 		}
 	}
