httpserver: bound the time in which a shutdown accepts connections

Cause: a server that shuts down accepted connections until none arrived for 20 ms. Callers that open a new connection after each response keep that from happening, so that the listener stayed open and the forced close cut the last requests. A connection was also dropped without a close if Close came between its accept and the reset of the deadline.

Change: the listener closes 100 ms after the first accept of the shutdown, whatever arrives. The connection is returned whether the deadline can be set or not.

Evidence: TestShutdownEndsWhileCallersConnect (16 callers that connect again and again) failed before in 2 of 4 runs ("connections are still open: context deadline exceeded", and a caller that waited forever), and passes; the package 3 times and TestStopUnderLoad 6 times with the race detector.

--- a/internal/adapter/httpserver/listener.go
+++ b/internal/adapter/httpserver/listener.go
@@ -6,16 +6,22 @@
 	"time"
 )
 
-// lastAcceptTime is the time for which a server that shuts down waits for a connection that the kernel
-// has established. Closing the listener resets those that have not been accepted, with the requests that
-// they hold.
-const lastAcceptTime = 20 * time.Millisecond
+// Closing a listener resets the connections that the kernel has established and that have not been accepted,
+// with the requests that they hold. Therefore a server that shuts down accepts connections until none arrives
+// for acceptWait, but for no longer than lastAcceptTime, since callers may open new ones all the time.
+const (
+	acceptWait     = 20 * time.Millisecond
+	lastAcceptTime = 100 * time.Millisecond
+)
 
 // listener wraps the connections that it accepts. After acceptLast it accepts those that wait to be
 // accepted and then closes.
 type listener struct {
 	net.Listener
 	last atomic.Bool
+	// lastEnd is the time at which the listener closes. It is set by the first Accept after acceptLast, as the
+	// process may have had no processor time before.
+	lastEnd time.Time
 }
 
 // deadliner is implemented by listeners whose Accept can be ended without closing them.
@@ -47,9 +53,15 @@
 // acceptWaiting accepts a connection that waits to be accepted, or closes the listener. The deadline is
 // set here because an expired one hides waiting connections.
 func (l *listener) acceptWaiting() (net.Conn, error) {
-	if d, ok := l.Listener.(deadliner); ok && d.SetDeadline(time.Now().Add(lastAcceptTime)) == nil {
+	now := time.Now()
+	if l.lastEnd.IsZero() {
+		l.lastEnd = now.Add(lastAcceptTime)
+	}
+	if d, ok := l.Listener.(deadliner); ok && now.Before(l.lastEnd) && d.SetDeadline(now.Add(acceptWait)) == nil {
 		if c, err := l.Listener.Accept(); err == nil {
-			return c, d.SetDeadline(time.Now())
+			// This fails if the listener has been closed meanwhile, which the next Accept reports.
+			_ = d.SetDeadline(now)
+			return c, nil
 		}
 	}
 	_ = l.Close()
--- a/internal/adapter/httpserver/listener_test.go
+++ b/internal/adapter/httpserver/listener_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"context"
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,7 +45,7 @@
 		responses = append(responses, br)
 	}
 	go func() { stopped <- s.Shutdown(t.Context()) }()
-	time.Sleep(3 * lastAcceptTime)
+	time.Sleep(3 * acceptWait)
 	close(delayed.gate)
 	for _, br := range responses {
 		expectBody(t, br, "/1")
@@ -59,3 +62,36 @@
 		t.Errorf("Shutdown returned %v", err)
 	}
 }
+
+// TestShutdownEndsWhileCallersConnect guards against a shutdown that goes on for as long as callers open
+// connections.
+func TestShutdownEndsWhileCallersConnect(t *testing.T) {
+	s, address := startServer(t, Config{Handler: http.HandlerFunc(echoPath)})
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	for range 16 {
+		callers.Go(func() { connectUntilRefused(address) })
+	}
+	for s.Connections() == (Connections{}) {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Errorf("Shutdown returned %v", err)
+		_ = s.Close()
+	}
+}
+
+// connectUntilRefused sends a request on each of one connection after another until none is accepted.
+func connectUntilRefused(address string) {
+	for {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	}
+}
