app: TestStopTakesNoRequestItCannotAnswer waits for its load instead of a time

Seen beside load (load average 40): "only 88 requests were answered", the check that the run had any load; no request was lost. The stop began 500 ms after the first request, whatever had been answered by then.

The test now stops the host after 100 answers, so that the check holds before the stop on any machine; answers during the stop counted before.

--- a/internal/app/gateway_lost_test.go
+++ b/internal/app/gateway_lost_test.go
@@ -95,6 +95,22 @@
 	}
 }
 
+// awaitAnswers waits until a number of requests have been answered.
+func (l *requestLedger) awaitAnswers(t *testing.T, count int) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); ; time.Sleep(10 * time.Millisecond) {
+		l.mu.Lock()
+		answered := len(l.answered)
+		l.mu.Unlock()
+		if answered >= count {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("only %d requests were answered, want %d", answered, count)
+		}
+	}
+}
+
 // startCallers starts callers and returns a function that stops them.
 func (l *requestLedger) startCallers(address string, callers int, pause func() time.Duration) (stop func()) {
 	stopped := make(chan struct{})
@@ -127,15 +143,12 @@
 			class := document.Class{Deadline: document.Duration(c.timeout), Timeout: document.Duration(c.timeout), Objective: document.Duration(c.objective)}
 			g, stop := runGatewayFor(t, gatewayConfigurationFor(class), 200, ledger.targetHandler(c.longest))
 			stopCallers := ledger.startCallers(g.settings.CallerAddress, 100, func() time.Duration { return 30 * time.Millisecond })
-			time.Sleep(500 * time.Millisecond)
+			ledger.awaitAnswers(t, 100)
 			stopped := time.Now()
 			if err := stop(); err != nil {
 				t.Error(err)
 			}
 			stopCallers()
-			if len(ledger.answered) < 100 {
-				t.Errorf("only %d requests were answered", len(ledger.answered))
-			}
 			for id, at := range ledger.lost() {
 				t.Errorf("%s reached the target %s after the start of the stop and got no response (of %d)", id, at.Sub(stopped).Round(time.Millisecond), len(ledger.arrived))
 			}
