schedule: keep what a target process says across its removal from the configuration

A target whose registration lapses and returns is still the same process, but the scheduler drops everything it kept for it and starts anew. What the process said of itself is then forgotten although it still holds.

The scheduler now keeps one processState for each target ID and start time.

--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -43,9 +43,11 @@
 
 	targets map[ident.TargetID]*target
 	order   []*target
-	classes map[ident.ClassName]*class
-	budget  *retry.WindowBudget
-	model   *gray.Model
+	// processes holds what the processes of targets said of themselves.
+	processes processMemory
+	classes   map[ident.ClassName]*class
+	budget    *retry.WindowBudget
+	model     *gray.Model
 
 	requests map[ident.RequestID]*request
 	attempts map[ident.AttemptID]*runningAttempt
@@ -86,6 +88,8 @@
 // target is a target with the state that this host keeps for it.
 type target struct {
 	dispatch.Target
+	// process holds what the target's process said of itself.
+	process      *processState
 	distance     balance.Distance
 	inFlight     int
 	belief       gray.Belief
@@ -163,14 +167,15 @@
 // New returns a scheduler.
 func New(now time.Time, cfg dispatch.Config, self dispatch.Self) *Scheduler {
 	s := &Scheduler{
-		self:     self,
-		now:      now,
-		targets:  map[ident.TargetID]*target{},
-		classes:  map[ident.ClassName]*class{},
-		budget:   retry.NewWindowBudget(),
-		model:    gray.NewModel(),
-		requests: map[ident.RequestID]*request{},
-		attempts: map[ident.AttemptID]*runningAttempt{},
+		self:      self,
+		now:       now,
+		targets:   map[ident.TargetID]*target{},
+		processes: newProcessMemory(),
+		classes:   map[ident.ClassName]*class{},
+		budget:    retry.NewWindowBudget(),
+		model:     gray.NewModel(),
+		requests:  map[ident.RequestID]*request{},
+		attempts:  map[ident.AttemptID]*runningAttempt{},
 	}
 	s.Configure(now, cfg)
 	return s
@@ -230,12 +235,14 @@
 	old := s.targets
 	s.targets = map[ident.TargetID]*target{}
 	s.order = s.order[:0]
-	for _, tc := range s.cfg.Targets {
+	states := s.processes.configure(now, configuredProcesses(s.cfg.Targets))
+	for i, tc := range s.cfg.Targets {
 		t := old[tc.ID]
 		if t == nil || t.StartUnixMilli != tc.StartUnixMilli {
 			t = &target{belief: gray.NewBelief(now, s.model), limit: limit.NewAdaptive(now, tc.Slots), addedAt: now, joined: s.anyResponse, affinity: affinity(s.self.Host, tc.ID)}
 		}
 		t.Target = tc
+		t.process = states[i]
 		t.distance = balance.DistanceBetween(s.self.Location, tc.Location)
 		t.limit.SetSlots(now, tc.Slots)
 		s.targets[tc.ID] = t
@@ -243,6 +250,14 @@
 	}
 }
 
+func configuredProcesses(targets []dispatch.Target) []Process {
+	list := make([]Process, len(targets))
+	for i, t := range targets {
+		list[i] = Process{Target: t.ID, StartUnixMilli: t.StartUnixMilli}
+	}
+	return list
+}
+
 // affinity is a hash of a host and a target, 0 to 1.
 func affinity(host ident.HostID, target ident.TargetID) float64 {
 	h := fnv.New64a()
