app: keep the engine of a service that is removed and returns

A service that is removed from the configuration and returns gets a new engine. Everything known of its targets is lost, although they are mostly the same processes, and requests that are still running report to the old engine.

The closed engine is now kept and reopened, for the 64 services that were removed last. Its requests in progress keep reporting to it.

--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -26,6 +26,8 @@
 
 	mu      sync.Mutex
 	engines map[ident.ServiceName]*engine.Service
+	// removed holds the closed engines of services that are not in the configuration any more.
+	removed removedEngines
 	active  *ingress.ActiveConfig
 }
 
@@ -36,11 +38,12 @@
 		recorder:  recorder,
 		serves:    func(ident.ServiceName) bool { return true },
 		engines:   map[ident.ServiceName]*engine.Service{},
+		removed:   removedEngines{},
 	}
 }
 
 // apply reconfigures the engines for a revision and returns its configuration, which requests use after
-// ingress.Server.Activate. Engines of services that remain keep their state.
+// ingress.Server.Activate. Engines of services that remain or return keep their state.
 func (s *services) apply(revision uint64, doc *document.Document) *ingress.ActiveConfig {
 	return s.applyWithRoutes(revision, doc, route.New(doc.Routes), dispatchConfig)
 }
@@ -64,6 +67,7 @@
 		if active.Backends[name] == nil {
 			e.Close()
 			delete(s.engines, name)
+			s.removed.add(name, e, time.Now())
 		}
 	}
 	s.active = active
@@ -105,14 +109,25 @@
 	for i := range svc.Classes {
 		b.Classes[svc.Classes[i].Name] = &svc.Classes[i]
 	}
-	b.Engine = s.engines[svc.Name]
-	if b.Engine == nil {
-		b.Engine = engine.NewService(cfg, s.self, seed(s.self.Host, svc.Name), s, s.recorder)
-		s.engines[svc.Name] = b.Engine
+	b.Engine = s.configureEngine(cfg)
+	return b
+}
+
+// configureEngine creates, reconfigures or reopens the engine of a service. The caller holds the
+// lock.
+func (s *services) configureEngine(cfg dispatch.Config) *engine.Service {
+	if e := s.engines[cfg.Service]; e != nil {
+		e.Configure(cfg)
+		return e
+	}
+	e := s.removed.take(cfg.Service)
+	if e != nil {
+		e.Reopen(cfg)
 	} else {
-		b.Engine.Configure(cfg)
+		e = engine.NewService(cfg, s.self, seed(s.self.Host, cfg.Service), s, s.recorder)
 	}
-	return b
+	s.engines[cfg.Service] = e
+	return e
 }
 
 // seed returns a seed that differs between hosts, so that hosts do not make the same choices
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -125,6 +125,15 @@
 	s.timer.Stop()
 }
 
+// Reopen undoes Close and applies a new configuration revision.
+func (s *Service) Reopen(cfg dispatch.Config) {
+	s.mu.Lock()
+	s.closed = false
+	s.nextTick = time.Time{}
+	s.mu.Unlock()
+	s.Configure(cfg)
+}
+
 // Configure applies a new configuration revision.
 func (s *Service) Configure(cfg dispatch.Config) {
 	s.handleEvent(func(now time.Time, d Decider) []dispatch.Action { return d.Configure(now, cfg) })
