schedule: send nothing to a target that states to be leaving

A target that leaves says so in all its answers (Server-Leaving: 1 on the platform). Hosts passed the header on and kept sending to it until the registry listed it as draining, or for ever if it never did or the registry was away.

The transport parses the header of every final response, whatever its status and whether or not its body is complete, except a 421 (another process answered) and responses to other requests. Values other than 1 are malformed: counted, recorded once per target, without effect. The statement is passed to the scheduler as soon as the head is read, and it holds for the process that the attempt was sent to, not for its successor under the same ID.

A leaving target gets no first attempts, retries, queued requests, permits or requests for the floor. It is well: its failures are not counted, and it counts neither for the floor nor for the capacity. If no other target can take requests, leaving ones are used for Config.LeavingGrace after their first statement. After that, and whenever no target returns before the deadline, requests are refused at once instead of at their deadline.

The event target_leaving, the attempt's log field leaving, two metrics and sapphirectl status -targets show the state.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -43,6 +43,7 @@
 		return false
 	}
 	response, result := q.server.cfg.Transport.Do(ctx, q.newAttempt(start, endpoint, &trace))
+	q.reportLeaving(start, &trace)
 	if response == nil {
 		q.finishAttempt(start, &trace, result)
 		return false
--- a/internal/adapter/ingress/log.go
+++ b/internal/adapter/ingress/log.go
@@ -57,6 +57,9 @@
 	if trace.RateLimit.Limited {
 		fields["stated_rate"] = trace.RateLimit.Rate
 	}
+	if trace.Leaving.Leaving {
+		fields["leaving"] = true
+	}
 	if trace.Err != nil {
 		fields["error"] = trace.Err
 	}
--- a/internal/adapter/ingress/metrics.go
+++ b/internal/adapter/ingress/metrics.go
@@ -30,7 +30,10 @@
 	// limitedResponses counts the responses that stated a rate, malformedRates those with
 	// a value that is no rate.
 	limitedResponses, malformedRates *metrics.Counter
-	addedLatency                     *metrics.Histogram
+	// leavingResponses counts the responses of targets that stated to be leaving,
+	// malformedLeaving those with a value without a meaning.
+	leavingResponses, malformedLeaving *metrics.Counter
+	addedLatency                       *metrics.Histogram
 	// attemptTimes tells a stopping host whether a request can be finished.
 	attemptTimes attemptTimes
 }
@@ -85,6 +88,8 @@
 	}
 	c.limitedResponses = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_rate_statements_total{%s,result=\"valid\"}", labels))
 	c.malformedRates = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_rate_statements_total{%s,result=\"malformed\"}", labels))
+	c.leavingResponses = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_leaving_statements_total{%s,result=\"valid\"}", labels))
+	c.malformedLeaving = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_leaving_statements_total{%s,result=\"malformed\"}", labels))
 	for kind := range c.results {
 		c.results[kind] = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_attempts_total{%s,result=%q}", labels, attempt.Kind(kind)))
 	}
@@ -121,6 +126,17 @@
 	}
 }
 
+// countLeavingStatement counts a response that stated that its target is leaving, or tried
+// to.
+func (c *classMetrics) countLeavingStatement(s attempt.LeavingStatement) {
+	if s.Leaving {
+		c.leavingResponses.Inc()
+	}
+	if s.Malformed {
+		c.malformedLeaving.Inc()
+	}
+}
+
 // recordMetrics updates the metrics at the end of a request.
 func (q *request) recordMetrics(problem *Problem) {
 	outcome := OutcomeUnknown
@@ -181,6 +197,7 @@
 			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="all"}`, name), uint64(status.Floor.Healthy))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="used"}`, name), uint64(status.Floor.Used))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_rate_limited_targets{service=%q}", name), uint64(status.Rates.Limited))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_leaving_targets{service=%q}", name), uint64(status.Leaving))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_permits{service=%q}", name), uint64(status.Rates.Permits))
 		}
 	}
--- a/internal/adapter/target/attempt.go
+++ b/internal/adapter/target/attempt.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/outcome"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 )
@@ -106,6 +107,9 @@
 	Load *Load
 	// RateLimit is what the response says about the rate that the target accepts.
 	RateLimit ratelimit.Statement
+	// Leaving is what the response says about whether the target is leaving. It may also
+	// be read as soon as Do has returned a response.
+	Leaving attempt.LeavingStatement
 }
 
 // validate rejects values that would change the framing of the request.
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -180,8 +180,7 @@
 			r.classification.Kind = attempt.Shed
 		}
 	}
-	if head.StatusCode == http.StatusMisdirectedRequest && d.ExpectTarget != "" && x.a.ExpectTarget != "" {
-		// The address now belongs to another target.
+	if x.misdirected(head) {
 		r.classification.Kind, r.classification.NotRun = attempt.Draining, true
 	}
 	if x.mayAnswerEarlier(head) {
@@ -191,6 +190,9 @@
 	if x.a.Trace != nil && d.RateLimit != "" {
 		x.a.Trace.RateLimit = rateStatement(head.Header.Values(d.RateLimit), r.classification.Kind)
 	}
+	if x.a.Trace != nil && d.Leaving != "" && !x.misdirected(head) {
+		x.a.Trace.Leaving = attempt.ParseLeaving(head.Header.Values(d.Leaving))
+	}
 	r.Body = bodyReader{r}
 	removeHopByHop(r.Header)
 	if head.StatusCode >= 300 {
@@ -204,6 +206,12 @@
 	return r, nil
 }
 
+// misdirected reports whether the response says that the address now belongs to another
+// target.
+func (x *exchange) misdirected(head *http.Response) bool {
+	return head.StatusCode == http.StatusMisdirectedRequest && x.t.cfg.Dialect.ExpectTarget != "" && x.a.ExpectTarget != ""
+}
+
 // rateStatement returns what a response says about the rate that the target accepts. A
 // response without a limit tells that there is none only if it is a regular answer: an
 // error may come from a part of the target that does not know of its limit, and a
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -57,6 +57,8 @@
 	// RateLimit is the number of requests per second that the target states to accept
 	// from all hosts, nil if it states none.
 	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// Leaving is set if the target has stated in a response that it is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Member is the state of a host as known to another host.
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -51,6 +51,7 @@
 			Weight:   t.Weight,
 			InFlight: t.InFlight,
 			Score:    t.Score,
+			Leaving:  t.Leaving,
 		}
 		if t.RateLimited {
 			target.RateLimit = &t.RateLimit
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -98,6 +98,9 @@
 	// RetryRatio times the requests plus RetryAllowance.
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// LeavingGrace is the time after a target's first statement that it is leaving in
+	// which it still gets requests if no other target can take them; 0 means none.
+	LeavingGrace time.Duration
 	// ProbeInterval is the interval between probes of one target; 0 disables
 	// probing.
 	ProbeInterval time.Duration
@@ -262,6 +265,8 @@
 	// requests per second.
 	RateLimited bool
 	RateLimit   float64
+	// Leaving is set if the target has stated in a response that it is leaving.
+	Leaving bool
 }
 
 // ClassStatus is the state of a request class.
@@ -298,7 +303,10 @@
 	Floor FloorStatus
 	// Rates is the state of the targets that state a rate. It is zero with dispatchers
 	// that apply none.
-	Rates   RateStatus
+	Rates RateStatus
+	// Leaving is the number of targets that have stated in a response that they are
+	// leaving. It is zero with dispatchers that read no such statements.
+	Leaving int
 	Classes []ClassStatus
 }
 
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -34,15 +34,21 @@
 	// RateStatementMalformed is recorded when a target begins to state values that are no
 	// rate.
 	RateStatementMalformed Kind = "rate_statement_malformed"
-	MemberJoined           Kind = "member_joined"
-	MemberSuspected        Kind = "member_suspected"
-	MemberFailed           Kind = "member_failed"
-	MemberLeaving          Kind = "member_leaving"
-	MemberLeft             Kind = "member_left"
-	RequestRefused         Kind = "request_refused"
-	OutcomeUnknown         Kind = "outcome_unknown"
-	TimerFailed            Kind = "timer_failed"
-	TicketsHandedOver      Kind = "tickets_handed_over"
+	// TargetLeaving is recorded when a target is first known to have stated in a response
+	// that it is leaving.
+	TargetLeaving Kind = "target_leaving"
+	// LeavingStatementMalformed is recorded when a target begins to state values without a
+	// meaning in place of its leaving.
+	LeavingStatementMalformed Kind = "leaving_statement_malformed"
+	MemberJoined              Kind = "member_joined"
+	MemberSuspected           Kind = "member_suspected"
+	MemberFailed              Kind = "member_failed"
+	MemberLeaving             Kind = "member_leaving"
+	MemberLeft                Kind = "member_left"
+	RequestRefused            Kind = "request_refused"
+	OutcomeUnknown            Kind = "outcome_unknown"
+	TimerFailed               Kind = "timer_failed"
+	TicketsHandedOver         Kind = "tickets_handed_over"
 )
 
 // Stamp is a hybrid logical clock timestamp.
--- a/internal/core/schedule/fleet_test.go
+++ b/internal/core/schedule/fleet_test.go
@@ -210,7 +210,7 @@
 			return
 		}
 		last = s.now
-		seen := h.TakeObservations()
+		seen := h.TakeObservations(s.clock())
 		for _, o := range s.hosts {
 			if o != h && o.region == h.region {
 				s.after(time.Millisecond, func() { s.apply(o, o.Observe(s.clock(), h.self.Host, seen)) })
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -65,12 +65,16 @@
 func (t *target) recentlyUsed(now time.Time) bool { return now.Sub(t.lastUsed) < usageWindow }
 
 // countsForFloor reports whether the floor of this host includes the target: one in the
-// same region that has not failed for a time and does not ask for few requests. Hosts in
+// same region that has not failed for a time, does not ask for few requests and is not
+// leaving. Hosts in
 // other regions maintain the floor there.
 func (t *target) countsForFloor(now time.Time, recovery time.Duration) bool {
 	if t.rate.Limited() && t.rate.Limit().Rate < minFloorRate {
 		return false
 	}
+	if t.process.leaving.known {
+		return false
+	}
 	return t.distance != balance.OtherRegion && t.reachable(now) && !t.Unregistered && now.Sub(t.failedAt) >= recovery
 }
 
--- a/internal/core/schedule/floor_test.go
+++ b/internal/core/schedule/floor_test.go
@@ -95,7 +95,7 @@
 	for range 10 {
 		f.recordOutcome(f.now, &request{forFloor: true}, false)
 	}
-	if f.floorActive(f.now) || f.TakeObservations().Ended > 0 {
+	if f.floorActive(f.now) || f.TakeObservations(f.now).Ended > 0 {
 		t.Error("failed requests that were sent for the floor count towards its activation")
 	}
 }
@@ -116,7 +116,7 @@
 		t.Error("the floor is not active with 10 of 105 requests not served on this host")
 	}
 	remote := newFixture(t, config(hostZone))
-	remote.Observe(remote.now, "other", local.TakeObservations())
+	remote.Observe(remote.now, "other", local.TakeObservations(local.now))
 	if !remote.floorActive(remote.now) {
 		t.Error("the floor is not active with 10 of 105 requests not served on another host")
 	}
@@ -149,7 +149,7 @@
 		f.CountSplitOutcome(f.now, true)
 		f.CountSplitOutcome(f.now, false)
 	}
-	if seen := f.TakeObservations(); !f.floorActive(f.now) || seen.Ended != 40 || seen.Unserved != 20 {
+	if seen := f.TakeObservations(f.now); !f.floorActive(f.now) || seen.Ended != 40 || seen.Unserved != 20 {
 		t.Errorf("floor active is %v, observations %+v", f.floorActive(f.now), seen)
 	}
 }
--- a/internal/core/schedule/process.go
+++ b/internal/core/schedule/process.go
@@ -34,6 +34,7 @@
 	// formerSince is the time of the removal, or of the first statement of a process that
 	// was not in the configuration by then.
 	formerSince time.Time
+	leaving     leavingState
 }
 
 // processMemory holds the states of the processes in the configuration, and of former ones
@@ -88,6 +89,10 @@
 	st := m.states[p]
 	if st == nil {
 		st = &processState{process: p, formerSince: now}
+		if p.StartUnixMilli == 0 {
+			// It cannot be told apart from its successor.
+			return st
+		}
 		m.states[p] = st
 		m.boundFormer()
 	}
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -59,10 +59,11 @@
 	if s.hostLossPending {
 		s.hostLossPending, s.hostLossFloorUntil = false, now.Add(hostLossFloorTime)
 	}
+	s.updateLastResort(now)
 	switch {
 	case r.deadlineTooShort(now, 0):
 		s.refuse(now, r, dispatch.DeadlineTooShort)
-	case len(s.order) == 0:
+	case r.deadlineTooShort(now, s.unavailableFor(now)):
 		s.refuse(now, r, dispatch.NoTarget)
 	case s.queuePosition(r) == 0 && s.tryStart(now, r, 0):
 	case r.permitTooLate(now, s.permitWait(now, s.queuePosition(r))):
@@ -87,9 +88,10 @@
 func (s *Scheduler) refuse(now time.Time, r *request, reason dispatch.RefuseReason) {
 	s.recordOutcome(now, r, false)
 	delete(s.requests, r.ID)
-	wait := noTargetRetryAfter
+	var wait time.Duration
 	switch reason {
 	case dispatch.NoTarget:
+		wait = s.noTargetRetryDelay(now)
 	case dispatch.RateLimited:
 		wait = min(maxRateRetryAfter, max(minRetryAfter, s.permitWait(now, s.queuePosition(r))))
 	default:
@@ -137,13 +139,13 @@
 // startQueued starts waiting requests while slots are free and ends those whose
 // deadline can no longer be met.
 func (s *Scheduler) startQueued(now time.Time) {
-	ahead := 0
+	ahead, unavailable := 0, s.unavailableFor(now)
 	for _, r := range slices.Clone(s.waiting) {
 		switch {
 		case r.deadlineTooShort(now, 0):
 			s.dequeue(r)
 			s.endWaiting(now, r, dispatch.DeadlineTooShort)
-		case len(s.order) == 0:
+		case r.deadlineTooShort(now, unavailable):
 			s.dequeue(r)
 			s.endWaiting(now, r, dispatch.NoTarget)
 		case r.attempts == 0 && r.deadlineTooShort(now, s.permitWait(now, ahead)):
@@ -333,6 +335,10 @@
 // observeFailure counts a failure. Failures that the network path may have caused
 // are not reported to the other hosts, which may use another path.
 func (s *Scheduler) observeFailure(now time.Time, t *target, atTarget bool) {
+	if t.process.leaving.known {
+		// A target that is leaving is well, and it gets no further requests anyway.
+		return
+	}
 	t.belief.Observe(now, true)
 	t.failedAt = now
 	if atTarget {
@@ -353,7 +359,8 @@
 		Remaining:   r.Deadline.Sub(now),
 		Needed:      r.class.serviceTime.LowQuantile(now),
 	}
-	if !retry.Allowed(state, res) || len(s.order) == 0 || r.unsentAttempts > maxUnsentAttempts {
+	s.updateLastResort(now)
+	if !retry.Allowed(state, res) || r.deadlineTooShort(now, s.unavailableFor(now)) || r.unsentAttempts > maxUnsentAttempts {
 		return false
 	}
 	// An attempt that was not sent does not count against the retry budget.
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -159,13 +159,13 @@
 	if !f.Urgent() {
 		t.Error("a failure at the target is not urgent")
 	}
-	list := f.TakeObservations().Targets
+	list := f.TakeObservations(f.now).Targets
 	if len(list) != 1 || list[0].Failures != 1 || f.Urgent() {
 		t.Errorf("observations %+v", list)
 	}
 	f = newFixture(t, config(hostZone))
 	f.serveRequest("order", time.Millisecond, dispatch.Result{Kind: attempt.DialFailed, NotSent: true})
-	if list := f.TakeObservations().Targets; f.Urgent() || (len(list) > 0 && list[0].Failures > 0) {
+	if list := f.TakeObservations(f.now).Targets; f.Urgent() || (len(list) > 0 && list[0].Failures > 0) {
 		t.Errorf("a failed connection to the target was reported: %+v", list)
 	}
 }
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -33,6 +33,8 @@
 	// that were not served. FloorUnserved is the number of requests that were sent to
 	// maintain the floor and not served; the other two do not include them.
 	Ended, Unserved, FloorUnserved int
+	// Leaving lists the processes that the host heard to be leaving.
+	Leaving []LeavingReport
 }
 
 // Scheduler schedules the requests of one service on one host.
@@ -45,9 +47,13 @@
 	order   []*target
 	// processes holds what the processes of targets said of themselves.
 	processes processMemory
-	classes   map[ident.ClassName]*class
-	budget    *retry.WindowBudget
-	model     *gray.Model
+	// anyLeaving is set once a target has been leaving. leavingNews are the processes
+	// whose statement should be sent to the other hosts.
+	anyLeaving  bool
+	leavingNews []*processState
+	classes     map[ident.ClassName]*class
+	budget      *retry.WindowBudget
+	model       *gray.Model
 
 	requests map[ident.RequestID]*request
 	attempts map[ident.AttemptID]*runningAttempt
@@ -276,6 +282,7 @@
 // pending actions.
 func (s *Scheduler) flush(now time.Time) []dispatch.Action {
 	s.now = now
+	s.updateLastResort(now)
 	s.startQueued(now)
 	actions := s.actions
 	s.actions = nil
@@ -284,6 +291,7 @@
 
 // Observe applies the observations of another host.
 func (s *Scheduler) Observe(now time.Time, from ident.HostID, observed Observations) []dispatch.Action {
+	s.observeLeaving(now, observed.Leaving)
 	s.outcomes.add(now, observed.Ended, min(observed.Unserved, observed.Ended), observed.FloorUnserved)
 	for _, o := range observed.Targets {
 		t := s.targets[o.Target]
@@ -316,9 +324,10 @@
 func (s *Scheduler) Urgent() bool { return s.urgent }
 
 // TakeObservations returns the observations since the last call and resets them.
-func (s *Scheduler) TakeObservations() Observations {
+func (s *Scheduler) TakeObservations(now time.Time) Observations {
 	out := Observations{Ended: s.ended, Unserved: s.unserved, FloorUnserved: s.floorUnserved}
 	s.ended, s.unserved, s.floorUnserved = 0, 0, 0
+	out.Leaving = s.takeLeavingReports(now)
 	for _, t := range s.order {
 		if t.successes == 0 && t.failures == 0 && !t.inFlightChanged {
 			continue
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -96,7 +96,9 @@
 }
 
 // reachable reports whether a target accepts requests, as far as is known.
-func (t *target) reachable(now time.Time) bool { return !t.Draining && !now.Before(t.unavailableUntil) }
+func (t *target) reachable(now time.Time) bool {
+	return !t.Draining && !t.process.leaving.excludes(now) && !now.Before(t.unavailableUntil)
+}
 
 // usable reports whether a target may receive a request now: it is reachable and
 // not paused after shedding load.
--- a/internal/core/schedule/status.go
+++ b/internal/core/schedule/status.go
@@ -14,7 +14,7 @@
 	for _, t := range s.order {
 		state := health.Healthy
 		switch {
-		case t.Draining:
+		case t.Draining || t.process.leaving.known:
 			state = health.Draining
 		case t.avoided:
 			state = health.Excluded
@@ -28,6 +28,7 @@
 
 			RateLimited: t.rate.Limited(),
 			RateLimit:   t.rate.Limit().Rate,
+			Leaving:     t.process.leaving.known,
 		})
 	}
 	return list
@@ -45,6 +46,9 @@
 		Floor:       dispatch.FloorStatus{Active: s.floorEnforced, Healthy: s.healthyTargets, Used: s.usedTargets},
 	}
 	for _, t := range s.order {
+		if t.process.leaving.known {
+			status.Leaving++
+		}
 		if t.rate.Limited() {
 			status.Rates.Limited++
 			status.Rates.Permits += t.rate.Permits(now)
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -90,7 +90,7 @@
 	}
 	for _, svc := range s.Services {
 		for _, t := range svc.Targets {
-			fmt.Fprintf(e.stdout, "  %-20s %-20s %-9s weight=%.2f in_flight=%d score=%.2f%s\n", svc.Name, t.Name, t.State, t.Weight, t.InFlight, t.Score, rateLimitText(t))
+			fmt.Fprintf(e.stdout, "  %-20s %-20s %-9s weight=%.2f in_flight=%d score=%.2f%s\n", svc.Name, t.Name, t.State, t.Weight, t.InFlight, t.Score, rateLimitText(t)+leavingText(t))
 		}
 	}
 }
@@ -207,3 +207,11 @@
 	}
 	return fmt.Sprintf(" rate_limit=%g", *t.RateLimit)
 }
+
+// leavingText tells that a target has stated in a response that it is leaving.
+func leavingText(t adminapi.Target) string {
+	if !t.Leaving {
+		return ""
+	}
+	return " leaving=true"
+}
--- a/internal/ctl/fleet_test.go
+++ b/internal/ctl/fleet_test.go
@@ -36,3 +36,13 @@
 		}
 	}
 }
+
+// TestLeavingText guards against a status in which a target that states to be leaving looks
+// like one that the registry lists as draining.
+func TestLeavingText(t *testing.T) {
+	for leaving, want := range map[bool]string{false: "", true: " leaving=true"} {
+		if got := leavingText(adminapi.Target{Leaving: leaving}); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -31,6 +31,8 @@
 	// RateLimit carries the number of requests per second that a target accepts from all
 	// hosts together. A response without it states that the target has no limit.
 	RateLimit string
+	// Leaving is set to "1" in all responses of a target that is about to exit.
+	Leaving string
 	// Via is set if hosts add themselves to the Via header.
 	Via bool
 	// AllowCloseDelimited is set if a response without a declared length is complete
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -225,6 +225,14 @@
 	})
 }
 
+// ReportLeaving reports what the response to an attempt states about whether the target is
+// leaving. It must be called before Finish.
+func (s *Service) ReportLeaving(id ident.AttemptID, statement attempt.LeavingStatement) {
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
+		return d.ReportLeaving(now, id, statement)
+	})
+}
+
 // ObserveLimits applies limits that another host told of.
 func (s *Service) ObserveLimits(entries []ratelimit.Entry) {
 	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action { return d.ObserveLimits(now, entries) })
@@ -330,7 +338,7 @@
 	if s.scheduler == nil {
 		return schedule.Observations{}
 	}
-	return s.scheduler.TakeObservations()
+	return s.scheduler.TakeObservations(monotonicNow())
 }
 
 // Urgent reports whether an observation should be sent to the other hosts at once.
