app: tell the other hosts of a region that a target is leaving

Each host has to get an answer of its own before it stops sending to a target that leaves. The observations that active hosts of a region exchange now name the processes that stated to be leaving, by target ID and start time, with the age of the first statement. A statement is sent at once and in the two messages that follow, since datagrams may be lost; a report of another host is not passed on. Hosts of earlier versions ignore the field.

The time for which targets keep serving (bounds: drain) is read from the settings. Half of it is the time in which a leaving target is still used if no other target can take requests; without the setting there is none.

TestLeavingTargetsInObservations covers the messages, TestLeavingReports the number of reports and their age.

--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -90,6 +90,7 @@
 		RetryRatio:     s.Bounds.RetryRatio,
 		RetryAllowance: s.Bounds.RetryAllowance,
 		RetryWindow:    s.Bounds.RetryWindow,
+		DrainTime:      s.Bounds.DrainTime,
 		Dialect:        platform.Dialect(),
 	}
 }
--- a/internal/adapter/peer/convert_fleet.go
+++ b/internal/adapter/peer/convert_fleet.go
@@ -81,6 +81,7 @@
 	for _, o := range in.Services {
 		pb.Services = append(pb.Services, &peerpb.ServiceOutcomes{Service: string(o.Service), Ended: uint32(o.Ended), Unserved: uint32(o.Unserved), FloorUnserved: uint32(o.FloorUnserved)})
 	}
+	pb.Leaving = toLeaving(in.Leaving)
 	for _, o := range in.Targets {
 		pb.Targets = append(pb.Targets, &peerpb.TargetObservation{
 			Service:   string(o.Service),
@@ -95,7 +96,7 @@
 }
 
 func fromObservations(pb *peerpb.Observations) port.Observations {
-	var out port.Observations
+	out := port.Observations{Leaving: fromLeaving(pb.GetLeaving())}
 	for _, o := range pb.GetServices() {
 		out.Services = append(out.Services, port.ServiceOutcomes{
 			Service:       ident.ServiceName(o.GetService()),
--- a/internal/adapter/peer/fleet.go
+++ b/internal/adapter/peer/fleet.go
@@ -81,20 +81,33 @@
 // a datagram.
 const observationsPerMessage = 16
 
+// leavingTargetWeight is the number of observations that a leaving target replaces, which
+// takes more bytes.
+const leavingTargetWeight = 2
+
 // SendObservations implements port.Fleet.
 func (f *Fleet) SendObservations(address string, o port.Observations) error {
-	for !o.Empty() {
-		targets := min(len(o.Targets), observationsPerMessage)
-		services := min(len(o.Services), observationsPerMessage-targets)
-		part := port.Observations{Targets: o.Targets[:targets], Services: o.Services[:services]}
+	for _, part := range splitObservations(o) {
 		if err := f.send(address, &peerpb.FleetMessage{Observations: toObservations(part)}); err != nil {
 			return err
 		}
-		o.Targets, o.Services = o.Targets[targets:], o.Services[services:]
 	}
 	return nil
 }
 
+// splitObservations splits observations into parts that fit into a datagram.
+func splitObservations(o port.Observations) []port.Observations {
+	var parts []port.Observations
+	for !o.Empty() {
+		targets := min(len(o.Targets), observationsPerMessage)
+		services := min(len(o.Services), observationsPerMessage-targets)
+		leaving := min(len(o.Leaving), (observationsPerMessage-targets-services)/leavingTargetWeight)
+		parts = append(parts, port.Observations{Targets: o.Targets[:targets], Services: o.Services[:services], Leaving: o.Leaving[:leaving]})
+		o.Targets, o.Services, o.Leaving = o.Targets[targets:], o.Services[services:], o.Leaving[leaving:]
+	}
+	return parts
+}
+
 // SendPermitRequest sends a request with at most port.MaxPermitEntries targets.
 func (f *Fleet) SendPermitRequest(address string, r ratelimit.Request) error {
 	return f.send(address, &peerpb.FleetMessage{PermitRequest: toPermitRequest(r, time.Now())})
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -54,7 +54,10 @@
 	RetryRatio     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
-	Dialect        dialect.Dialect
+	// DrainTime is the time for which a target keeps serving after it has stated that it is leaving.
+	// Within it, hosts must stop sending to the target.
+	DrainTime time.Duration
+	Dialect   dialect.Dialect
 }
 
 // Gateway is a running host that takes its configuration and targets from the platform's registry. Host
--- a/internal/app/gateway_config.go
+++ b/internal/app/gateway_config.go
@@ -28,6 +28,9 @@
 	// addresses.
 	activeAllowanceFraction  = 0.6
 	passiveAllowanceFraction = 0.2
+	// leavingGraceFraction is the fraction of DrainTime in which a leaving target is still used if no
+	// other target can take requests. The rest is a margin for requests on their way.
+	leavingGraceFraction = 0.5
 	// defaultConnections is the connection limit for a target if the configuration sets none.
 	defaultConnections = 330
 )
@@ -96,6 +99,7 @@
 		cfg.RetryRatio = usableRetryRatioFraction * g.settings.RetryRatio
 		cfg.RetryWindow = g.settings.RetryWindow
 		cfg.RetryAllowance = retryAllowance
+		cfg.LeavingGrace = time.Duration(leavingGraceFraction * float64(g.settings.DrainTime))
 		for i := range cfg.Targets {
 			t := &cfg.Targets[i]
 			e := entries[t.ID]
--- a/internal/app/gateway_fleet.go
+++ b/internal/app/gateway_fleet.go
@@ -246,6 +246,11 @@
 		observations.Targets = append(observations.Targets, schedule.Observation{Target: t.Target, Started: t.Started, Successes: t.Successes, Failures: t.Failures, InFlight: t.InFlight})
 		byService[t.Service] = observations
 	}
+	for _, l := range o.Leaving {
+		observations := byService[l.Service]
+		observations.Leaving = append(observations.Leaving, schedule.LeavingReport{Process: schedule.Process{Target: l.Target, StartUnixMilli: l.StartUnixMilli}, Age: l.Age})
+		byService[l.Service] = observations
+	}
 	for name, observations := range byService {
 		if backend := active.Backends[name]; backend != nil {
 			backend.Engine.Observe(from.Host, observations)
--- a/internal/app/services.go
+++ b/internal/app/services.go
@@ -205,6 +205,9 @@
 		if observations.Ended > 0 || observations.FloorUnserved > 0 {
 			out.Services = append(out.Services, port.ServiceOutcomes{Service: name, Ended: observations.Ended, Unserved: observations.Unserved, FloorUnserved: observations.FloorUnserved})
 		}
+		for _, l := range observations.Leaving {
+			out.Leaving = append(out.Leaving, port.LeavingTarget{Service: name, Target: l.Process.Target, StartUnixMilli: l.Process.StartUnixMilli, Age: l.Age})
+		}
 		for _, o := range observations.Targets {
 			out.Targets = append(out.Targets, port.TargetObservation{Service: name, Target: o.Target, Started: o.Started, Successes: o.Successes, Failures: o.Failures, InFlight: o.InFlight})
 		}
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
@@ -33,14 +34,26 @@
 	FloorUnserved int
 }
 
+// LeavingTarget tells that a target process stated in a response that it is leaving.
+type LeavingTarget struct {
+	Service        ident.ServiceName
+	Target         ident.TargetID
+	StartUnixMilli int64
+	// Age is the time since the first known response that stated it.
+	Age time.Duration
+}
+
 // Observations holds a host's observations since its last message.
 type Observations struct {
 	Targets  []TargetObservation
 	Services []ServiceOutcomes
+	Leaving  []LeavingTarget
 }
 
 // Empty reports whether there are no observations.
-func (o Observations) Empty() bool { return len(o.Targets) == 0 && len(o.Services) == 0 }
+func (o Observations) Empty() bool {
+	return len(o.Targets) == 0 && len(o.Services) == 0 && len(o.Leaving) == 0
+}
 
 // AddServices adds the counts of a later message of the same host.
 func (o *Observations) AddServices(later []ServiceOutcomes) {
