--- a/internal/core/schedule/leaving.go
+++ b/internal/core/schedule/leaving.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// leavingReports is the number of messages in which the other hosts are told that a
-	// target is leaving, since datagrams may be lost.
-	leavingReports = 3
+	// leavingReportTime is the time in which each message to the other hosts says that a
+	// target is leaving. Datagrams may be lost, and a host that becomes active receives
+	// messages only from then on.
+	leavingReportTime = 3 * time.Second
 	// noKnownReturn stands for a time that is not known because no target is expected
 	// back.
 	noKnownReturn = 24 * time.Hour
@@ -36,9 +37,8 @@
 	// usableUntil is the time until which the process gets requests while no other target
 	// can take them, zero while there is another one.
 	usableUntil time.Time
-	// reportsLeft is the number of messages that still report the statement to the other
-	// hosts.
-	reportsLeft int
+	// reportUntil is the time until which the statement is reported to the other hosts.
+	reportUntil time.Time
 	// malformed is set if the latest statement was malformed.
 	malformed bool
 }
@@ -61,7 +61,7 @@
 	known.malformed = statement.Malformed
 	if statement.Leaving && s.setLeaving(now, LeavingReport{Process: a.target.process.process}, "own response") {
 		st := s.processes.hear(now, a.target.process.process)
-		st.leaving.reportsLeft = leavingReports
+		st.leaving.reportUntil = now.Add(leavingReportTime)
 		s.leavingNews = append(s.leavingNews, st)
 		s.urgent = true
 	}
@@ -95,12 +95,11 @@
 
 // takeLeavingReports returns the reports for the next message to the other hosts.
 func (s *Scheduler) takeLeavingReports(now time.Time) []LeavingReport {
+	s.leavingNews = slices.DeleteFunc(s.leavingNews, func(st *processState) bool { return now.After(st.leaving.reportUntil) })
 	var reports []LeavingReport
 	for _, st := range s.leavingNews {
-		st.leaving.reportsLeft--
 		reports = append(reports, LeavingReport{Process: st.process, Age: now.Sub(st.leaving.since)})
 	}
-	s.leavingNews = slices.DeleteFunc(s.leavingNews, func(st *processState) bool { return st.leaving.reportsLeft <= 0 })
 	return reports
 }
 
