schedule: attribute a stated rate to the process that answered

A late answer of a target's earlier process limits the new one under its ID, or ends its limit: ReportLimit looks up the target by its ID only, although the limits that hosts exchange name the process.

TestLimitOfEarlierProcess fails in both directions without the comparison.

--- a/internal/core/schedule/rate.go
+++ b/internal/core/schedule/rate.go
@@ -5,7 +5,6 @@
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
-	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 )
 
@@ -35,7 +34,8 @@
 
 // LimitReport is what a response states about the rate that its target accepts.
 type LimitReport struct {
-	Target    ident.TargetID
+	// Process is the one that the request was sent to.
+	Process   Process
 	Statement ratelimit.Statement
 	// SentAt is the time at which the request was sent.
 	SentAt time.Time
@@ -43,8 +43,8 @@
 
 // ReportLimit applies the statement of a response that arrived now.
 func (s *Scheduler) ReportLimit(now time.Time, r LimitReport) []dispatch.Action {
-	t := s.targets[r.Target]
-	if t == nil || !r.Statement.Heard {
+	t := s.targets[r.Process.Target]
+	if t == nil || t.process.process != r.Process || !r.Statement.Heard {
 		return nil
 	}
 	if r.Statement.Malformed && !t.malformedRate {
--- a/internal/core/schedule/rate_test.go
+++ b/internal/core/schedule/rate_test.go
@@ -12,13 +12,13 @@
 // stateRate lets a target state a rate in a response to a request that was sent and
 // answered now.
 func (f *fixture) stateRate(target ident.TargetID, value string) {
-	f.apply(f.ReportLimit(f.now, LimitReport{Target: target, Statement: ratelimit.ParseStatement([]string{value}), SentAt: f.now}))
+	f.apply(f.ReportLimit(f.now, LimitReport{Process: f.targets[target].process.process, Statement: ratelimit.ParseStatement([]string{value}), SentAt: f.now}))
 }
 
 // endRate lets a target state that it has no limit.
 func (f *fixture) endRate(target ident.TargetID) {
 	f.advance(time.Millisecond)
-	f.apply(f.ReportLimit(f.now, LimitReport{Target: target, Statement: ratelimit.ParseStatement(nil), SentAt: f.now}))
+	f.apply(f.ReportLimit(f.now, LimitReport{Process: f.targets[target].process.process, Statement: ratelimit.ParseStatement(nil), SentAt: f.now}))
 }
 
 // grant gives the host permits for a target.
@@ -203,3 +203,24 @@
 		t.Errorf("%v after its end other hosts are told %+v, the allocator %+v", f.now.Sub(ended), limits, wants)
 	}
 }
+
+// TestLimitOfEarlierProcess guards against a limit that a new process under the ID of a
+// target gets, or loses, because of a late response of its predecessor.
+func TestLimitOfEarlierProcess(t *testing.T) {
+	cfg := config(hostZone)
+	cfg.Targets[0].StartUnixMilli = 1000
+	f := newFixture(t, cfg)
+	earlier := f.targets["t0"].process.process
+	cfg.Targets[0].StartUnixMilli = 2000
+	f.apply(f.Configure(f.now, cfg))
+	f.apply(f.ReportLimit(f.now, LimitReport{Process: earlier, Statement: ratelimit.ParseStatement([]string{"1"}), SentAt: f.now}))
+	if l := f.targets["t0"].rate.Limit(); l.Limited {
+		t.Error("a response of the earlier process limits the new one")
+	}
+	f.stateRate("t0", "3")
+	f.advance(time.Second)
+	f.apply(f.ReportLimit(f.now, LimitReport{Process: earlier, Statement: ratelimit.ParseStatement(nil), SentAt: f.now}))
+	if l := f.targets["t0"].rate.Limit(); !l.Limited {
+		t.Error("a response of the earlier process ends the limit of the new one")
+	}
+}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -219,9 +219,9 @@
 
 // ReportLimit reports what a response states about the rate that its target accepts. sent
 // is the time at which the request was sent.
-func (s *Service) ReportLimit(target ident.TargetID, statement ratelimit.Statement, sent time.Time) {
+func (s *Service) ReportLimit(process schedule.Process, statement ratelimit.Statement, sent time.Time) {
 	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
-		return d.ReportLimit(now, schedule.LimitReport{Target: target, Statement: statement, SentAt: sent})
+		return d.ReportLimit(now, schedule.LimitReport{Process: process, Statement: statement, SentAt: sent})
 	})
 }
 
