--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/schedule"
 )
 
 // bufferedResponse is a complete response that is kept until the dispatcher
@@ -43,6 +44,7 @@
 		return false
 	}
 	response, result := q.server.cfg.Transport.Do(ctx, q.newAttempt(start, endpoint, &trace))
+	q.reportLeaving(start, &trace)
 	if response == nil {
 		q.finishAttempt(start, &trace, result)
 		return false
@@ -140,7 +142,7 @@
 	}
 	if trace.RateLimit.Heard {
 		q.metrics.countRateStatement(trace.RateLimit)
-		q.backend.Engine.ReportLimit(start.Target, trace.RateLimit, q.attemptStart)
+		q.backend.Engine.ReportLimit(schedule.Process{Target: start.Target, StartUnixMilli: start.StartUnixMilli}, trace.RateLimit, q.attemptStart)
 	}
 	q.backend.Engine.Finish(start.Attempt, result)
 }
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -125,6 +125,15 @@
 	s.timer.Stop()
 }
 
+// Reopen undoes Close and applies a new configuration revision.
+func (s *Service) Reopen(cfg dispatch.Config) {
+	s.mu.Lock()
+	s.closed = false
+	s.nextTick = time.Time{}
+	s.mu.Unlock()
+	s.Configure(cfg)
+}
+
 // Configure applies a new configuration revision.
 func (s *Service) Configure(cfg dispatch.Config) {
 	s.handleEvent(func(now time.Time, d Decider) []dispatch.Action { return d.Configure(now, cfg) })
@@ -210,9 +219,17 @@
 
 // ReportLimit reports what a response states about the rate that its target accepts. sent
 // is the time at which the request was sent.
-func (s *Service) ReportLimit(target ident.TargetID, statement ratelimit.Statement, sent time.Time) {
+func (s *Service) ReportLimit(process schedule.Process, statement ratelimit.Statement, sent time.Time) {
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
+		return d.ReportLimit(now, schedule.LimitReport{Process: process, Statement: statement, SentAt: sent})
+	})
+}
+
+// ReportLeaving reports what the response to an attempt states about whether the target is
+// leaving. It must be called before Finish.
+func (s *Service) ReportLeaving(id ident.AttemptID, statement attempt.LeavingStatement) {
 	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
-		return d.ReportLimit(now, schedule.LimitReport{Target: target, Statement: statement, SentAt: sent})
+		return d.ReportLeaving(now, id, statement)
 	})
 }
 
@@ -321,7 +338,7 @@
 	if s.scheduler == nil {
 		return schedule.Observations{}
 	}
-	return s.scheduler.TakeObservations()
+	return s.scheduler.TakeObservations(monotonicNow())
 }
 
 // Urgent reports whether an observation should be sent to the other hosts at once.
