target: Retry-After of a 503 is parsed whole, and an attempt can be withdrawn before its first byte

A target that answers 503 with Retry-After wants nothing for so long. The transport took fractions for none, dropped numbers above 31 bits, read only the first of several values and did not see the header of a response that it rejected: one without the ID of the request on a reused connection, one with another ID, one with a broken body. A pause of a complete response was known at the end of its body only.

The header is now parsed into one value: decimal seconds, dates (measured from the Date header of the response, since the clocks may differ), lists, several headers; the longest counts, at most one hour. Signs, exponents and anything else are malformed. Attempt.OnPause is called when the head of a 503 is read.

Attempt.MayWrite is asked before a connection is taken or dialed, before a small body is read, and directly before the first byte. An attempt that it withdraws ends with the new kind withdrawn, as not sent, and its connection stays open for other requests.

Without the report at the head TestPauseIsReportedAtHead fails in its six cases with a pause; without the check at the first byte TestWithdrawnAttempt fails for all three kinds of body.

--- a/internal/adapter/ingress/metrics.go
+++ b/internal/adapter/ingress/metrics.go
@@ -26,7 +26,7 @@
 // name for each request. The metrics are documented in docs/metrics.md.
 type classMetrics struct {
 	answered, notRun, unknown *metrics.Counter
-	results                   [attempt.Canceled + 1]*metrics.Counter
+	results                   [attempt.NumKinds]*metrics.Counter
 	// limitedResponses counts the responses that stated a rate, malformedRates those with
 	// a value that is no rate.
 	limitedResponses, malformedRates *metrics.Counter
--- a/internal/adapter/target/attempt.go
+++ b/internal/adapter/target/attempt.go
@@ -24,6 +24,7 @@
 	ErrFirstByteTimeout   = errors.New("target: no response on a reused connection within the first-byte timeout")
 	ErrClosed             = errors.New("target: the transport is closed")
 	ErrPeerClosed         = errors.New("target: the target closed the connection")
+	ErrWithdrawn          = errors.New("target: the attempt was withdrawn before the first byte")
 )
 
 // Attempt describes one attempt to run a request. It is sent at most once.
@@ -73,6 +74,13 @@
 	// bytes are counted under Class.
 	CrossRegion bool
 	Class       string
+	// MayWrite, if set, is called before a connection is used for the attempt, and
+	// again directly before the first byte of the request is written. An error withdraws
+	// the attempt, which then ends as not sent.
+	MayWrite func() error
+	// OnPause, if set, is called when a response head asks for no requests for a time,
+	// before the body is read.
+	OnPause func(RetryAfter)
 	// Trace, if set, is filled in with the details of the attempt.
 	Trace *Trace
 }
@@ -104,6 +112,8 @@
 	Draining bool
 	// Load is the target's load as reported by the response, or nil.
 	Load *Load
+	// Pause is the longest pause that a response asked for.
+	Pause RetryAfter
 	// RateLimit is what the response says about the rate that the target accepts.
 	RateLimit ratelimit.Statement
 }
--- a/internal/adapter/target/exchange.go
+++ b/internal/adapter/target/exchange.go
@@ -97,7 +97,11 @@
 func (x *exchange) fail(err error) attempt.Result {
 	kind := x.failureEvent(err)
 	x.stopWriter(0)
-	x.stopWatchingContext()
+	contextLive := x.stopWatchingContext()
+	if kind == outcome.AttemptWithdrawn && contextLive {
+		x.t.pool.putUnused(x.c, time.Now())
+		return x.end(outcome.Event{Kind: kind}, err)
+	}
 	lostOrTimedOut := kind == outcome.ConnectionFailed || kind == outcome.DeadlineExceeded
 	x.t.pool.closeInUse(x.c, x.c.reused && !x.responded && lostOrTimedOut)
 	return x.end(outcome.Event{Kind: kind}, err)
@@ -114,6 +118,8 @@
 		return outcome.DeadlineExceeded
 	case x.ctx.Err() != nil, cause != nil, isCallerError(err):
 		return outcome.AttemptCanceled
+	case errors.Is(err, ErrWithdrawn):
+		return outcome.AttemptWithdrawn
 	case errors.Is(err, ErrFirstByteTimeout):
 		return outcome.DeadlineExceeded
 	case isBadResponse(err):
--- a/internal/adapter/target/header.go
+++ b/internal/adapter/target/header.go
@@ -109,20 +109,3 @@
 func methodHasBody(method string) bool {
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
-
-// retryAfter parses a Retry-After header, in seconds or as a date, and returns a
-// delay of at most one hour.
-func retryAfter(h http.Header, now time.Time) time.Duration {
-	const limit = time.Hour
-	value := h.Get("Retry-After")
-	if value == "" {
-		return 0
-	}
-	wait := time.Duration(0)
-	if seconds, err := strconv.ParseUint(value, 10, 31); err == nil {
-		wait = time.Duration(seconds) * time.Second
-	} else if at, err := http.ParseTime(value); err == nil {
-		wait = at.Sub(now)
-	}
-	return min(max(0, wait), limit)
-}
--- a/internal/adapter/target/pool.go
+++ b/internal/adapter/target/pool.go
@@ -177,6 +177,26 @@
 	p.scheduleSweep()
 }
 
+// putUnused returns a connection that no byte was written to. A new connection has
+// delivered no response yet, so it counts as the one whose response is the oldest.
+func (p *pool) putUnused(c *conn, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	tp := p.target(c.address)
+	if p.closed || len(tp.idle) >= p.cfg.MaxIdle {
+		p.releaseOpen(c.address)
+		_ = c.Close()
+		return
+	}
+	if c.idleSince.IsZero() {
+		c.idleSince = now
+	}
+	c.counter = nil
+	at, _ := slices.BinarySearchFunc(tp.idle, c, func(a, b *conn) int { return a.lastResponse.Compare(b.lastResponse) })
+	tp.idle = slices.Insert(tp.idle, at, c)
+	p.scheduleSweep()
+}
+
 // closeInUse closes a connection that was in use. suspect is set when it was
 // reused and delivered no response; the target's idle connections are then closed
 // as well, because they may be dead too.
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -41,6 +41,7 @@
 		if head.StatusCode < 200 {
 			continue
 		}
+		x.notePause(head)
 		if !x.answersOtherRequest(head) {
 			return x.newResponse(head)
 		}
@@ -235,6 +236,6 @@
 	case c.NotRun:
 		c.Kind = attempt.Shed
 	}
-	c.RetryAfter = retryAfter(r.Header, time.Now())
+	c.RetryAfter = parseRetryAfter(r.Header, time.Now()).Wait
 	return c
 }
--- a/internal/adapter/target/response_test.go
+++ b/internal/adapter/target/response_test.go
@@ -107,7 +107,7 @@
 		{"500 x", attempt.ServerError, false, 0},
 		{"502 x", attempt.Answered, false, 0},
 		{"429 x\r\nRetry-After: 3", attempt.Shed, false, 3},
-		{"503 x\r\nRetry-After: 99999999999", attempt.Shed, true, 0},
+		{"503 x\r\nRetry-After: 99999999999", attempt.Shed, true, 3600},
 		{"503 x\r\nSapphirehaven-Draining: true", attempt.Draining, true, 0},
 		{"409 x", attempt.Shed, true, 0},
 		{"500 x\r\nSapphirehaven-Draining: true", attempt.ServerError, false, 0},
--- a/internal/adapter/target/send.go
+++ b/internal/adapter/target/send.go
@@ -31,13 +31,17 @@
 		return x.sendWhole(nil)
 	}
 	if a.ContentLength > 0 && a.ContentLength <= x.t.cfg.InlineBodyBytes {
+		// An attempt that is withdrawn before the body is read can be repeated.
+		if err := x.checkMayWrite(); err != nil {
+			return err
+		}
 		body, err := x.readWhole()
 		if err != nil {
 			return err
 		}
 		return x.sendWhole(body)
 	}
-	if err := x.write(x.encodeHead()); err != nil {
+	if err := x.writeFirst(x.encodeHead()); err != nil {
 		return x.afterWriteError(err)
 	}
 	x.bodyCtx, x.cancelBody = context.WithCancel(x.ctx)
@@ -85,7 +89,7 @@
 	if err := x.pace(x.ctx, len(body)); err != nil {
 		return err
 	}
-	if err := x.write(append(x.encodeHead(), body...)); err != nil {
+	if err := x.writeFirst(append(x.encodeHead(), body...)); err != nil {
 		return x.afterWriteError(err)
 	}
 	x.apply(outcome.RequestWritten)
@@ -136,6 +140,14 @@
 // retains.
 const maxRetainedHeadBytes = 4 << 10
 
+// writeFirst writes the first bytes of the request unless the attempt is withdrawn.
+func (x *exchange) writeFirst(p []byte) error {
+	if err := x.checkMayWrite(); err != nil {
+		return err
+	}
+	return x.write(p)
+}
+
 // write writes p to the connection and records the bytes written.
 func (x *exchange) write(p []byte) error {
 	if err := x.ctx.Err(); err != nil {
--- a/internal/adapter/target/transport.go
+++ b/internal/adapter/target/transport.go
@@ -65,6 +65,9 @@
 	if err := x.ctx.Err(); err != nil {
 		return err
 	}
+	if err := x.checkMayWrite(); err != nil {
+		return err
+	}
 	c, err := x.t.pool.acquire(x.a, x.start)
 	if err != nil {
 		return err
@@ -95,6 +98,8 @@
 	kind := outcome.AttemptCanceled
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		kind = outcome.DeadlineExceeded
+	} else if errors.Is(err, ErrWithdrawn) {
+		kind = outcome.AttemptWithdrawn
 	} else if errors.As(err, new(dialError)) && x.ctx.Err() == nil {
 		kind = outcome.DialFailed
 	}
--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -27,11 +27,17 @@
 	// Canceled: this host or the caller canceled the attempt. About the target this
 	// shows only that it had not answered within the attempt's age.
 	Canceled
+	// Withdrawn: this host withdrew the attempt before it wrote a byte, because the target
+	// asked for no requests meanwhile.
+	Withdrawn
 )
 
+// NumKinds is the number of kinds.
+const NumKinds = int(Withdrawn) + 1
+
 var kindNames = [...]string{
 	"answered", "server_error", "shed", "draining", "dial_failed",
-	"timed_out", "connection_lost", "bad_answer", "canceled",
+	"timed_out", "connection_lost", "bad_answer", "canceled", "withdrawn",
 }
 
 // String returns the name of the kind.
--- a/internal/core/health/decide.go
+++ b/internal/core/health/decide.go
@@ -86,7 +86,7 @@
 			target.group.latencyTail.add(r.abovePeers, r.decayWeight)
 		}
 	case attempt.Shed:
-	case attempt.Canceled:
+	case attempt.Canceled, attempt.Withdrawn:
 		t.addCensored(now, a)
 	case attempt.TimedOut:
 		if r.baseline.known && target.group.latencyTail.evidence(r.abovePeers, r.baseline.sigma, r.decayWeight) < minTimeoutTail {
--- a/internal/core/health/trial.go
+++ b/internal/core/health/trial.go
@@ -203,7 +203,7 @@
 			target.trialExcessSum += float32(excess)
 		}
 		return t.trialSucceeded(now, target)
-	case attempt.Shed, attempt.Draining, attempt.Canceled:
+	case attempt.Shed, attempt.Draining, attempt.Canceled, attempt.Withdrawn:
 		return nil
 	case attempt.ConnectionLost, attempt.TimedOut:
 		if !a.fresh {
--- a/internal/core/outcome/attempt.go
+++ b/internal/core/outcome/attempt.go
@@ -64,6 +64,8 @@
 	// AttemptCanceled: the caller disconnected or is too slow, or this host canceled
 	// the attempt.
 	AttemptCanceled
+	// AttemptWithdrawn: this host withdrew the attempt before it wrote a byte.
+	AttemptWithdrawn
 	// HostDraining: this host is shutting down gracefully. Attempts continue.
 	HostDraining
 	// HostKilled: this host terminates immediately and its state is lost.
@@ -192,6 +194,8 @@
 			return attempt.DialFailed, true
 		}
 		return attempt.TimedOut, true
+	case AttemptWithdrawn:
+		return attempt.Withdrawn, s <= ConnectedUnsent
 	case AttemptCanceled, HostKilled:
 		return attempt.Canceled, true
 	}
--- a/internal/core/outcome/request.go
+++ b/internal/core/outcome/request.go
@@ -30,7 +30,7 @@
 // run the request. A contradictory result proves nothing.
 func ProvesNotRun(res attempt.Result) bool {
 	switch res.Kind {
-	case attempt.DialFailed, attempt.TimedOut, attempt.ConnectionLost, attempt.Canceled:
+	case attempt.DialFailed, attempt.TimedOut, attempt.ConnectionLost, attempt.Canceled, attempt.Withdrawn:
 		return res.NotSent
 	case attempt.ServerError, attempt.Shed, attempt.Draining:
 		return res.NotRun && !res.NotSent
