schedule: a target that answers 503 with Retry-After gets no requests of this host until then

Callers lost requests at targets that had asked for none: the pause was cut to 5 s, applied only to responses that count as shed, and was lost with the entry of the target. A request that was started before the 503 was known was sent after it, and requests whose targets all paused waited until their deadline.

An attempt that was started before is withdrawn before its first byte and its request sent elsewhere, without use of the retry budget and without a trace in the use of the target. A response that asks for a pause is no failure of its target, whatever becomes of its body, and a paused target counts neither for the floor nor as capacity. Where no target is usable, requests that cannot be sent in time are refused at once as targets_paused, with the time until the first target is available (0.1 to 10 s); the others wait.

Events target_paused, target_pause_ended and pause_malformed, pause_ms in the line of an attempt, sapphirehaven_pauses_total, sapphirehaven_paused_targets, and pause_left in sapphirectl status -targets.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -89,6 +89,8 @@
 		CrossRegion:      endpoint.Region != q.server.cfg.Location.Region,
 		Class:            string(q.class.Name),
 		Trace:            trace,
+		MayWrite:         func() error { return q.mayWrite(start) },
+		OnPause:          func(pause target.RetryAfter) { q.reportPause(start, pause) },
 	}
 	if q.class.Upload != nil {
 		a.MinBodyBytesPerSecond = int64(q.class.Upload.MinBytesPerSecond)
--- a/internal/adapter/ingress/log.go
+++ b/internal/adapter/ingress/log.go
@@ -57,6 +57,12 @@
 	if trace.RateLimit.Limited {
 		fields["stated_rate"] = trace.RateLimit.Rate
 	}
+	if trace.Pause.Present {
+		fields["pause_ms"] = trace.Pause.Wait.Milliseconds()
+	}
+	if trace.Pause.Malformed {
+		fields["pause_malformed"] = true
+	}
 	if trace.Err != nil {
 		fields["error"] = trace.Err
 	}
--- a/internal/adapter/ingress/metrics.go
+++ b/internal/adapter/ingress/metrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
@@ -30,7 +31,11 @@
 	// limitedResponses counts the responses that stated a rate, malformedRates those with
 	// a value that is no rate.
 	limitedResponses, malformedRates *metrics.Counter
-	addedLatency                     *metrics.Histogram
+	// pauses counts the 503 responses with a valid Retry-After, boundedPauses those that
+	// asked for a longer pause than is kept, and malformedPauses those with a value that is
+	// no time.
+	pauses, boundedPauses, malformedPauses *metrics.Counter
+	addedLatency                           *metrics.Histogram
 	// attemptTimes tells a stopping host whether a request can be finished.
 	attemptTimes attemptTimes
 }
@@ -85,6 +90,10 @@
 	}
 	c.limitedResponses = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_rate_statements_total{%s,result=\"valid\"}", labels))
 	c.malformedRates = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_rate_statements_total{%s,result=\"malformed\"}", labels))
+	pauses := func(result string) *metrics.Counter {
+		return m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_pauses_total{%s,result=%q}", labels, result))
+	}
+	c.pauses, c.boundedPauses, c.malformedPauses = pauses("valid"), pauses("bounded"), pauses("malformed")
 	for kind := range c.results {
 		c.results[kind] = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_attempts_total{%s,result=%q}", labels, attempt.Kind(kind)))
 	}
@@ -121,6 +130,19 @@
 	}
 }
 
+// countPause counts a 503 response with a Retry-After header.
+func (c *classMetrics) countPause(p target.RetryAfter) {
+	switch {
+	case p.Bounded:
+		c.boundedPauses.Inc()
+	case p.Wait > 0 || !p.Malformed:
+		c.pauses.Inc()
+	}
+	if p.Malformed {
+		c.malformedPauses.Inc()
+	}
+}
+
 // recordMetrics updates the metrics at the end of a request.
 func (q *request) recordMetrics(problem *Problem) {
 	outcome := OutcomeUnknown
@@ -181,6 +203,7 @@
 			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="all"}`, name), uint64(status.Floor.Healthy))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="used"}`, name), uint64(status.Floor.Used))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_rate_limited_targets{service=%q}", name), uint64(status.Rates.Limited))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_paused_targets{service=%q}", name), uint64(status.Pausing))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_permits{service=%q}", name), uint64(status.Rates.Permits))
 		}
 	}
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -57,6 +57,9 @@
 	// RateLimit is the number of requests per second that the target states to accept
 	// from all hosts, nil if it states none.
 	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// PauseSeconds is the rest of the time in seconds for which the target wants no
+	// requests of this host, nil if it does not pause.
+	PauseSeconds *float64 `json:"pause_s,omitempty"`
 }
 
 // Member is the state of a host as known to another host.
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -55,6 +55,10 @@
 		if t.RateLimited {
 			target.RateLimit = &t.RateLimit
 		}
+		if t.PauseLeft > 0 {
+			left := t.PauseLeft.Seconds()
+			target.PauseSeconds = &left
+		}
 		svc.Targets = append(svc.Targets, target)
 	}
 	return svc
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -152,8 +152,11 @@
 	NoTarget         RefuseReason = "no_target"
 	// RateLimited means that all targets state the rate that they accept, and that it
 	// leaves no room for the request before its deadline.
-	RateLimited  RefuseReason = "rate_limited"
-	UnknownClass RefuseReason = "unknown_class"
+	RateLimited RefuseReason = "rate_limited"
+	// TargetsPaused means that all targets asked for no requests for a time, and that the
+	// first of these pauses ends too late for the request.
+	TargetsPaused RefuseReason = "targets_paused"
+	UnknownClass  RefuseReason = "unknown_class"
 )
 
 // Action is an operation that the driver has to carry out.
@@ -258,6 +261,9 @@
 	OtherLoad float64
 	// Paused is set while the target gets no attempts because it shed load.
 	Paused bool
+	// PauseLeft is the rest of the time for which the target wants no requests of this
+	// host, 0 if it does not pause.
+	PauseLeft time.Duration
 	// RateLimited is set if the target states a rate, and RateLimit is that rate in
 	// requests per second.
 	RateLimited bool
@@ -298,7 +304,9 @@
 	Floor FloorStatus
 	// Rates is the state of the targets that state a rate. It is zero with dispatchers
 	// that apply none.
-	Rates   RateStatus
+	Rates RateStatus
+	// Pausing is the number of targets that want no requests of this host for a time.
+	Pausing int
 	Classes []ClassStatus
 }
 
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -34,15 +34,21 @@
 	// RateStatementMalformed is recorded when a target begins to state values that are no
 	// rate.
 	RateStatementMalformed Kind = "rate_statement_malformed"
-	MemberJoined           Kind = "member_joined"
-	MemberSuspected        Kind = "member_suspected"
-	MemberFailed           Kind = "member_failed"
-	MemberLeaving          Kind = "member_leaving"
-	MemberLeft             Kind = "member_left"
-	RequestRefused         Kind = "request_refused"
-	OutcomeUnknown         Kind = "outcome_unknown"
-	TimerFailed            Kind = "timer_failed"
-	TicketsHandedOver      Kind = "tickets_handed_over"
+	// TargetPaused is recorded when a target asks for no requests for a time, or for a
+	// longer time than before.
+	TargetPaused     Kind = "target_paused"
+	TargetPauseEnded Kind = "target_pause_ended"
+	// PauseMalformed is recorded when a target states Retry-After values that are no time.
+	PauseMalformed    Kind = "pause_malformed"
+	MemberJoined      Kind = "member_joined"
+	MemberSuspected   Kind = "member_suspected"
+	MemberFailed      Kind = "member_failed"
+	MemberLeaving     Kind = "member_leaving"
+	MemberLeft        Kind = "member_left"
+	RequestRefused    Kind = "request_refused"
+	OutcomeUnknown    Kind = "outcome_unknown"
+	TimerFailed       Kind = "timer_failed"
+	TicketsHandedOver Kind = "tickets_handed_over"
 )
 
 // Stamp is a hybrid logical clock timestamp.
--- a/internal/core/limit/adaptive.go
+++ b/internal/core/limit/adaptive.go
@@ -88,6 +88,9 @@
 // Paused reports whether the target receives no attempts because it shed one.
 func (a *Adaptive) Paused(now time.Time) bool { return now.Before(a.pausedUntil) }
 
+// PausedUntil returns the end of the latest pause, which may be over.
+func (a *Adaptive) PausedUntil() time.Time { return a.pausedUntil }
+
 // NextChange returns the time at which Limit or Paused changes without a further
 // event, and false if neither will.
 func (a *Adaptive) NextChange(now time.Time) (time.Time, bool) {
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -65,12 +65,15 @@
 func (t *target) recentlyUsed(now time.Time) bool { return now.Sub(t.lastUsed) < usageWindow }
 
 // countsForFloor reports whether the floor of this host includes the target: one in the
-// same region that has not failed for a time and does not ask for few requests. Hosts in
-// other regions maintain the floor there.
+// same region that has not failed for a time and asks neither for few requests nor for
+// none. Hosts in other regions maintain the floor there.
 func (t *target) countsForFloor(now time.Time, recovery time.Duration) bool {
 	if t.rate.Limited() && t.rate.Limit().Rate < minFloorRate {
 		return false
 	}
+	if t.pausing(now) {
+		return false
+	}
 	return t.distance != balance.OtherRegion && t.reachable(now) && !t.Unregistered && now.Sub(t.failedAt) >= recovery
 }
 
--- a/internal/core/schedule/process.go
+++ b/internal/core/schedule/process.go
@@ -31,6 +31,9 @@
 	heard bool
 	// configured is set while the configuration contains the process.
 	configured bool
+	// pausedUntil is the end of the latest pause that the process asked for, pausedSince its
+	// start.
+	pausedSince, pausedUntil time.Time
 	// formerSince is the time of the removal, or of the first statement of a process that
 	// was not in the configuration by then.
 	formerSince time.Time
--- a/internal/core/schedule/rate.go
+++ b/internal/core/schedule/rate.go
@@ -114,6 +114,9 @@
 	var wants []ratelimit.Want
 	for _, t := range s.order {
 		missing := t.rate.Missing(now)
+		if t.pausing(now) {
+			missing = 0
+		}
 		if missing == 0 && len(s.waiting) > 0 && t.usable(now) && !t.allowsRate(now) {
 			missing = 1
 		}
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -65,8 +65,8 @@
 	case len(s.order) == 0:
 		s.refuse(now, r, dispatch.NoTarget)
 	case s.queuePosition(r) == 0 && s.tryStart(now, r, 0):
-	case r.permitTooLate(now, s.permitWait(now, s.queuePosition(r))):
-		s.startOrRefuse(now, r, dispatch.RateLimited)
+	case r.permitTooLate(now, s.startWait(now, r, s.queuePosition(r))):
+		s.startOrRefuse(now, r, s.startWaitReason(now))
 	case r.deadlineTooShort(now, s.waitEstimate(now, r)):
 		s.startOrRefuse(now, r, dispatch.DeadlineTooShort)
 	case len(s.waiting) >= s.cfg.QueueLength:
@@ -90,8 +90,8 @@
 	wait := noTargetRetryAfter
 	switch reason {
 	case dispatch.NoTarget:
-	case dispatch.RateLimited:
-		wait = min(maxRateRetryAfter, max(minRetryAfter, s.permitWait(now, s.queuePosition(r))))
+	case dispatch.RateLimited, dispatch.TargetsPaused:
+		wait = s.startRetryAfter(now, r)
 	default:
 		wait = min(maxRetryAfter, max(minRetryAfter, s.waitEstimate(now, r)))
 	}
@@ -118,6 +118,9 @@
 
 // waitEstimate is the expected queueing time of a new request.
 func (s *Scheduler) waitEstimate(now time.Time, r *request) time.Duration {
+	if wait := s.pauseWait(now, r, s.queuePosition(r)); wait > 0 && !s.anyUsable(now) {
+		return wait
+	}
 	mean := r.class.serviceTime.Mean(now)
 	return limit.QueueWait(mean, s.queuePosition(r), s.capacity(now, mean))
 }
@@ -146,9 +149,9 @@
 		case len(s.order) == 0:
 			s.dequeue(r)
 			s.endWaiting(now, r, dispatch.NoTarget)
-		case r.attempts == 0 && r.deadlineTooShort(now, s.permitWait(now, ahead)):
+		case s.neverStarts(now, r, ahead):
 			s.dequeue(r)
-			s.endWaiting(now, r, dispatch.RateLimited)
+			s.endWaiting(now, r, s.startWaitReason(now))
 		case s.tryStart(now, r, ahead):
 			s.dequeue(r)
 		default:
@@ -188,11 +191,12 @@
 	r.tried = append(r.tried, t.ID)
 	t.inFlight++
 	t.started++
+	usedBefore := t.lastUsed
 	t.lastUsed = now
 	t.useIdleConnection(now)
 	t.rate.Use(now)
 	t.inFlightChanged = true
-	s.attempts[r.running] = &runningAttempt{id: r.running, request: r, target: t, started: now}
+	s.attempts[r.running] = &runningAttempt{id: r.running, request: r, target: t, started: now, usedBefore: usedBefore}
 	s.emit(dispatch.Start{Request: r.ID, Attempt: r.running, Target: t.ID, Timeout: r.Deadline.Sub(now), Selection: why})
 }
 
@@ -233,7 +237,7 @@
 	a.target.inFlightChanged = true
 	s.observeResult(now, a, res)
 	r := a.request
-	r.running, r.last, r.result = 0, a.id, res
+	r.running, r.last, r.result, r.askedPause = 0, a.id, res, a.askedPause || res.Kind == attempt.Withdrawn
 	if res.NotSent {
 		r.unsentAttempts++
 	}
@@ -253,6 +257,10 @@
 func (s *Scheduler) fail(now time.Time, r *request) {
 	s.recordOutcome(now, r, false)
 	delete(s.requests, r.ID)
+	if r.askedPause {
+		// Other targets may take the request before the pause of this one ends.
+		r.result.RetryAfter = s.startRetryAfter(now, r)
+	}
 	s.emit(dispatch.Fail{Request: r.ID, Attempt: r.last, Result: r.result, NotRun: !r.mayHaveRun})
 }
 
@@ -287,7 +295,8 @@
 	s.outcomes.add(now, 1, unserved, 0)
 }
 
-// observeResult updates the estimates for a target from the result of an attempt.
+// observeResult updates the estimates for a target from the result of an attempt. A target
+// that asked for a pause is not failing, whatever becomes of its response.
 func (s *Scheduler) observeResult(now time.Time, a *runningAttempt, res dispatch.Result) {
 	t := a.target
 	took := now.Sub(a.started)
@@ -306,14 +315,18 @@
 		t.limit.Shed(now, res.RetryAfter)
 	case attempt.Draining:
 		t.unavailableUntil = now.Add(refusalHold)
+	case attempt.Withdrawn:
+		s.withdraw(now, a)
 	case attempt.ServerError, attempt.BadAnswer, attempt.ConnectionLost:
-		s.observeFailure(now, t, !res.NotSent)
+		if !a.askedPause {
+			s.observeFailure(now, t, !res.NotSent)
+		}
 	case attempt.DialFailed:
 		t.unavailableUntil = now.Add(min(maxDialBackoff, dialBackoff<<min(t.dialFailures, maxDialDoublings)))
 		t.dialFailures++
 		s.observeFailure(now, t, false)
 	case attempt.TimedOut:
-		if !a.overdue {
+		if !a.overdue && !a.askedPause {
 			s.observeFailure(now, t, false)
 		}
 	}
@@ -353,7 +366,7 @@
 		Remaining:   r.Deadline.Sub(now),
 		Needed:      r.class.serviceTime.LowQuantile(now),
 	}
-	if !retry.Allowed(state, res) || len(s.order) == 0 || r.unsentAttempts > maxUnsentAttempts {
+	if !retry.Allowed(state, res) || len(s.order) == 0 || r.unsentAttempts-r.withdrawnAttempts > maxUnsentAttempts {
 		return false
 	}
 	// An attempt that was not sent does not count against the retry budget.
@@ -371,11 +384,12 @@
 func (s *Scheduler) Tick(now time.Time) []dispatch.Action {
 	for _, a := range s.attempts {
 		mean := a.request.class.serviceTime.Mean(now)
-		if !a.overdue && mean > 0 && now.Sub(a.started) > overdueFactor*mean {
+		if !a.overdue && !a.askedPause && mean > 0 && now.Sub(a.started) > overdueFactor*mean {
 			a.overdue = true
 			s.observeFailure(now, a.target, false)
 		}
 	}
+	s.endPauses(now)
 	for _, t := range s.order {
 		if t.avoided {
 			s.updateAvoided(now, t, "time")
@@ -394,11 +408,17 @@
 
 // NextTick returns the time of the next Tick that can have an effect.
 func (s *Scheduler) NextTick(now time.Time) time.Time {
+	next := now.Add(idleTick)
 	switch {
 	case len(s.waiting) > 0:
-		return now.Add(busyTick)
+		next = now.Add(busyTick)
 	case len(s.attempts) > 0:
-		return now.Add(4 * busyTick)
+		next = now.Add(4 * busyTick)
+	}
+	for _, st := range s.pauses {
+		if st.pausedUntil.Before(next) {
+			next = st.pausedUntil
+		}
 	}
-	return now.Add(idleTick)
+	return next
 }
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -52,6 +52,8 @@
 	requests map[ident.RequestID]*request
 	attempts map[ident.AttemptID]*runningAttempt
 	lastID   ident.AttemptID
+	// pauses holds the processes whose pause has not been recorded as ended.
+	pauses []*processState
 	// waiting is the queue of requests without a slot, ordered by priority, then
 	// retries before first attempts, then by arrival.
 	waiting []*request
@@ -103,7 +105,9 @@
 	rateReportsLeft int
 	rateReportedAt  time.Time
 	malformedRate   bool
-	otherLoad       balance.OtherLoad
+	// malformedPauseAt is the time of the latest event for a malformed Retry-After.
+	malformedPauseAt time.Time
+	otherLoad        balance.OtherLoad
 	// responded is set once the target has answered a request of any host.
 	responded bool
 	// affinity, 0 to 1, orders targets of equal cost differently on each host.
@@ -140,10 +144,16 @@
 	attempts   int
 	// unsentAttempts is the number of attempts for which no byte was sent.
 	unsentAttempts int
-	tried          []ident.TargetID
-	mayHaveRun     bool
-	committed      bool
-	canceled       bool
+	// withdrawnAttempts is the number of those that were withdrawn because their target
+	// asked for a pause.
+	withdrawnAttempts int
+	// askedPause is set if the target of the last attempt asked for a pause, before or after
+	// the attempt was sent.
+	askedPause bool
+	tried      []ident.TargetID
+	mayHaveRun bool
+	committed  bool
+	canceled   bool
 	// forFloor is set if the request was sent to its target to maintain the floor.
 	forFloor bool
 	// deniedCounted is set once the request counted as demand for permits.
@@ -162,6 +172,10 @@
 	started time.Time
 	// overdue is set once the age of the attempt was counted as a failure.
 	overdue bool
+	// askedPause is set if a response that arrived during the attempt asked for a pause.
+	askedPause bool
+	// usedBefore is the time of the latest known request to the target before this one.
+	usedBefore time.Time
 }
 
 // New returns a scheduler.
--- a/internal/core/schedule/select.go
+++ b/internal/core/schedule/select.go
@@ -99,8 +99,10 @@
 func (t *target) reachable(now time.Time) bool { return !t.Draining && !now.Before(t.unavailableUntil) }
 
 // usable reports whether a target may receive a request now: it is reachable and
-// not paused after shedding load.
-func (t *target) usable(now time.Time) bool { return t.reachable(now) && !t.limit.Paused(now) }
+// not paused after shedding load or at its own request.
+func (t *target) usable(now time.Time) bool {
+	return t.reachable(now) && !t.limit.Paused(now) && !t.pausing(now)
+}
 
 // freeSlots is the number of requests that a target can accept from this host now.
 func (t *target) freeSlots(now time.Time) int {
--- a/internal/core/schedule/status.go
+++ b/internal/core/schedule/status.go
@@ -25,6 +25,7 @@
 			Limit:     t.freeSlots(s.now) + t.inFlight,
 			OtherLoad: t.otherLoad.Load(s.now),
 			Paused:    t.limit.Paused(s.now),
+			PauseLeft: max(0, t.process.pausedUntil.Sub(s.now)),
 
 			RateLimited: t.rate.Limited(),
 			RateLimit:   t.rate.Limit().Rate,
@@ -45,6 +46,9 @@
 		Floor:       dispatch.FloorStatus{Active: s.floorEnforced, Healthy: s.healthyTargets, Used: s.usedTargets},
 	}
 	for _, t := range s.order {
+		if t.pausing(now) {
+			status.Pausing++
+		}
 		if t.rate.Limited() {
 			status.Rates.Limited++
 			status.Rates.Permits += t.rate.Permits(now)
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -90,7 +90,7 @@
 	}
 	for _, svc := range s.Services {
 		for _, t := range svc.Targets {
-			fmt.Fprintf(e.stdout, "  %-20s %-20s %-9s weight=%.2f in_flight=%d score=%.2f%s\n", svc.Name, t.Name, t.State, t.Weight, t.InFlight, t.Score, rateLimitText(t))
+			fmt.Fprintf(e.stdout, "  %-20s %-20s %-9s weight=%.2f in_flight=%d score=%.2f%s%s\n", svc.Name, t.Name, t.State, t.Weight, t.InFlight, t.Score, rateLimitText(t), pauseText(t))
 		}
 	}
 }
@@ -207,3 +207,11 @@
 	}
 	return fmt.Sprintf(" rate_limit=%g", *t.RateLimit)
 }
+
+// pauseText returns the rest of the time for which a target wants no requests.
+func pauseText(t adminapi.Target) string {
+	if t.PauseSeconds == nil {
+		return ""
+	}
+	return fmt.Sprintf(" pause_left=%.1fs", *t.PauseSeconds)
+}
--- a/internal/ctl/fleet_test.go
+++ b/internal/ctl/fleet_test.go
@@ -36,3 +36,13 @@
 		}
 	}
 }
+
+// TestPauseText guards against a status that hides why a target gets no requests.
+func TestPauseText(t *testing.T) {
+	left := 2.25
+	for want, target := range map[string]adminapi.Target{"": {}, " pause_left=2.2s": {PauseSeconds: &left}} {
+		if got := pauseText(target); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
@@ -79,6 +80,9 @@
 	timer      *time.Timer
 	nextTick   time.Time
 	closed     bool
+	// pausing is set while a target may be in a pause, so that attempts need no lock to
+	// learn that none is.
+	pausing atomic.Bool
 }
 
 // Call is a request in progress.
@@ -216,6 +220,25 @@
 	})
 }
 
+// ReportPause reports a response with status 503 and a Retry-After header.
+func (s *Service) ReportPause(r schedule.PauseReport) {
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
+		actions := d.ReportPause(now, r)
+		s.pausing.Store(d.Pausing())
+		return actions
+	})
+}
+
+// MayWrite reports whether the first byte of an attempt may be written now.
+func (s *Service) MayWrite(id ident.AttemptID) bool {
+	if !s.pausing.Load() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler == nil || s.scheduler.MayWrite(monotonicNow(), id)
+}
+
 // ObserveLimits applies limits that another host told of.
 func (s *Service) ObserveLimits(entries []ratelimit.Entry) {
 	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action { return d.ObserveLimits(now, entries) })
@@ -361,7 +384,9 @@
 		if s.dispatcher != nil {
 			s.dispatcher.SetPeriodicProbes(regularProbes)
 		}
-		return d.Tick(now)
+		actions := d.Tick(now)
+		s.pausing.Store(s.scheduler != nil && s.scheduler.Pausing())
+		return actions
 	})
 }
 
