--- a/internal/core/schedule/pause_test.go
+++ b/internal/core/schedule/pause_test.go
@@ -158,6 +158,10 @@
 		if next := f.arrive("order"); f.runningTarget(next) != "t0" || !f.MayWrite(f.now, f.started(next).Attempt) {
 			t.Errorf("late %v: the new process gets no request", late)
 		}
+		f.apply(f.ReportPause(f.now, PauseReport{Attempt: f.started(r).Attempt, Wait: 20 * time.Second}))
+		if left := f.Status()[0].PauseLeft; left != 0 {
+			t.Errorf("late %v: a response of the former process pauses the new one for %s", late, left)
+		}
 	}
 }
 
