--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -118,7 +118,10 @@
 // again, so the dispatcher must not retry it.
 func (q *request) finishAttempt(start dispatch.Start, trace *target.Trace, result attempt.Result) {
 	q.mayHaveRun = q.mayHaveRun || !result.NotSent && !result.NotRun
-	if q.class.Upload != nil && trace.BodyBytesRead > 0 {
+	if q.class.Upload != nil && trace.UnsentBody != nil {
+		q.bufferedBody = trace.UnsentBody
+	}
+	if q.class.Upload != nil && trace.BodyBytesRead > 0 && q.bufferedBody == nil {
 		q.backend.Engine.Commit(start.Attempt)
 	}
 	q.reportResult(start, trace, result)
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -39,7 +39,8 @@
 	// wireID is the request ID sent to targets and callers.
 	wireID   string
 	deadline time.Time
-	// bufferedBody is the complete request body. It is unused for uploads.
+	// bufferedBody is the complete request body. For uploads it is unused unless an attempt
+	// read the body and was not sent.
 	bufferedBody []byte
 	call         *engine.Call
 	// interrupted is set if this host interrupted reading the body of an upload.
@@ -368,7 +369,7 @@
 }
 
 func (q *request) newBody() io.Reader {
-	if q.class.Upload != nil {
+	if q.class.Upload != nil && q.bufferedBody == nil {
 		return q.limitedBody()
 	}
 	if len(q.bufferedBody) == 0 {
--- a/internal/adapter/target/attempt.go
+++ b/internal/adapter/target/attempt.go
@@ -108,6 +108,9 @@
 	// BodyBytesRead counts the bytes read from Body. A further attempt has to
 	// send them again.
 	BodyBytesRead int64
+	// UnsentBody is the whole Body if it was read but no byte of the request was written.
+	// Another attempt can then be made although Body cannot be read again.
+	UnsentBody []byte
 	// Draining reports whether the target announced that it is draining.
 	Draining bool
 	// Load is the target's load as reported by the response, or nil.
--- a/internal/adapter/target/exchange.go
+++ b/internal/adapter/target/exchange.go
@@ -43,7 +43,9 @@
 	// are ignored.
 	writerStopping bool
 	bytesWritten   int64
-	bodyBytesRead  int64
+	// wholeBody is a body that was read before the first byte was to be written.
+	wholeBody     []byte
+	bodyBytesRead int64
 }
 
 func (x *exchange) apply(kind outcome.EventKind) {
@@ -174,4 +176,7 @@
 	}
 	tr.Reused = x.c != nil && x.c.reused
 	tr.BytesWritten, tr.BodyBytesRead = x.bytesWritten, x.bodyBytesRead
+	if !x.state.Sent() {
+		tr.UnsentBody = x.wholeBody
+	}
 }
--- a/internal/adapter/target/retry_after_test.go
+++ b/internal/adapter/target/retry_after_test.go
@@ -194,7 +194,7 @@
 				if resp != nil || res.Kind != attempt.Withdrawn || !res.NotSent || !errors.Is(trace.Err, ErrWithdrawn) {
 					t.Errorf("%s, call %d: %+v, error %v", name, call, res, trace.Err)
 				}
-				if trace.BytesWritten != 0 || (trace.BodyBytesRead != 0) != (call == 3) {
+				if trace.BytesWritten != 0 || len(trace.UnsentBody) != int(trace.BodyBytesRead) || (trace.BodyBytesRead != 0) != (call == 3) {
 					t.Errorf("%s, call %d: %d bytes were written, %d of the body read", name, call, trace.BytesWritten, trace.BodyBytesRead)
 				}
 				doAndReadBody(t, tr, Attempt{Address: address, Idempotent: true})
--- a/internal/adapter/target/send.go
+++ b/internal/adapter/target/send.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return nil, callerError(err)
 	}
+	x.wholeBody = body
 	return body, nil
 }
 
--- a/internal/app/gateway_rate_limit_test.go
+++ b/internal/app/gateway_rate_limit_test.go
@@ -43,7 +43,13 @@
 // end of the test.
 func startGatewayFleet(t *testing.T, hosts int, targets []http.Handler) *gatewayFleet {
 	t.Helper()
-	store := &memoryRegistry{config: gatewayConfiguration()}
+	return startGatewayFleetFor(t, gatewayConfiguration(), hosts, targets)
+}
+
+// startGatewayFleetFor is like startGatewayFleet with a given configuration.
+func startGatewayFleetFor(t *testing.T, config *registry.Configuration, hosts int, targets []http.Handler) *gatewayFleet {
+	t.Helper()
+	store := &memoryRegistry{config: config}
 	for i, handler := range targets {
 		srv := httptest.NewServer(handler)
 		t.Cleanup(srv.Close)
@@ -119,22 +125,32 @@
 
 // post sends one request and returns its answer.
 func (f *gatewayFleet) post(g *Gateway) fleetAnswer {
+	answer, _ := f.postWithin(g, 0)
+	return answer
+}
+
+// postWithin sends one request with the time left until its deadline, 0 for none, and
+// returns its answer and the Retry-After header.
+func (f *gatewayFleet) postWithin(g *Gateway, left time.Duration) (answer fleetAnswer, retryAfter string) {
 	req, err := http.NewRequest("POST", "http://"+g.settings.CallerAddress+"/x/1", strings.NewReader("body"))
 	if err != nil {
-		return fleetAnswer{problem: err.Error()}
+		return fleetAnswer{problem: err.Error()}, ""
 	}
 	req.Host = "a.example"
 	req.Header.Set("X-Id", fmt.Sprintf("id-%d", time.Now().UnixNano()))
+	if left > 0 {
+		req.Header.Set("X-Left", fmt.Sprint(left.Milliseconds()))
+	}
 	res, err := f.client.Do(req)
 	if err != nil {
-		return fleetAnswer{problem: err.Error()}
+		return fleetAnswer{problem: err.Error()}, ""
 	}
 	var problem ingress.Problem
 	if body, err := io.ReadAll(res.Body); err == nil && len(body) > 0 {
 		_ = json.Unmarshal(body, &problem)
 	}
 	_ = res.Body.Close()
-	return fleetAnswer{status: res.StatusCode, problem: problem.Type}
+	return fleetAnswer{status: res.StatusCode, problem: problem.Type}, res.Header.Get("Retry-After")
 }
 
 // statusRates returns the rates of targets in a host's status.
--- a/internal/core/schedule/pause_fleet_test.go
+++ b/internal/core/schedule/pause_fleet_test.go
@@ -226,6 +226,8 @@
 	cfg := config(at...)
 	for i := range cfg.Targets {
 		cfg.Targets[i].StartUnixMilli = 1
+		// With two slots at most two requests wait for connections when a pause begins.
+		cfg.Targets[i].Slots = 2 + rng.IntN(10)
 	}
 	p := &pauseProperty{
 		Scheduler: New(epoch, cfg, dispatch.Self{Host: "h", Location: hostZone}),
