--- a/internal/adapter/ingress/log.go
+++ b/internal/adapter/ingress/log.go
@@ -63,6 +63,9 @@
 	if trace.Pause.Malformed {
 		fields["pause_malformed"] = true
 	}
+	if trace.Leaving.Leaving {
+		fields["leaving"] = true
+	}
 	if trace.Err != nil {
 		fields["error"] = trace.Err
 	}
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -60,6 +60,8 @@
 	// PauseSeconds is the rest of the time in seconds for which the target wants no
 	// requests of this host, nil if it does not pause.
 	PauseSeconds *float64 `json:"pause_s,omitempty"`
+	// Leaving is set if the target has stated in a response that it is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Member is the state of a host as known to another host.
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -98,6 +98,9 @@
 	// RetryRatio times the requests plus RetryAllowance.
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// LeavingGrace is the time after a target's first statement that it is leaving in
+	// which it still gets requests if no other target can take them; 0 means none.
+	LeavingGrace time.Duration
 	// ProbeInterval is the interval between probes of one target; 0 disables
 	// probing.
 	ProbeInterval time.Duration
@@ -268,6 +271,8 @@
 	// requests per second.
 	RateLimited bool
 	RateLimit   float64
+	// Leaving is set if the target has stated in a response that it is leaving.
+	Leaving bool
 }
 
 // ClassStatus is the state of a request class.
@@ -307,6 +312,9 @@
 	Rates RateStatus
 	// Pausing is the number of targets that want no requests of this host for a time.
 	Pausing int
+	// Leaving is the number of targets that have stated in a response that they are
+	// leaving. It is zero with dispatchers that read no such statements.
+	Leaving int
 	Classes []ClassStatus
 }
 
--- a/internal/core/schedule/pause.go
+++ b/internal/core/schedule/pause.go
@@ -132,7 +132,7 @@
 	var first time.Time
 	slots, pausing := 0, false
 	for _, t := range s.order {
-		if t.Draining || t.usable(now) {
+		if t.Draining || t.process.leaving.known || t.usable(now) {
 			continue
 		}
 		pausing = pausing || t.pausing(now)
--- a/internal/core/schedule/pause_test.go
+++ b/internal/core/schedule/pause_test.go
@@ -342,3 +342,24 @@
 		t.Error("a pause that has ended is still kept")
 	}
 }
+
+// TestPausedAndLeavingTargets guards against requests that are refused because of the pause of
+// one target while another one that leaves still takes them, and against requests that wait
+// for one that has left.
+func TestPausedAndLeavingTargets(t *testing.T) {
+	cfg := config(hostZone, hostZone)
+	cfg.LeavingGrace = time.Second
+	f := newFixture(t, cfg)
+	f.pauseTarget("t1", 6*time.Second)
+	r := f.arrive("order")
+	f.apply(f.ReportLeaving(f.now, f.started(r).Attempt, attempt.LeavingStatement{Leaving: true}))
+	f.finish(r, answered)
+	if next := f.arrive("order"); f.runningTarget(next) != "t0" {
+		t.Errorf("the request is at %q, want the leaving target: %+v", f.runningTarget(next), f.ends[next])
+	}
+	f.advance(time.Second)
+	end, ok := f.ends[f.arrive("order")].(dispatch.Refuse)
+	if !ok || end.Reason != dispatch.TargetsPaused || end.RetryAfter != 5*time.Second {
+		t.Errorf("ended with %+v, want a refusal with the end of the pause", end)
+	}
+}
--- a/internal/core/schedule/status.go
+++ b/internal/core/schedule/status.go
@@ -14,7 +14,7 @@
 	for _, t := range s.order {
 		state := health.Healthy
 		switch {
-		case t.Draining:
+		case t.Draining || t.process.leaving.known:
 			state = health.Draining
 		case t.avoided:
 			state = health.Excluded
@@ -29,6 +29,7 @@
 
 			RateLimited: t.rate.Limited(),
 			RateLimit:   t.rate.Limit().Rate,
+			Leaving:     t.process.leaving.known,
 		})
 	}
 	return list
@@ -49,6 +50,9 @@
 		if t.pausing(now) {
 			status.Pausing++
 		}
+		if t.process.leaving.known {
+			status.Leaving++
+		}
 		if t.rate.Limited() {
 			status.Rates.Limited++
 			status.Rates.Permits += t.rate.Permits(now)
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -129,6 +129,15 @@
 	s.timer.Stop()
 }
 
+// Reopen undoes Close and applies a new configuration revision.
+func (s *Service) Reopen(cfg dispatch.Config) {
+	s.mu.Lock()
+	s.closed = false
+	s.nextTick = time.Time{}
+	s.mu.Unlock()
+	s.Configure(cfg)
+}
+
 // Configure applies a new configuration revision.
 func (s *Service) Configure(cfg dispatch.Config) {
 	s.handleEvent(func(now time.Time, d Decider) []dispatch.Action { return d.Configure(now, cfg) })
@@ -239,6 +248,14 @@
 	return s.scheduler == nil || s.scheduler.MayWrite(monotonicNow(), id)
 }
 
+// ReportLeaving reports what the response to an attempt states about whether the target is
+// leaving. It must be called before Finish.
+func (s *Service) ReportLeaving(id ident.AttemptID, statement attempt.LeavingStatement) {
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
+		return d.ReportLeaving(now, id, statement)
+	})
+}
+
 // ObserveLimits applies limits that another host told of.
 func (s *Service) ObserveLimits(entries []ratelimit.Entry) {
 	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action { return d.ObserveLimits(now, entries) })
@@ -344,7 +361,7 @@
 	if s.scheduler == nil {
 		return schedule.Observations{}
 	}
-	return s.scheduler.TakeObservations()
+	return s.scheduler.TakeObservations(monotonicNow())
 }
 
 // Urgent reports whether an observation should be sent to the other hosts at once.
