--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -91,6 +91,8 @@
 		CrossRegion:      endpoint.Region != q.server.cfg.Location.Region,
 		Class:            string(q.class.Name),
 		Trace:            trace,
+		MayWrite:         func() error { return q.mayWrite(start) },
+		OnPause:          func(pause target.RetryAfter) { q.reportPause(start, pause) },
 	}
 	if q.class.Upload != nil {
 		a.MinBodyBytesPerSecond = int64(q.class.Upload.MinBytesPerSecond)
@@ -118,7 +120,10 @@
 // again, so the dispatcher must not retry it.
 func (q *request) finishAttempt(start dispatch.Start, trace *target.Trace, result attempt.Result) {
 	q.mayHaveRun = q.mayHaveRun || !result.NotSent && !result.NotRun
-	if q.class.Upload != nil && trace.BodyBytesRead > 0 {
+	if q.class.Upload != nil && trace.UnsentBody != nil {
+		q.bufferedBody = trace.UnsentBody
+	}
+	if q.class.Upload != nil && trace.BodyBytesRead > 0 && q.bufferedBody == nil {
 		q.backend.Engine.Commit(start.Attempt)
 	}
 	q.reportResult(start, trace, result)
--- a/internal/adapter/ingress/metrics.go
+++ b/internal/adapter/ingress/metrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
@@ -26,10 +27,14 @@
 // name for each request. The metrics are documented in docs/metrics.md.
 type classMetrics struct {
 	answered, notRun, unknown *metrics.Counter
-	results                   [attempt.Canceled + 1]*metrics.Counter
+	results                   [attempt.NumKinds]*metrics.Counter
 	// limitedResponses counts the responses that stated a rate, malformedRates those with
 	// a value that is no rate.
 	limitedResponses, malformedRates *metrics.Counter
+	// pauses counts the 503 responses with a valid Retry-After, boundedPauses those that
+	// asked for a longer pause than is kept, and malformedPauses those with a value that is
+	// no time.
+	pauses, boundedPauses, malformedPauses *metrics.Counter
 	// leavingResponses counts the responses of targets that stated to be leaving,
 	// malformedLeaving those with a value without a meaning.
 	leavingResponses, malformedLeaving *metrics.Counter
@@ -88,6 +93,10 @@
 	}
 	c.limitedResponses = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_rate_statements_total{%s,result=\"valid\"}", labels))
 	c.malformedRates = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_rate_statements_total{%s,result=\"malformed\"}", labels))
+	pauses := func(result string) *metrics.Counter {
+		return m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_pauses_total{%s,result=%q}", labels, result))
+	}
+	c.pauses, c.boundedPauses, c.malformedPauses = pauses("valid"), pauses("bounded"), pauses("malformed")
 	c.leavingResponses = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_leaving_statements_total{%s,result=\"valid\"}", labels))
 	c.malformedLeaving = m.set.GetOrCreateCounter(fmt.Sprintf("sapphirehaven_leaving_statements_total{%s,result=\"malformed\"}", labels))
 	for kind := range c.results {
@@ -126,6 +135,19 @@
 	}
 }
 
+// countPause counts a 503 response with a Retry-After header.
+func (c *classMetrics) countPause(p target.RetryAfter) {
+	switch {
+	case p.Bounded:
+		c.boundedPauses.Inc()
+	case p.Wait > 0 || !p.Malformed:
+		c.pauses.Inc()
+	}
+	if p.Malformed {
+		c.malformedPauses.Inc()
+	}
+}
+
 // countLeavingStatement counts a response that stated that its target is leaving, or tried
 // to.
 func (c *classMetrics) countLeavingStatement(s attempt.LeavingStatement) {
@@ -197,6 +219,7 @@
 			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="all"}`, name), uint64(status.Floor.Healthy))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf(`sapphirehaven_healthy_targets{service=%q,state="used"}`, name), uint64(status.Floor.Used))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_rate_limited_targets{service=%q}", name), uint64(status.Rates.Limited))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_paused_targets{service=%q}", name), uint64(status.Pausing))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_leaving_targets{service=%q}", name), uint64(status.Leaving))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("sapphirehaven_permits{service=%q}", name), uint64(status.Rates.Permits))
 		}
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -34,6 +34,12 @@
 	// RateStatementMalformed is recorded when a target begins to state values that are no
 	// rate.
 	RateStatementMalformed Kind = "rate_statement_malformed"
+	// TargetPaused is recorded when a target asks for no requests for a time, or for a
+	// longer time than before.
+	TargetPaused     Kind = "target_paused"
+	TargetPauseEnded Kind = "target_pause_ended"
+	// PauseMalformed is recorded when a target states Retry-After values that are no time.
+	PauseMalformed Kind = "pause_malformed"
 	// TargetLeaving is recorded when a target is first known to have stated in a response
 	// that it is leaving.
 	TargetLeaving Kind = "target_leaving"
--- a/internal/core/schedule/leaving.go
+++ b/internal/core/schedule/leaving.go
@@ -111,7 +111,7 @@
 		return
 	}
 	other := slices.ContainsFunc(s.order, func(t *target) bool {
-		return !t.process.leaving.known && t.reachable(now)
+		return !t.process.leaving.known && t.reachable(now) && !t.pausing(now)
 	})
 	for _, t := range s.order {
 		l := &t.process.leaving
