--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -33,6 +33,8 @@
 	// that were not served. FloorUnserved is the number of requests that were sent to
 	// maintain the floor and not served; the other two do not include them.
 	Ended, Unserved, FloorUnserved int
+	// Leaving lists the processes that the host heard to be leaving.
+	Leaving []LeavingReport
 }
 
 // Scheduler schedules the requests of one service on one host.
@@ -43,9 +45,15 @@
 
 	targets map[ident.TargetID]*target
 	order   []*target
-	classes map[ident.ClassName]*class
-	budget  *retry.WindowBudget
-	model   *gray.Model
+	// processes holds what the processes of targets said of themselves.
+	processes processMemory
+	// anyLeaving is set once a target has been leaving. leavingNews are the processes
+	// whose statement should be sent to the other hosts.
+	anyLeaving  bool
+	leavingNews []*processState
+	classes     map[ident.ClassName]*class
+	budget      *retry.WindowBudget
+	model       *gray.Model
 
 	requests map[ident.RequestID]*request
 	attempts map[ident.AttemptID]*runningAttempt
@@ -86,6 +94,8 @@
 // target is a target with the state that this host keeps for it.
 type target struct {
 	dispatch.Target
+	// process holds what the target's process said of itself.
+	process      *processState
 	distance     balance.Distance
 	inFlight     int
 	belief       gray.Belief
@@ -163,14 +173,15 @@
 // New returns a scheduler.
 func New(now time.Time, cfg dispatch.Config, self dispatch.Self) *Scheduler {
 	s := &Scheduler{
-		self:     self,
-		now:      now,
-		targets:  map[ident.TargetID]*target{},
-		classes:  map[ident.ClassName]*class{},
-		budget:   retry.NewWindowBudget(),
-		model:    gray.NewModel(),
-		requests: map[ident.RequestID]*request{},
-		attempts: map[ident.AttemptID]*runningAttempt{},
+		self:      self,
+		now:       now,
+		targets:   map[ident.TargetID]*target{},
+		processes: newProcessMemory(),
+		classes:   map[ident.ClassName]*class{},
+		budget:    retry.NewWindowBudget(),
+		model:     gray.NewModel(),
+		requests:  map[ident.RequestID]*request{},
+		attempts:  map[ident.AttemptID]*runningAttempt{},
 	}
 	s.Configure(now, cfg)
 	return s
@@ -230,12 +241,14 @@
 	old := s.targets
 	s.targets = map[ident.TargetID]*target{}
 	s.order = s.order[:0]
-	for _, tc := range s.cfg.Targets {
+	states := s.processes.configure(now, configuredProcesses(s.cfg.Targets))
+	for i, tc := range s.cfg.Targets {
 		t := old[tc.ID]
 		if t == nil || t.StartUnixMilli != tc.StartUnixMilli {
 			t = &target{belief: gray.NewBelief(now, s.model), limit: limit.NewAdaptive(now, tc.Slots), addedAt: now, joined: s.anyResponse, affinity: affinity(s.self.Host, tc.ID)}
 		}
 		t.Target = tc
+		t.process = states[i]
 		t.distance = balance.DistanceBetween(s.self.Location, tc.Location)
 		t.limit.SetSlots(now, tc.Slots)
 		s.targets[tc.ID] = t
@@ -243,6 +256,14 @@
 	}
 }
 
+func configuredProcesses(targets []dispatch.Target) []Process {
+	list := make([]Process, len(targets))
+	for i, t := range targets {
+		list[i] = Process{Target: t.ID, StartUnixMilli: t.StartUnixMilli}
+	}
+	return list
+}
+
 // affinity is a hash of a host and a target, 0 to 1.
 func affinity(host ident.HostID, target ident.TargetID) float64 {
 	h := fnv.New64a()
@@ -261,6 +282,7 @@
 // pending actions.
 func (s *Scheduler) flush(now time.Time) []dispatch.Action {
 	s.now = now
+	s.updateLastResort(now)
 	s.startQueued(now)
 	actions := s.actions
 	s.actions = nil
@@ -269,6 +291,7 @@
 
 // Observe applies the observations of another host.
 func (s *Scheduler) Observe(now time.Time, from ident.HostID, observed Observations) []dispatch.Action {
+	s.observeLeaving(now, observed.Leaving)
 	s.outcomes.add(now, observed.Ended, min(observed.Unserved, observed.Ended), observed.FloorUnserved)
 	for _, o := range observed.Targets {
 		t := s.targets[o.Target]
@@ -301,9 +324,10 @@
 func (s *Scheduler) Urgent() bool { return s.urgent }
 
 // TakeObservations returns the observations since the last call and resets them.
-func (s *Scheduler) TakeObservations() Observations {
+func (s *Scheduler) TakeObservations(now time.Time) Observations {
 	out := Observations{Ended: s.ended, Unserved: s.unserved, FloorUnserved: s.floorUnserved}
 	s.ended, s.unserved, s.floorUnserved = 0, 0, 0
+	out.Leaving = s.takeLeavingReports(now)
 	for _, t := range s.order {
 		if t.successes == 0 && t.failures == 0 && !t.inFlightChanged {
 			continue
