--- a/internal/core/schedule/pause_fleet_test.go
+++ b/internal/core/schedule/pause_fleet_test.go
@@ -192,7 +192,7 @@
 		p.apply(p.Observe(p.time(), "other", Observations{Ended: 40, Unserved: 10, Targets: []Observation{{Target: t.ID, Failures: 1}}}))
 	case 7:
 		stated := p.rng.IntN(2) == 0
-		p.apply(p.ReportLimit(p.time(), LimitReport{Target: t.ID, Statement: ratelimit.Statement{Heard: true, Limited: stated, Rate: 5}, SentAt: p.time()}))
+		p.apply(p.ReportLimit(p.time(), LimitReport{Process: Process{Target: t.ID, StartUnixMilli: t.StartUnixMilli}, Statement: ratelimit.Statement{Heard: true, Limited: stated, Rate: 5}, SentAt: p.time()}))
 	case 8:
 		var granted []ratelimit.Granted
 		for _, w := range p.PermitWants(p.time()) {
