schedule: cover all targets while the floor is active, each host at its own time

Cause: hosts kept 0.8 of all targets that seem healthy in use and took the ones most likely to fail last, so always the same targets were left out. A target that failed becomes healthy when its failed request is too old to count as use. If the rule counts only a few targets, any number of them may be among those. Covering all targets had cost too much because hosts duplicated each other's tests: a due target was due at all hosts at once, and 45% of the requests for the floor followed another one to the same target within 0.1 s.

Ruled out: targets without load (all healthy ones were used), missing outcomes of other hosts (the floor was active on all 16 hosts at all checks that were missed).

Change: while the floor is active every target of the region gets a request 1.6 to 1.9 s after its latest request or failure. Each host has its own time within that, most of them late, so that the others learn of the first request.

--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -21,7 +21,8 @@
 	// retestBonus is the same for an avoided target and a retryable request.
 	retestBonus = 0.25
 	// minUsedShare is the share of the region's healthy targets that should be in
-	// use. It is below 1 because some targets appear healthy to this host only.
+	// use while the floor is not active. It is below 1 because some targets appear healthy
+	// to this host only.
 	minUsedShare = 0.8
 	// floorMinUnserved and floorMaxUnserved bound the share of unserved requests at
 	// which the floor is active. Above the upper bound no choice of targets would
@@ -40,10 +41,11 @@
 	// healthyAfter is the time after a failure during which a target does not count
 	// as healthy.
 	healthyAfter = 2 * time.Second
-	// retestAfter replaces healthyAfter while the floor is active: a target that becomes
-	// healthy then must already have received a request, or the share of used targets
-	// falls whenever several become healthy together.
-	retestAfter = 1600 * time.Millisecond
+	// dueAfter is the time since its latest request or failure after which a target must
+	// receive a request while the floor is active: one that becomes healthy after a
+	// failure must already have received it. Each host waits up to dueJitter longer.
+	dueAfter  = 1600 * time.Millisecond
+	dueJitter = 300 * time.Millisecond
 	// maxUnusedTime is the longest time for which a healthy target may receive no
 	// request, even when nothing fails. Requests that are lost when connections break
 	// or hosts lose power are counted afterwards, and the floor then applies to the
@@ -92,35 +94,23 @@
 // on. Requests in progress on lost hosts produce no outcomes.
 func (s *Scheduler) ReportHostLoss() { s.hostLossPending = true }
 
-// countHealthy counts the healthy targets and records whether the floor is active and
-// whether too few of them are used. While the floor is active, enough must be used both
-// of the targets that are healthy now and of those that will be after retestAfter.
+// countHealthy counts the healthy targets and those of them that are used, and records
+// whether the floor is active and whether too few targets are used.
 func (s *Scheduler) countHealthy(now time.Time) {
 	s.floorEnforced = s.floorActive(now)
-	s.healthyTargets, s.usedTargets = s.countUsed(now, healthyAfter)
-	s.belowFloor = tooFewUsed(s.healthyTargets, s.usedTargets)
-	if s.floorEnforced && !s.belowFloor {
-		s.belowFloor = tooFewUsed(s.countUsed(now, retestAfter))
-	}
-}
-
-// countUsed returns the number of targets that count for the floor if they have not
-// failed for a time, and the number of those that are used.
-func (s *Scheduler) countUsed(now time.Time, recovery time.Duration) (healthy, used int) {
+	s.healthyTargets, s.usedTargets = 0, 0
 	for _, t := range s.order {
-		if !t.countsForFloor(now, recovery) {
+		if !t.countsForFloor(now, healthyAfter) {
 			continue
 		}
-		healthy++
+		s.healthyTargets++
 		if t.recentlyUsed(now) {
-			used++
+			s.usedTargets++
 		}
 	}
-	return healthy, used
+	s.belowFloor = float64(s.usedTargets) < minUsedShare*float64(s.healthyTargets)
 }
 
-func tooFewUsed(healthy, used int) bool { return float64(used) < minUsedShare*float64(healthy) }
-
 // usageBonus is the cost reduction of a target that is tested because too few
 // targets are in use. If all hosts lose power at once, only the targets that
 // received requests in the last seconds count as used. A target without known
@@ -154,28 +144,40 @@
 	return now.Sub(since) > maxUnusedTime+time.Duration(t.affinity*float64(maxUnusedJitter))
 }
 
-// floorTarget returns the target that must receive the request to maintain the
-// floor, or nil.
+// dueForFloor reports whether a target must receive a request now to remain in use, at
+// this host.
+func (t *target) dueForFloor(now time.Time) bool {
+	latest := t.lastUsed
+	if t.failedAt.After(latest) {
+		latest = t.failedAt
+	}
+	// The square root lets few hosts act early, so that the others learn of their
+	// requests before they send their own.
+	return now.Sub(latest) > dueAfter+time.Duration(math.Sqrt(t.affinity)*float64(dueJitter))
+}
+
+// floorTarget returns the target that must receive the request to maintain the floor,
+// or nil. While the floor is active it covers every target: hosts cannot tell which of
+// them the floor includes, and a share of all would leave out any number of a few.
 func (s *Scheduler) floorTarget(now time.Time, r *request) *target {
-	if !s.belowFloor || !s.maySendForFloor(now, r) {
+	switch {
+	case !s.maySendForFloor(now, r):
+		return nil
+	case s.floorEnforced:
+		return s.bestTargetForFloor(now, r, 0, (*target).dueForFloor)
+	case !s.belowFloor || s.healthyTargets < unusedMinTargets || float64(s.usedTargets) >= unusedShareLimit*float64(s.healthyTargets):
 		return nil
 	}
-	if !s.floorEnforced {
-		if s.healthyTargets < unusedMinTargets || float64(s.usedTargets) >= unusedShareLimit*float64(s.healthyTargets) {
-			return nil
-		}
-		return s.bestUnusedTarget(now, r, healthyAfter, func(t *target) bool { return t.unusedTooLong(now) })
-	}
-	return s.bestUnusedTarget(now, r, retestAfter, func(t *target) bool { return !t.recentlyUsed(now) })
+	return s.bestTargetForFloor(now, r, healthyAfter, (*target).unusedTooLong)
 }
 
-// bestUnusedTarget returns the target most likely to be healthy among those of the
-// floor that have a free slot and satisfy unused.
-func (s *Scheduler) bestUnusedTarget(now time.Time, r *request, recovery time.Duration, unused func(*target) bool) *target {
+// bestTargetForFloor returns the target most likely to be healthy among those of the
+// floor that have not failed for a time, have a free slot and are due.
+func (s *Scheduler) bestTargetForFloor(now time.Time, r *request, recovery time.Duration, due func(*target, time.Time) bool) *target {
 	var best *target
 	var lowest float64
 	for _, t := range s.order {
-		if !unused(t) || !t.countsForFloor(now, recovery) || t.freeSlots(now) <= 0 || !t.allowsRate(now) || slices.Contains(r.tried, t.ID) {
+		if !due(t, now) || !t.countsForFloor(now, recovery) || t.freeSlots(now) <= 0 || !t.allowsRate(now) || slices.Contains(r.tried, t.ID) {
 			continue
 		}
 		if rank := t.floorRank(now); best == nil || rank < lowest {
