health: limit the latency of new connections by a level that follows all answers

Cause: latencies on new connections have a mean of their own, which only a tenth of the answers change. 16 s after the onset the mean of reused connections had followed the slowdown, that of new ones lagged by 1.4 (log latency). One overdue attempt made the host use new connections to t9, and its answers then seemed four times slower than those of its peers.

Ruled out: chance (16 answers 1.8 above 21 of the peers), the scores of the peers (0), failures, attempts in flight alone (their evidence was 0 after the answers).

Change: an answer or an attempt in flight on a new connection counts as above the peers by at most its distance from their recent answers, against a level that follows both kinds of connections, plus the standard error.

--- a/internal/core/health/baseline.go
+++ b/internal/core/health/baseline.go
@@ -79,9 +79,10 @@
 	target  *target
 	started int64
 	ended   int64
-	// excess is the log latency minus the mean of its class.
-	excess float32
-	failed bool
+	// excess is the log latency minus the mean of its class, aboveLevel the same minus
+	// its level.
+	excess, aboveLevel float32
+	failed             bool
 }
 
 // ring is a ring buffer of the newest samples.
@@ -134,15 +135,30 @@
 	classMeans [2 * maxLatencyClasses]classMean
 }
 
-// classMean is the running mean of the log latency of a class.
+// classMean is the running mean of the log latency of a class, on reused or on new
+// connections. level is the same mean, except that it also follows the answers on the
+// other kind of connection.
 type classMean struct {
-	mean  float64
-	count float64
+	mean, level float64
+	count       float64
 }
 
 func (c *classMean) add(x float64) {
 	c.count++
-	c.mean += (x - c.mean) * max(1/c.count, minMeanGain)
+	gain := max(1/c.count, minMeanGain)
+	c.mean += (x - c.mean) * gain
+	c.level += (x - c.level) * gain
+}
+
+// addLatency adds an answer to the mean of its class. The level of the other kind of
+// connection follows by this kind's share of the answers: new connections are rare, and
+// by their own answers alone their level would lag behind a slowdown.
+func (g *group) addLatency(class uint8, x float64) {
+	own, other := &g.classMeans[class], &g.classMeans[class^1]
+	if own.count > 0 && other.count > 0 {
+		other.level += (x - own.level) * minMeanGain * own.count / (own.count + other.count)
+	}
+	own.add(x)
 }
 
 // logSeconds returns the log of a latency in seconds, with locationAllowance added
@@ -189,6 +205,24 @@
 	return b
 }
 
+// limitByLevel returns the log latency of an answer on a new connection above the peers:
+// above, but at most aboveLevel minus the mean level of the recent answers of the group's
+// peers and plus its standard error. New connections are rare, so the mean of their class
+// lags behind a slowdown of the group for longer than that of reused ones.
+func (g *group) limitByLevel(t *target, now int64, above, aboveLevel, sigma float64) float64 {
+	sum, n := 0.0, 0
+	for s := range g.recent.peers(t, now-int64(recentWindow)) {
+		if !s.failed {
+			sum += float64(s.aboveLevel)
+			n++
+		}
+	}
+	if n < minShortLatencies {
+		return above
+	}
+	return min(above, aboveLevel-sum/float64(n)+sigma/math.Sqrt(float64(n)))
+}
+
 // withNewest raises the mean to that of the minShortLatencies newest answers in r,
 // minus newestMargin, if that is higher.
 func (b latencyBaseline) withNewest(r *ring, t *target, now int64) latencyBaseline {
--- a/internal/core/health/decide.go
+++ b/internal/core/health/decide.go
@@ -49,10 +49,10 @@
 	baseline latencyBaseline
 	// decayWeight is the forward-decay weight of a result at this time.
 	decayWeight float64
-	// excess is logLatency minus the mean of its class; abovePeers is excess minus
-	// the mean excess of the peers and the latency slack of the target.
-	logLatency, excess, abovePeers float64
-	classMean                      *classMean
+	// excess is logLatency minus the mean of its class, aboveLevel the same minus its
+	// level; abovePeers is excess minus the mean excess of the peers and the latency
+	// slack of the target.
+	logLatency, excess, aboveLevel, abovePeers float64
 }
 
 func (t *Tracker) compareLatency(now int64, a *openAttempt, res attempt.Result) latencyComparison {
@@ -61,12 +61,16 @@
 	if latency <= 0 {
 		latency = time.Duration(now - a.started)
 	}
-	r := latencyComparison{decayWeight: t.decayWeight(now), logLatency: g.logSeconds(latency), classMean: &g.classMeans[a.latencyClass]}
+	r := latencyComparison{decayWeight: t.decayWeight(now), logLatency: g.logSeconds(latency)}
 	r.baseline = g.longBaseline(a.target, r.decayWeight).withRecent(a.target, now)
-	if r.classMean.count != 0 {
-		r.excess = r.logLatency - r.classMean.mean
+	if m := g.classMeans[a.latencyClass]; m.count != 0 {
+		r.excess, r.aboveLevel = r.logLatency-m.mean, r.logLatency-m.level
 	}
-	r.abovePeers = r.excess - r.baseline.mean - a.target.latencySlack()
+	r.abovePeers = r.excess - r.baseline.mean
+	if a.fresh {
+		r.abovePeers = g.limitByLevel(a.target, now, r.abovePeers, r.aboveLevel, r.baseline.sigma)
+	}
+	r.abovePeers -= a.target.latencySlack()
 	return r
 }
 
@@ -74,13 +78,13 @@
 // baselines.
 func (t *Tracker) recordResult(now int64, a *openAttempt, kind attempt.Kind, r latencyComparison) {
 	target := a.target
-	s := sample{target: target, started: a.started, ended: now, excess: float32(r.excess)}
+	s := sample{target: target, started: a.started, ended: now, excess: float32(r.excess), aboveLevel: float32(r.aboveLevel)}
 	switch kind {
 	case attempt.Answered:
-		t.addSuccess(now, a, r.excess, r.abovePeers, r.baseline, r.decayWeight)
+		t.addSuccess(now, a, r)
 		t.addToBaselines(target, s, true, r.decayWeight)
 		if target.state.inRotation() {
-			r.classMean.add(r.logLatency)
+			target.group.addLatency(a.latencyClass, r.logLatency)
 		}
 		if r.baseline.known && target.state == Healthy && float64(target.cusum.slowness) < maxTailScore*t.threshold {
 			target.group.latencyTail.add(r.abovePeers, r.decayWeight)
@@ -103,15 +107,15 @@
 	}
 }
 
-func (t *Tracker) addSuccess(now int64, a *openAttempt, excess, above float64, b latencyBaseline, weight float64) {
+func (t *Tracker) addSuccess(now int64, a *openAttempt, r latencyComparison) {
 	target := a.target
 	limit := maxScoreFactor * t.threshold
 	p0 := failureBaseline(target, t.total, &t.recent, now)
 	target.cusum.addOutcome(false, p0, 1, limit)
 	target.cusum.setRunStart(a.started)
-	if b.known && target.group.size > 1 {
-		step := latencyStep(target.group.latencyTail.normalized(above, b.sigma, weight), b.sigma)
-		target.cusum.addAnswer(a.started, excess, step, limit)
+	if r.baseline.known && target.group.size > 1 {
+		step := latencyStep(target.group.latencyTail.normalized(r.abovePeers, r.baseline.sigma, r.decayWeight), r.baseline.sigma)
+		target.cusum.addAnswer(a.started, r.excess, step, limit)
 	}
 }
 
--- a/internal/core/health/inflight.go
+++ b/internal/core/health/inflight.go
@@ -141,12 +141,17 @@
 	if !b.known {
 		return 0
 	}
-	x := g.logSeconds(time.Duration(now-a.started)) - g.classMeans[a.latencyClass].mean - a.target.latencySlack()
+	class := &g.classMeans[a.latencyClass]
+	x := g.logSeconds(time.Duration(now-a.started)) - class.mean - a.target.latencySlack()
 	if x-b.mean <= overdueZ*b.sigma {
 		return 0
 	}
 	b = b.withRecent(a.target, now).withNewest(&t.recent, a.target, now)
-	step := g.latencyTail.evidence(x-b.mean, b.sigma, weight) - ageOffset
+	above := x - b.mean
+	if a.fresh {
+		above = g.limitByLevel(a.target, now, above, x+class.mean-class.level, b.sigma)
+	}
+	step := g.latencyTail.evidence(above, b.sigma, weight) - ageOffset
 	return min(max(step, 0), maxAgeStep)
 }
 
