--- a/internal/core/schedule/leaving_test.go
+++ b/internal/core/schedule/leaving_test.go
@@ -267,3 +267,21 @@
 		t.Errorf("%d events", events)
 	}
 }
+
+// TestLeavingTargetNeedsNoPermits guards against permits that a host asks for and cannot use,
+// because the target has begun to leave: other hosts could use them for their last requests.
+func TestLeavingTargetNeedsNoPermits(t *testing.T) {
+	f := newFixture(t, leavingConfig(hostZone, hostZone))
+	f.stateRate("t0", "10")
+	f.stateRate("t1", "10")
+	f.arrive("order")
+	if f.wanted("t0") == 0 || f.wanted("t1") == 0 {
+		t.Fatal("no permits are asked for")
+	}
+	f.arrive("order")
+	f.leave("t0")
+	f.advance(time.Second)
+	if f.wanted("t0") != 0 {
+		t.Error("permits for a leaving target are asked for")
+	}
+}
