schedule: look up the process of a rate report by its attempt

The report now names the attempt, as the one of a leaving target does, and dispatch.Start is as before. TestTables passes without a change of its tables; TestLimitOfEarlierProcess still holds.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -13,7 +13,6 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
-	"github.com/sapphirehaven/sapphirehaven/internal/core/schedule"
 )
 
 // bufferedResponse is a complete response that is kept until the dispatcher
@@ -142,7 +141,7 @@
 	}
 	if trace.RateLimit.Heard {
 		q.metrics.countRateStatement(trace.RateLimit)
-		q.backend.Engine.ReportLimit(schedule.Process{Target: start.Target, StartUnixMilli: start.StartUnixMilli}, trace.RateLimit, q.attemptStart)
+		q.backend.Engine.ReportLimit(start.Attempt, trace.RateLimit, q.attemptStart)
 	}
 	q.backend.Engine.Finish(start.Attempt, result)
 }
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -167,8 +167,6 @@
 	Request ident.RequestID
 	Attempt ident.AttemptID
 	Target  ident.TargetID
-	// StartUnixMilli is the start time of the target's process, 0 if unknown.
-	StartUnixMilli int64
 	// Timeout is the maximum duration of the attempt.
 	Timeout time.Duration
 	// Fresh requests a new connection.
--- a/internal/core/ratelimit/fleet_target_test.go
+++ b/internal/core/ratelimit/fleet_target_test.go
@@ -52,7 +52,7 @@
 					proc.toldAt[t] = f.now
 				}
 				now := f.clock(h)
-				f.execute(h, proc.scheduler.ReportLimit(now, schedule.LimitReport{Process: schedule.Process{Target: t.ID, StartUnixMilli: start.StartUnixMilli}, Statement: ratelimit.ParseStatement(values), SentAt: sentAt}))
+				f.execute(h, proc.scheduler.ReportLimit(now, schedule.LimitReport{Process: proc.scheduler.ProcessOf(start.Attempt), Statement: ratelimit.ParseStatement(values), SentAt: sentAt}))
 				f.execute(h, proc.scheduler.Finish(now, start.Attempt, dispatch.Result{Kind: attempt.Answered, FirstByte: time.Millisecond}))
 			})
 		})
--- a/internal/core/schedule/floor.go
+++ b/internal/core/schedule/floor.go
@@ -66,8 +66,7 @@
 
 // countsForFloor reports whether the floor of this host includes the target: one in the
 // same region that has not failed for a time, does not ask for few requests and is not
-// leaving. Hosts in
-// other regions maintain the floor there.
+// leaving. Hosts in other regions maintain the floor there.
 func (t *target) countsForFloor(now time.Time, recovery time.Duration) bool {
 	if t.rate.Limited() && t.rate.Limit().Rate < minFloorRate {
 		return false
--- a/internal/core/schedule/process.go
+++ b/internal/core/schedule/process.go
@@ -121,3 +121,13 @@
 		delete(m.states, oldest.process)
 	}
 }
+
+// ProcessOf returns the process that a running attempt was sent to, and the zero value for
+// an attempt that is not running.
+func (s *Scheduler) ProcessOf(id ident.AttemptID) Process {
+	a := s.attempts[id]
+	if a == nil {
+		return Process{}
+	}
+	return a.target.process.process
+}
--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -195,7 +195,7 @@
 	t.rate.Use(now)
 	t.inFlightChanged = true
 	s.attempts[r.running] = &runningAttempt{id: r.running, request: r, target: t, started: now}
-	s.emit(dispatch.Start{Request: r.ID, Attempt: r.running, Target: t.ID, StartUnixMilli: t.StartUnixMilli, Timeout: r.Deadline.Sub(now), Selection: why})
+	s.emit(dispatch.Start{Request: r.ID, Attempt: r.running, Target: t.ID, Timeout: r.Deadline.Sub(now), Selection: why})
 }
 
 // Commit reports that the driver is forwarding the response of a running attempt to
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -217,11 +217,11 @@
 	s.handleEvent(func(now time.Time, d Decider) []dispatch.Action { return d.LoadReport(now, r) })
 }
 
-// ReportLimit reports what a response states about the rate that its target accepts. sent
-// is the time at which the request was sent.
-func (s *Service) ReportLimit(process schedule.Process, statement ratelimit.Statement, sent time.Time) {
+// ReportLimit reports what the response to an attempt states about the rate that its target
+// accepts. sent is the time at which the request was sent. It must be called before Finish.
+func (s *Service) ReportLimit(id ident.AttemptID, statement ratelimit.Statement, sent time.Time) {
 	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
-		return d.ReportLimit(now, schedule.LimitReport{Process: process, Statement: statement, SentAt: sent})
+		return d.ReportLimit(now, schedule.LimitReport{Process: d.ProcessOf(id), Statement: statement, SentAt: sent})
 	})
 }
 
