--- a/internal/core/schedule/leaving_test.go
+++ b/internal/core/schedule/leaving_test.go
@@ -133,8 +133,10 @@
 			t.Error("the failure is reported to the other hosts")
 		}
 	}
-	if healthy, _ := f.countUsed(f.now, 0); healthy != 1 {
-		t.Errorf("%d targets count for the floor, want 1", healthy)
+	for _, target := range f.order {
+		if counts := target.countsForFloor(f.now, 0); counts != (target != at) {
+			t.Errorf("%s counts for the floor: %v", target.ID, counts)
+		}
 	}
 	if got := f.capacity(f.now, 0); got != 2 {
 		t.Errorf("a capacity of %d slots, want those of the other target: 2", got)
@@ -164,8 +166,10 @@
 	if f.runningTarget(f.arrive("order")) == "" {
 		t.Fatal("no leaving target is used although there is no other")
 	}
-	if healthy, _ := f.countUsed(f.now, 0); healthy != 0 {
-		t.Errorf("%d leaving targets count for the floor", healthy)
+	for _, target := range f.order {
+		if target.countsForFloor(f.now, 0) {
+			t.Errorf("%s is leaving and counts for the floor", target.ID)
+		}
 	}
 	f.advance(leavingGrace)
 	for len(f.running) > 0 {
@@ -267,3 +271,21 @@
 		t.Errorf("%d events", events)
 	}
 }
+
+// TestLeavingTargetNeedsNoPermits guards against permits that a host asks for and cannot use,
+// because the target has begun to leave: other hosts could use them for their last requests.
+func TestLeavingTargetNeedsNoPermits(t *testing.T) {
+	f := newFixture(t, leavingConfig(hostZone, hostZone))
+	f.stateRate("t0", "10")
+	f.stateRate("t1", "10")
+	f.arrive("order")
+	if f.wanted("t0") == 0 || f.wanted("t1") == 0 {
+		t.Fatal("no permits are asked for")
+	}
+	f.arrive("order")
+	f.leave("t0")
+	f.advance(time.Second)
+	if f.wanted("t0") != 0 {
+		t.Error("permits for a leaving target are asked for")
+	}
+}
