soak: run real hosts under faults and check what callers and targets see

The repository had tests of single faults with processes, but nothing that overlaps stops, kills, freezes, faults of links, targets and the store and changes of the configuration, and checks all promises meanwhile.

sapphirectl soak -seed N runs the schedule of one seed: host processes behind loopback links that delay, reset, silence or cut one way, a store and targets in the process of the soak, and callers that keep their connections. Checked are whole answers to the right request, at most once, "not run", no request to a leaving target, the configuration in force and never back, no request cut in a planned stop, the ends of processes and the recovery.

platformtest gains the callers' question for addresses, the readiness check and the removal of a target's record, so that the wire of the platform stays below platform/.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -35,6 +35,7 @@
   timeline                                     show the merged event timeline of all hosts
   explain                                      show the log lines related to one request
   replay                                       replay traces and check expected outcomes
+  soak                                         run hosts under faults and check their promises
   load                                         measure the latency that a host adds to requests
 
 Every flag can also be set by an environment variable, for example -admin by
@@ -60,6 +61,7 @@
 	"load":      runLoad,
 	"explain":   runExplain,
 	"replay":    runReplay,
+	"soak":      runSoak,
 }
 
 // Run executes a command and returns its exit code.
--- /dev/null
+++ b/internal/soak/checks.go
@@ -0,0 +1,361 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// check returns the breaches in the evidence, ordered by time.
+func (e *evidence) check(now time.Time) []breach {
+	found := slices.Clone(e.breaches)
+	for _, c := range e.calls {
+		found = append(found, e.checkCall(&c)...)
+	}
+	for id, runs := range e.runs {
+		c, ok := e.calls[id]
+		for n := range runs {
+			found = append(found, e.checkRun(&runs[n], &c, ok)...)
+		}
+	}
+	found = append(found, e.checkLostInTouch()...)
+	found = append(found, e.checkRegression()...)
+	found = append(found, e.checkRecovery(now)...)
+	slices.SortStableFunc(found, func(a, b breach) int { return a.at.Compare(b.at) })
+	return found
+}
+
+func (e *evidence) checkCall(c *call) (found []breach) {
+	if b := e.checkTwice(c); b != nil {
+		found = append(found, *b)
+	}
+	if b := e.checkRefused(c); b != nil {
+		found = append(found, *b)
+	}
+	if b := e.checkLost(c); b != nil {
+		found = append(found, *b)
+	}
+	if b := e.checkConfiguration(c); b != nil {
+		found = append(found, *b)
+	}
+	return found
+}
+
+func (c *call) breach(rule string, at time.Time, format string, args ...any) *breach {
+	text := fmt.Sprintf(format, args...)
+	return &breach{rule, at, c.id, fmt.Sprintf("%s %s at host %d: %s", c.method, c.path, c.host+1, text)}
+}
+
+// checkTwice requires that a non-idempotent request runs once at most.
+func (e *evidence) checkTwice(c *call) *breach {
+	var executed []run
+	for _, r := range e.runs[c.id] {
+		if r.executed() {
+			executed = append(executed, r)
+		}
+	}
+	if c.idempotent || len(executed) < 2 {
+		return nil
+	}
+	return c.breach("TWICE", executed[1].at, "ran at %s and again at %s", executed[0].target, executed[1].target)
+}
+
+// promisesNotRun reports whether a status promises that the request has not run and never will.
+func promisesNotRun(status int) bool { return slices.Contains([]int{408, 421, 429, 503}, status) }
+
+// checkRefused requires that a non-idempotent request that was refused has not run and does not run
+// later.
+func (e *evidence) checkRefused(c *call) *breach {
+	if c.idempotent || c.ending != answered || !promisesNotRun(c.status) {
+		return nil
+	}
+	for _, r := range e.runs[c.id] {
+		if r.executed() {
+			return c.breach("REFUSED", r.at, "answered with %d and ran at %s, %s after the answer", c.status, r.target, r.at.Sub(c.endedAt))
+		}
+	}
+	return nil
+}
+
+// checkLost requires that planned work of a host cuts no request.
+func (e *evidence) checkLost(c *call) *breach {
+	signaledAt, stopped := e.stopOf(c.host, c.endedAt)
+	if !e.lost(c, stopped) || e.excusesLoss(c) {
+		return nil
+	}
+	switch {
+	case stopped && e.finishesTooLate(c, signaledAt):
+		return nil
+	case stopped:
+		return c.breach("LOST", c.endedAt, "%s %s after SIGTERM, sent %s after it, passed on to %d targets", endingNames[c.ending], c.endedAt.Sub(signaledAt), c.sentAt.Sub(signaledAt), len(e.runs[c.id]))
+	case e.hangupCovers(c):
+		return c.breach("LOST", c.endedAt, "%s around a SIGHUP, passed on to %d targets", endingNames[c.ending], len(e.runs[c.id]))
+	}
+	return nil
+}
+
+// lost reports whether a request that its host had read ended without a complete answer. A stopping
+// host must not replace the answer of a target that works by its own either.
+func (e *evidence) lost(c *call, stopped bool) bool {
+	runs := e.runs[c.id]
+	switch c.ending {
+	case reset, partial:
+		return len(runs) > 0
+	case closed:
+		// A host that had not read all that was sent would have reset the connection.
+		return len(runs) > 0 || !c.behindClose && c.endedAt.Sub(c.sentAt) > lossSlack
+	case answered:
+		return stopped && !c.signed && slices.ContainsFunc(runs, func(r run) bool { return r.workingAt(c.endedAt) })
+	}
+	return false
+}
+
+// excusesLoss reports whether a lost request is not the host's fault: its time was over, a target
+// broke off, or the host, its links or the target had an unplanned fault.
+func (e *evidence) excusesLoss(c *call) bool {
+	from := c.startedAt.Add(-stabilityWindow)
+	if !c.endedAt.Before(c.startedAt.Add(c.timeout)) || e.impaired(c.host, from, c.endedAt) {
+		return true
+	}
+	return slices.ContainsFunc(e.runs[c.id], func(r run) bool {
+		return r.progress == brokeOff || e.placeImpaired(r.place, from, c.endedAt)
+	})
+}
+
+// lateSendAllowance is the time after a SIGTERM until which a host may take a request that its target
+// does not finish before the last sixth of the grace period.
+const lateSendAllowance = 3 * time.Second
+
+// finishesTooLate reports whether a target was still at work on the request in the last sixth of the
+// grace period, and the request was sent early enough for the host not to know that.
+func (e *evidence) finishesTooLate(c *call, signaledAt time.Time) bool {
+	lastSixth := signaledAt.Add(grace * 5 / 6)
+	if c.sentAt.After(signaledAt.Add(lateSendAllowance)) || c.endedAt.Before(lastSixth) {
+		return false
+	}
+	return slices.ContainsFunc(e.runs[c.id], func(r run) bool { return r.workingAt(lastSixth) })
+}
+
+// checkLostInTouch requires that hosts in touch close kept connections on requests that they passed
+// on to sound targets no more than maxLostInTouch times.
+func (e *evidence) checkLostInTouch() []breach {
+	var cut []*breach
+	for _, c := range e.calls {
+		lost := c.kept && c.ending != answered && len(e.runs[c.id]) > 0 && e.lost(&c, false)
+		if lost && e.inTouch(c.host, c.startedAt) && e.inTouch(c.host, c.endedAt) && !e.excusesLoss(&c) {
+			cut = append(cut, c.breach("LOST", c.endedAt, "%s at a host in touch", endingNames[c.ending]))
+		}
+	}
+	if len(cut) <= maxLostInTouch {
+		return nil
+	}
+	slices.SortFunc(cut, func(a, b *breach) int { return a.at.Compare(b.at) })
+	last := *cut[maxLostInTouch]
+	last.text += fmt.Sprintf(", as %d requests before it", maxLostInTouch)
+	return []breach{last}
+}
+
+func (e *evidence) checkRun(r *run, c *call, known bool) (found []breach) {
+	add := func(rule, format string, args ...any) {
+		found = append(found, breach{rule, r.at, r.id, fmt.Sprintf("%s %s at target %s: %s", r.method, r.path, r.target, fmt.Sprintf(format, args...))})
+	}
+	switch {
+	case !known:
+		add("UNASKED", "no caller sent a request with this ID")
+	case r.request != c.request:
+		add("UNASKED", "differs from the caller's request %s %s (%s instead of %s)", c.method, c.path, r.bodySum, c.bodySum)
+	}
+	if !known {
+		return found
+	}
+	if r.executed() && !e.everAllowed(r) {
+		add("ROUTE", "no configuration sends this path to service %s", r.service)
+	}
+	if late, ok := e.afterDrain(r, c); ok {
+		add("DRAIN", "arrived through host %d %s after the store acknowledged that the target leaves", c.host+1, late)
+	}
+	return found
+}
+
+func (e *evidence) everAllowed(r *run) bool {
+	return slices.ContainsFunc(e.versions, func(v version) bool { return v.handling(r.path) == r.service })
+}
+
+// afterDrain reports whether a host in touch sent a request to a target later than drain after the
+// store acknowledged, while it was stable, that the target leaves, and how much later.
+func (e *evidence) afterDrain(r *run, c *call) (late time.Duration, ok bool) {
+	if r.progress == rejectedInstance {
+		return 0, false
+	}
+	for _, d := range e.departures {
+		if late = r.at.Sub(d.ackedAt); d.target != r.target || late <= drain {
+			continue
+		}
+		heldUp := e.placeImpaired(r.place, r.at.Add(-stabilityWindow), r.at)
+		return late, e.coreStable(d.ackedAt) && e.inTouch(c.host, r.at) && !heldUp
+	}
+	return 0, false
+}
+
+// handling returns the service of a path, or "" if the version has no route for it.
+func (v *version) handling(path string) string {
+	for prefix, service := range v.services {
+		if strings.HasPrefix(path, prefix) {
+			return service
+		}
+	}
+	return ""
+}
+
+// handlings returns how a request was handled: the services that ran it, or "" for 404.
+func (e *evidence) handlings(c *call) (services []string) {
+	for _, r := range e.runs[c.id] {
+		if r.executed() {
+			services = append(services, r.service)
+		}
+	}
+	if c.ending == answered && !c.signed && c.status == 404 {
+		services = append(services, "")
+	}
+	return services
+}
+
+// checkConfiguration requires that a host in touch handles a request as a configuration allows that
+// may be in force: one that was sent later than the newest that was acknowledged in time, or that one.
+func (e *evidence) checkConfiguration(c *call) *breach {
+	due := -1
+	for n, v := range e.versions {
+		if !v.ackedAt.IsZero() && !v.ackedAt.Add(configApply).After(c.startedAt) {
+			due = n
+		}
+	}
+	if due < 0 || !e.inTouch(c.host, c.startedAt) {
+		return nil
+	}
+	for _, service := range e.handlings(c) {
+		allowed := slices.ContainsFunc(e.versions[due:], func(v version) bool { return v.handling(c.path) == service })
+		if !allowed {
+			v := e.versions[due]
+			return c.breach("CONFIG", c.startedAt, "handled by service %q, but version %d with %q was acknowledged %s before", service, v.number, v.handling(c.path), c.startedAt.Sub(v.ackedAt))
+		}
+	}
+	return nil
+}
+
+// effect is a request that shows that a process had at least one version and at most another.
+type effect struct {
+	c                *call
+	seenAt           time.Time
+	oldest, youngest int
+}
+
+// effects returns what the requests show about the versions of the processes, grouped by process.
+func (e *evidence) effects() map[process][]effect {
+	effects := map[process][]effect{}
+	for _, c := range e.calls {
+		for _, service := range e.handlings(&c) {
+			f := effect{&c, c.endedAt, -1, -1}
+			for n, v := range e.versions {
+				if v.handling(c.path) != service {
+					continue
+				}
+				if f.oldest < 0 {
+					f.oldest = n
+				}
+				f.youngest = n
+			}
+			if f.oldest >= 0 && c.ending != pending {
+				p := process{c.host, e.life(c.host, c.startedAt)}
+				effects[p] = append(effects[p], f)
+			}
+		}
+	}
+	return effects
+}
+
+// process is one life of a host's process.
+type process struct{ host, life int }
+
+// life returns the number of starts of a host until a time.
+func (l impairments) life(host int, at time.Time) (starts int) {
+	for n := range l {
+		if l[n].cause == started && l[n].host == host && !l[n].start.After(at) {
+			starts++
+		}
+	}
+	return starts
+}
+
+// slowedSlackFactor multiplies rollbackSlack at hosts with faults.
+const slowedSlackFactor = 8
+
+// checkRegression requires that a process never returns to an older configuration.
+func (e *evidence) checkRegression() (found []breach) {
+	for _, effects := range e.effects() {
+		bySeen := slices.Clone(effects)
+		slices.SortFunc(bySeen, func(a, b effect) int { return a.seenAt.Compare(b.seenAt) })
+		newest, next := 0, 0
+		slices.SortFunc(effects, func(a, b effect) int { return a.c.startedAt.Compare(b.c.startedAt) })
+		for _, f := range effects {
+			slack := rollbackSlack
+			if e.impaired(f.c.host, f.c.startedAt.Add(-stabilityWindow), f.c.endedAt) {
+				slack *= slowedSlackFactor
+			}
+			for ; next < len(bySeen) && bySeen[next].seenAt.Before(f.c.startedAt.Add(-slack)); next++ {
+				newest = max(newest, bySeen[next].oldest)
+			}
+			if f.youngest < newest {
+				found = append(found, *f.c.breach("CONFIG", f.c.startedAt, "handled as version %d allows, after version %d had an effect", e.versions[f.youngest].number, e.versions[newest].number))
+			}
+		}
+	}
+	return found
+}
+
+// minRecoverySample is the smallest number of requests by which the recovery is judged.
+const minRecoverySample = 20
+
+// checkRecovery requires that requests are served again after the last fault.
+func (e *evidence) checkRecovery(now time.Time) []breach {
+	end := e.recoveredAt.Add(recoverySample)
+	if e.recoveredAt.IsZero() || now.Before(end) {
+		return nil
+	}
+	sent, served := 0, 0
+	for _, c := range e.calls {
+		if c.startedAt.Before(e.recoveredAt) || c.startedAt.After(end) || c.ending == pending || c.ending == abandoned && c.left {
+			continue
+		}
+		sent++
+		if c.succeeded() {
+			served++
+		}
+	}
+	if sent >= minRecoverySample && float64(served) >= minServedShare*float64(sent) {
+		return nil
+	}
+	return []breach{{"RECOVER", end, "", fmt.Sprintf("%d of %d requests were served from %s after the last fault on", served, sent, recovery)}}
+}
+
+// summary counts the calls by ending and status.
+func (e *evidence) summary() string {
+	counts := map[string]int{}
+	for _, c := range e.calls {
+		name := endingNames[c.ending]
+		if c.ending == answered {
+			name = fmt.Sprintf("%d", c.status)
+			if !c.signed {
+				name += " of the host"
+			}
+		}
+		counts[name]++
+	}
+	parts := make([]string, 0, len(counts))
+	for name, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s: %d", name, n))
+	}
+	slices.SortFunc(parts, cmp.Compare)
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/soak/config.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Config describes one run.
+type Config struct {
+	// Seed determines the schedule of faults.
+	Seed uint64
+	// Duration is the time in which faults begin. The recovery follows.
+	Duration time.Duration
+	// Hosts and Targets are the numbers of host processes and of targets.
+	Hosts, Targets int
+	// Callers is the number of concurrent callers.
+	Callers int
+	// BinaryDir contains the program of a host.
+	BinaryDir string
+	// LogDir receives the settings and the logs of the hosts.
+	LogDir string
+}
+
+// Limits of Config.
+const (
+	MinHosts    = 2
+	MaxHosts    = 64
+	MinTargets  = 4
+	MaxTargets  = 128
+	MinDuration = 6 * time.Second
+)
+
+// Validate returns an error that names the first invalid field.
+func (c *Config) Validate() error {
+	switch {
+	case c.Hosts < MinHosts || c.Hosts > MaxHosts:
+		return errors.Errorf("-hosts is %d, want %d to %d", c.Hosts, MinHosts, MaxHosts)
+	case c.Targets < MinTargets || c.Targets > MaxTargets:
+		return errors.Errorf("-targets is %d, want %d to %d", c.Targets, MinTargets, MaxTargets)
+	case c.Duration < MinDuration:
+		return errors.Errorf("-duration is %s, want %s or more", c.Duration, MinDuration)
+	case c.Callers < 1:
+		return errors.Errorf("-callers is %d, want 1 or more", c.Callers)
+	}
+	return nil
+}
+
+// The bounds of the platform that the checks use.
+const (
+	// stabilityWindow is how long a host must be free of faults to be in touch.
+	stabilityWindow = 4 * time.Second
+	// grace is the time between SIGTERM and SIGKILL.
+	grace = 6 * time.Second
+	// drain is the time after which a leaving target receives no requests.
+	drain = 2500 * time.Millisecond
+	// configApply is the time after which a configuration is in force.
+	configApply = 2500 * time.Millisecond
+	// rollbackSlack is the time after which no request is handled by an older configuration
+	// once a newer one had an effect.
+	rollbackSlack = 250 * time.Millisecond
+	// lossSlack is the time that a request needs at most to reach its host.
+	lossSlack = 200 * time.Millisecond
+	// addressReuse is the time after which the address of a target that is gone is used again.
+	addressReuse = 2 * time.Second
+	// heartbeat is the interval at which targets write their records.
+	heartbeat = 1500 * time.Millisecond
+	// recovery is the time after the last fault until requests are served again. The platform
+	// allows 15 s; a short run has no time for that.
+	recovery = 5 * time.Second
+	// minServedShare is the share of requests that are served after the recovery.
+	minServedShare = 0.25
+	// recoverySample is the time after the recovery in which requests are counted.
+	recoverySample = 2 * time.Second
+	// maxLostInTouch is the number of requests on kept connections that hosts in touch may
+	// close without an answer, apart from planned work.
+	maxLostInTouch = 3
+)
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,223 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// kind is the kind of an event.
+type kind int
+
+// Kinds of events. Those before firstUnplanned are planned work.
+const (
+	// stopHost sends SIGTERM, and SIGKILL at the end of the grace period, and starts the host again.
+	stopHost kind = iota
+	hangUpHost
+	changeConfig
+	// drainTarget reports that a target is draining, ends it after a while and starts another one,
+	// at times of another service, at its address.
+	drainTarget
+	// unlistTarget is drainTarget of a target that removes its record without reporting.
+	unlistTarget
+	storeDown
+	storeSlow
+	storeLosesAnswers
+
+	firstUnplanned
+	killHost kind = iota - 1
+	freezeHost
+	storeRefusesHost
+	delayCallers
+	resetCallers
+	silenceCallers
+	cutCallers
+	delayStore
+	resetStore
+	silenceStore
+	cutStore
+	crashTarget
+	failTarget
+	slowTarget
+	truncateTarget
+	garbleTarget
+	repeatTarget
+	delayTarget
+	resetTarget
+	silenceTarget
+	cutTarget
+	killAllHosts
+	kinds
+)
+
+var kindNames = [kinds]string{
+	"stop host", "hang up host", "change configuration", "drain target", "unlist target", "store down", "store slow", "store loses answers",
+	"kill host", "freeze host", "store refuses host", "delay callers of host", "reset callers of host", "silence callers of host", "cut callers of host",
+	"delay store of host", "reset store of host", "silence store of host", "cut store of host",
+	"crash target", "fail at target", "slow target", "truncate at target", "garble at target", "repeat at target", "delay target", "reset target",
+	"silence target", "cut target", "kill all hosts",
+}
+
+// onHost reports whether an event is about a host, onTarget whether it is about a place of a target.
+func (k kind) onHost() bool {
+	return k == stopHost || k == hangUpHost || k >= killHost && k <= cutStore
+}
+
+func (k kind) onTarget() bool {
+	return k == drainTarget || k == unlistTarget || k >= crashTarget && k <= cutTarget
+}
+
+// event is one entry of a schedule.
+type event struct {
+	// at is the time since the start of the schedule, lasting how long the fault lasts, or the pause
+	// before a restart.
+	at, lasting time.Duration
+	kind        kind
+	// index is that of the host or of the place.
+	index int
+	// choice selects among the variants of an event.
+	choice uint64
+}
+
+func (e event) String() string {
+	text := fmt.Sprintf("%6.2fs %s", e.at.Seconds(), kindNames[e.kind])
+	if e.kind.onHost() || e.kind.onTarget() {
+		text += fmt.Sprintf(" %d", e.index+1)
+	}
+	return fmt.Sprintf("%s, %s, variant %d", text, e.lasting, e.choice%variants)
+}
+
+// variants is the number of variants of an event.
+const variants = 4
+
+// style is the mix of events of a schedule.
+type style struct {
+	name string
+	// unplannedShare is the percentage of events that are unplanned.
+	unplannedShare int
+	// victims is the percentage of hosts and places that unplanned events hit.
+	victims int
+	// storeFaults is set if a part of the planned events are faults of the store.
+	storeFaults bool
+}
+
+var styles = []style{
+	{"planned work", 0, 0, false},
+	{"planned work and faults of the store", 0, 0, true},
+	{"planned work and faults of few", 40, 34, false},
+	{"faults of all", 65, 100, true},
+}
+
+// Times of a schedule.
+const (
+	firstEventAt = 800 * time.Millisecond
+	// meanInterval is the mean time between two events.
+	meanInterval = 600 * time.Millisecond
+	minLasting   = 200 * time.Millisecond
+	maxLasting   = 2500 * time.Millisecond
+	// stopSpan and killSpan are the times in which a host that was stopped or killed gets no other
+	// signal of these kinds.
+	stopSpan = grace + 4*time.Second
+	killSpan = maxLasting + time.Second
+	// leaveSpan is the time in which a place with a leaving target gets no other event that replaces it.
+	leaveSpan = 9 * time.Second
+)
+
+// plannedKinds lists the planned kinds as often as their weights; unplanned kinds are equally likely.
+var plannedKinds = []kind{stopHost, stopHost, stopHost, stopHost, hangUpHost, changeConfig, changeConfig, changeConfig, drainTarget, drainTarget, unlistTarget}
+
+var storeKinds = []kind{storeDown, storeSlow, storeLosesAnswers}
+
+// scheduler generates a schedule.
+type scheduler struct {
+	cfg    *Config
+	rng    *rand.Rand
+	style  style
+	events []event
+	// hostBusy and placeBusy are the times until which a host or a place gets no event that ends its
+	// process.
+	hostBusy, placeBusy map[int]time.Duration
+	killedAll           bool
+}
+
+// newSchedule returns the schedule of a seed and the name of its style.
+func newSchedule(cfg *Config, rng *rand.Rand) ([]event, string) {
+	s := &scheduler{cfg: cfg, rng: rng, hostBusy: map[int]time.Duration{}, placeBusy: map[int]time.Duration{}}
+	s.style = styles[rng.IntN(len(styles))]
+	for at := firstEventAt; at < cfg.Duration; at += time.Duration(rng.ExpFloat64() * float64(meanInterval)) {
+		s.add(at)
+	}
+	return s.events, s.style.name
+}
+
+func (s *scheduler) add(at time.Duration) {
+	lasting := minLasting + time.Duration(s.rng.Int64N(int64(maxLasting-minLasting)))
+	e := event{at: at, lasting: lasting, kind: s.chooseKind(), choice: s.rng.Uint64() % variants}
+	share := 100
+	if e.kind >= firstUnplanned {
+		share = s.style.victims
+	}
+	switch {
+	case e.kind.onHost():
+		e.index = s.rng.IntN(max(1, s.cfg.Hosts*share/100))
+	case e.kind.onTarget():
+		e.index = s.rng.IntN(max(1, s.cfg.Targets*share/100))
+	}
+	if s.reserve(e) {
+		s.events = append(s.events, e)
+	}
+}
+
+func (s *scheduler) chooseKind() kind {
+	switch {
+	case s.rng.IntN(100) < s.style.unplannedShare:
+		return firstUnplanned + kind(s.rng.IntN(int(kinds-firstUnplanned)))
+	case s.style.storeFaults && s.rng.IntN(5) == 0:
+		return storeKinds[s.rng.IntN(len(storeKinds))]
+	}
+	return plannedKinds[s.rng.IntN(len(plannedKinds))]
+}
+
+// reserve reports whether an event is possible next to the earlier ones, and reserves its host or place.
+func (s *scheduler) reserve(e event) bool {
+	switch e.kind {
+	case stopHost, killHost:
+		span := killSpan
+		if e.kind == stopHost {
+			span = stopSpan
+		}
+		return s.reserveHost(e, span)
+	case drainTarget, unlistTarget, crashTarget:
+		if s.placeBusy[e.index] > e.at {
+			return false
+		}
+		s.placeBusy[e.index] = e.at + leaveSpan
+	case killAllHosts:
+		if s.killedAll || s.busyHosts(e.at) > 0 {
+			return false
+		}
+		s.killedAll = true
+		for n := range s.cfg.Hosts {
+			s.hostBusy[n] = e.at + killSpan
+		}
+	}
+	return true
+}
+
+// reserveHost leaves at least one host, and half of them, without a stop or a kill.
+func (s *scheduler) reserveHost(e event, span time.Duration) bool {
+	if s.hostBusy[e.index] > e.at || s.busyHosts(e.at) >= max(1, s.cfg.Hosts/2) {
+		return false
+	}
+	s.hostBusy[e.index] = e.at + span
+	return true
+}
+
+func (s *scheduler) busyHosts(at time.Duration) (count int) {
+	for _, until := range s.hostBusy {
+		if until > at {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/soak/system.go
@@ -0,0 +1,268 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/standin"
+	"github.com/sapphirehaven/sapphirehaven/platform/platformtest"
+)
+
+// layout names the availability zones and their regions.
+type layout struct {
+	zones   []string
+	regions map[string]string
+}
+
+// newLayout returns two or three zones in one or two regions.
+func newLayout(rng *rand.Rand) *layout {
+	l := &layout{zones: []string{"zone-a", "zone-b"}, regions: map[string]string{"zone-a": "region-1", "zone-b": "region-1"}}
+	if rng.IntN(2) == 0 {
+		l.zones = append(l.zones, "zone-c")
+		l.regions["zone-c"] = fmt.Sprintf("region-%d", 1+rng.IntN(2))
+	}
+	return l
+}
+
+// zone returns the zone of the host, target or caller with an index.
+func (l *layout) zone(index int) string { return l.zones[index%len(l.zones)] }
+
+// Services. The moved ones are those between which a route moves.
+const (
+	lookupService = "index"
+	noticeService = "press"
+	movedServiceA = "moved-a"
+	movedServiceB = "moved-b"
+)
+
+// serviceOfPlace lists the services of the first places; further ones repeat the first two.
+var serviceOfPlace = [...]string{lookupService, noticeService, movedServiceA, movedServiceB}
+
+// homeService returns the service of a place at the start.
+func homeService(place int) string {
+	if place < len(serviceOfPlace) {
+		return serviceOfPlace[place]
+	}
+	return serviceOfPlace[place%2]
+}
+
+// place is an address at which targets run one after the other.
+type place struct {
+	index, generation int
+	listenAddress     string
+	link              *standin.FaultLink
+
+	mu      sync.Mutex
+	current *target
+}
+
+// system is the simulated surroundings with the hosts.
+type system struct {
+	cfg      *Config
+	layout   *layout
+	store    *platformtest.Store
+	recorder *recorder
+	hosts    []*host
+	places   []*place
+
+	mu      sync.Mutex
+	version version
+}
+
+// newSystem starts the store and the targets, sends the first configuration and creates the hosts.
+func newSystem(cfg *Config, rng *rand.Rand) (*system, error) {
+	s := &system{cfg: cfg, layout: newLayout(rng), store: platformtest.NewStore(), recorder: newRecorder()}
+	s.putVersion(1, map[string]string{lookupPath: lookupService, noticePath: noticeService, uploadPath: noticeService, movedPath: movedServiceA})
+	for n := range cfg.Targets {
+		address, err := standin.FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		link, err := standin.NewFaultLink(address)
+		if err != nil {
+			return nil, err
+		}
+		p := &place{index: n, listenAddress: address, link: link}
+		s.places = append(s.places, p)
+		if err := s.startTarget(p, "", homeService(n)); err != nil {
+			return nil, err
+		}
+	}
+	for n := range cfg.Hosts {
+		front, err := newStoreFront(s.store)
+		if err != nil {
+			return nil, err
+		}
+		h, err := newHost(n, cfg, s.layout, front, s.recorder)
+		if err != nil {
+			return nil, err
+		}
+		s.hosts = append(s.hosts, h)
+	}
+	for _, h := range s.hosts {
+		for _, seed := range s.hosts[:min(3, len(s.hosts))] {
+			h.settings.Seeds = append(h.settings.Seeds, seed.settings.Peer)
+		}
+	}
+	return s, nil
+}
+
+// startTarget starts a new process at a place. It has a new ID unless one is given.
+func (s *system) startTarget(p *place, id, service string) error {
+	p.generation++
+	if id == "" {
+		id = fmt.Sprintf("t-%d-%d", p.index+1, p.generation)
+	}
+	entry := platformtest.Target{
+		ID: id, Service: service, Address: p.link.Address(), Zone: s.layout.zone(p.index), Slots: slotsOfTarget, Sequence: 1, Born: time.Now(),
+	}
+	t, err := startTarget(entry, p.index, p.listenAddress, s.recorder)
+	if err != nil {
+		return errors.Wrap(err, "target")
+	}
+	p.mu.Lock()
+	p.current = t
+	p.mu.Unlock()
+	s.store.PutTarget(entry)
+	return nil
+}
+
+// target returns the process at a place.
+func (p *place) target() *target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current
+}
+
+// heartbeats writes the records of the targets until the context ends.
+func (s *system) heartbeats(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(heartbeat):
+		}
+		for _, p := range s.places {
+			p.target().beat(s.store)
+		}
+	}
+}
+
+// beat writes the record of a target that neither ended nor left the store.
+func (t *target) beat(store *platformtest.Store) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended || t.unlisted {
+		return
+	}
+	t.Sequence++
+	store.PutTarget(t.Target)
+}
+
+// leave writes the record that the target is draining, or removes it.
+func (t *target) leave(store *platformtest.Store, silently bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving, t.unlisted, t.Draining = true, silently, true
+	t.Sequence++
+	if silently {
+		store.RemoveTarget(t.ID)
+	} else {
+		store.PutTarget(t.Target)
+	}
+}
+
+// Path prefixes of the routes.
+const (
+	lookupPath = "/lookup/"
+	noticePath = "/notice/"
+	uploadPath = "/upload/"
+	movedPath  = "/moved/"
+	extraPaths = 3
+)
+
+// extraPath returns the path prefix of a route that is added and removed.
+func extraPath(n int) string { return fmt.Sprintf("/extra-%d/", n) }
+
+// kindOf returns the kind of the route with a path prefix.
+func kindOf(prefix string) string {
+	switch prefix {
+	case noticePath:
+		return platformtest.NonIdempotent
+	case uploadPath:
+		return platformtest.Upload
+	}
+	return platformtest.Idempotent
+}
+
+// putVersion makes a configuration the newest one.
+func (s *system) putVersion(number int, services map[string]string) {
+	v := version{number: number, sentAt: time.Now(), services: services}
+	var routes []platformtest.Route
+	for prefix, service := range services {
+		routes = append(routes, platformtest.Route{PathPrefix: prefix, Kind: kindOf(prefix), Service: service, Timeout: routeTimeout})
+	}
+	slices.SortFunc(routes, func(a, b platformtest.Route) int { return strings.Compare(a.PathPrefix, b.PathPrefix) })
+	// The version is known before it is sent, so that no effect of it is seen earlier.
+	s.recorder.addVersion(v)
+	s.store.PutConfiguration(number, time.Minute, routes...)
+	s.recorder.ackVersion(number)
+	s.version = v
+}
+
+// addresses implements directory.
+func (s *system) addresses(ctx context.Context, zone int) ([]int, error) {
+	asked := s.hosts[rand.IntN(len(s.hosts))]
+	name := s.layout.zone(zone)
+	addresses, err := platformtest.Resolve(ctx, asked.client, asked.settings.Resolve, s.layout.regions[name], name)
+	if err != nil {
+		return nil, err
+	}
+	var list []int
+	for n, h := range s.hosts {
+		if slices.Contains(addresses, h.settings.Caller) {
+			list = append(list, n)
+		}
+	}
+	return list, nil
+}
+
+// dialAddress implements directory.
+func (s *system) dialAddress(host int) string { return s.hosts[host].callerLink.Address() }
+
+// paths implements directory.
+func (s *system) paths(rng *rand.Rand) (path, kind string) {
+	prefix := lookupPath
+	switch choice := rng.IntN(20); {
+	case choice < 2:
+		prefix = movedPath
+	case choice < 4:
+		prefix = extraPath(rng.IntN(extraPaths))
+	case choice < 9:
+		prefix = noticePath
+	case choice < 10:
+		prefix = uploadPath
+	}
+	return fmt.Sprintf("%s%d?part=%d", prefix, rng.IntN(1000), rng.IntN(10)), kindOf(prefix)
+}
+
+// close ends the processes and the simulated surroundings.
+func (s *system) close() {
+	for _, h := range s.hosts {
+		h.kill()
+		h.callerLink.Close()
+		h.storeLink.Close()
+		h.store.server.Close()
+	}
+	for _, p := range s.places {
+		p.target().end()
+		p.link.Close()
+	}
+}
--- /dev/null
+++ b/internal/soak/target.go
@@ -0,0 +1,304 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/platform"
+	"github.com/sapphirehaven/sapphirehaven/platform/platformtest"
+)
+
+// targetFaults are the faults of a target.
+type targetFaults struct {
+	// failing answers half of the requests with 500, truncating cuts a part of the answers, and
+	// garbling replaces a part of them by bytes that are no answer.
+	failing, truncating, garbling bool
+	// repeating sends a part of the answers a second time, late.
+	repeating bool
+	// slow adds to the duration of each request.
+	slow time.Duration
+}
+
+// faultyShare is the number of requests of which a fault hits one.
+const faultyShare = 3
+
+// hits reports whether a fault hits a request.
+func hits(fault, id string, share uint64) bool { return hash(fault+id)%share == 0 }
+
+// Durations of requests at a target without faults.
+const (
+	minWork      = 4 * time.Millisecond
+	workSpread   = 30 * time.Millisecond
+	longWork     = 1200 * time.Millisecond
+	longShare    = 25
+	maxBodyBytes = 1 << 20
+	// slotsOfTarget is the number of requests that a target works on at the same time.
+	slotsOfTarget = 24
+)
+
+// target is one process of a target.
+type target struct {
+	platformtest.Target
+	place    int
+	recorder *recorder
+	listener net.Listener
+
+	mu      sync.Mutex
+	faults  targetFaults
+	leaving bool
+	// unlisted is set once the record of the target has been removed.
+	unlisted bool
+	ended    bool
+	running  map[runKey]bool
+	conns    map[net.Conn]bool
+}
+
+// runKey names a run of the recorder.
+type runKey struct {
+	id    string
+	index int
+}
+
+// startTarget starts a target on an address.
+func startTarget(t platformtest.Target, place int, listenAddress string, r *recorder) (*target, error) {
+	listener, err := net.Listen("tcp", listenAddress)
+	if err != nil {
+		return nil, err
+	}
+	s := &target{Target: t, place: place, recorder: r, listener: listener, running: map[runKey]bool{}, conns: map[net.Conn]bool{}}
+	go s.accept()
+	return s, nil
+}
+
+func (t *target) accept() {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		t.conns[conn] = true
+		t.mu.Unlock()
+		go t.serve(conn)
+	}
+}
+
+func (t *target) setFaults(f targetFaults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// end ends the process: what runs is broken off, and its connections are reset.
+func (t *target) end() {
+	t.listener.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended = true
+	for key := range t.running {
+		t.recorder.endRun(key.id, key.index, brokeOff)
+	}
+	for conn := range t.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+}
+
+func (t *target) serve(conn net.Conn) {
+	defer func() {
+		conn.Close()
+		t.mu.Lock()
+		delete(t.conns, conn)
+		t.mu.Unlock()
+	}()
+	x := &exchange{target: t, conn: conn, br: bufio.NewReader(conn)}
+	for x.next() {
+	}
+}
+
+// exchange serves the requests of one connection.
+type exchange struct {
+	*target
+	conn net.Conn
+	br   *bufio.Reader
+	// copy is an answer that is sent once more before the next one.
+	copy []byte
+}
+
+// next serves one request and reports whether another may follow.
+func (x *exchange) next() bool {
+	req, err := http.ReadRequest(x.br)
+	if err != nil {
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
+	if err != nil {
+		return false
+	}
+	if req.URL.Path == platformtest.HealthPath {
+		return x.answerHealth()
+	}
+	d := platform.Dialect()
+	r := request{req.Header.Get(d.RequestID), req.Method, req.URL.RequestURI(), sum(body)}
+	if expected := req.Header.Get(d.ExpectTarget); expected != "" && expected != x.ID {
+		return x.reject(r, http.StatusMisdirectedRequest, rejectedInstance)
+	}
+	key, faults, ok := x.begin(r)
+	if !ok {
+		return x.reject(r, http.StatusServiceUnavailable, rejected)
+	}
+	time.Sleep(workTime(r.id) + faults.slow)
+	return x.answer(r, key, faults)
+}
+
+// workTime returns how long a target without faults works on a request.
+func workTime(id string) time.Duration {
+	choice := hash("work" + id)
+	if choice%longShare == 0 {
+		return longWork
+	}
+	return minWork + time.Duration(choice/longShare)%workSpread
+}
+
+// begin takes a slot for a request.
+func (t *target) begin(r request) (runKey, targetFaults, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.running) >= slotsOfTarget || t.ended {
+		return runKey{}, targetFaults{}, false
+	}
+	index := t.recorder.startRun(run{request: r, target: t.ID, service: t.Service, place: t.place, at: time.Now(), progress: working})
+	key := runKey{r.id, index}
+	t.running[key] = true
+	return key, t.faults, true
+}
+
+// finish gives the slot of a request back and records its result. It returns false if the process
+// has ended.
+func (t *target) finish(key runKey, p progress) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, key)
+	if t.ended {
+		return false
+	}
+	t.recorder.endRun(key.id, key.index, p)
+	return true
+}
+
+// reject states that a request did not run.
+func (x *exchange) reject(r request, status int, p progress) bool {
+	now := time.Now()
+	x.recorder.startRun(run{request: r, target: x.ID, service: x.Service, place: x.place, at: now, endedAt: now, progress: p})
+	d := platform.Dialect()
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), d.RequestID, r.id, d.NotRun)
+	return x.write([]byte(head))
+}
+
+func (x *exchange) answerHealth() bool {
+	x.mu.Lock()
+	leaving := x.leaving
+	x.mu.Unlock()
+	status := http.StatusOK
+	if leaving {
+		status = http.StatusServiceUnavailable
+	}
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), platformtest.InstanceHeader, x.ID)
+	return x.write([]byte(head))
+}
+
+// answer sends the answer to a request, or what a fault makes of it.
+func (x *exchange) answer(r request, key runKey, faults targetFaults) bool {
+	status := http.StatusOK
+	if faults.failing && hits("fail", r.id, 2) {
+		status = http.StatusInternalServerError
+	}
+	data, last := x.render(r, status)
+	switch {
+	case faults.truncating && hits("truncate", r.id, faultyShare):
+		if last {
+			// The answer may end with its connection. A clean end would make it look complete.
+			_ = x.conn.(*net.TCPConn).SetLinger(0)
+		}
+		return x.finish(key, brokeOff) && x.write(data[:len(data)*2/3]) && false
+	case faults.garbling && hits("garble", r.id, faultyShare):
+		return x.finish(key, brokeOff) && x.write([]byte("these bytes are no answer\r\n\r\n")) && false
+	case x.copy != nil:
+		// The host can't tell what follows a stray answer.
+		stray := x.copy
+		x.copy = nil
+		return x.finish(key, brokeOff) && x.write(append(stray, data...)) && !last
+	}
+	if !x.finish(key, complete) || !x.write(data) || last {
+		return false
+	}
+	if faults.repeating && hits("repeat", r.id, faultyShare) {
+		return x.repeat(r, data)
+	}
+	return true
+}
+
+// repeat sends an answer once more: at once, a little later, or before the answer to the next request.
+// A part of the copies has no ID.
+func (x *exchange) repeat(r request, data []byte) bool {
+	choice := hash("copy" + r.id)
+	if choice%2 == 0 {
+		line := fmt.Sprintf("%s: %s\r\n", platform.Dialect().RequestID, r.id)
+		data = bytes.Replace(data, []byte(line), nil, 1)
+	}
+	const maxPause = 40 * time.Millisecond
+	switch (choice / 2) % 3 {
+	case 0:
+		return x.write(data)
+	case 1:
+		time.Sleep(rand.N(maxPause))
+		return x.write(data)
+	}
+	x.copy = data
+	return true
+}
+
+// render returns the bytes of an answer, and whether it is the last on its connection.
+func (x *exchange) render(r request, status int) (data []byte, last bool) {
+	body := r.answerBody(x.ID)
+	x.mu.Lock()
+	last = x.leaving && hash("close"+r.id)%2 == 0
+	x.mu.Unlock()
+	framing := "length"
+	switch hash("framing"+r.id) % 10 {
+	case 0:
+		framing, last = "end", true
+	case 1, 2:
+		framing = "chunks"
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n", status, http.StatusText(status), platform.Dialect().RequestID, r.id, platformtest.SignatureHeader, signature(status, body))
+	if last {
+		b.WriteString("Connection: close\r\n")
+	}
+	switch framing {
+	case "length":
+		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+		b.Write(body)
+	case "chunks":
+		half := len(body) / 2
+		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, body[:half], len(body)-half, body[half:])
+	case "end":
+		b.WriteString("\r\n")
+		b.Write(body)
+	}
+	return b.Bytes(), last
+}
+
+func (x *exchange) write(data []byte) bool {
+	_, err := x.conn.Write(data)
+	return err == nil
+}
