soak: check deadlines, stated leaving and requested pauses; describe the soak

Hosts that hand targets more time than their callers left are reported (BUDGET, with the platform's allowance). With -notices targets state in their answers that they leave and ask for pauses with Retry-After, and the soak checks that hosts respect both; the flag is off until hosts do. Configurations also come three at once.

--- a/internal/ctl/soak.go
+++ b/internal/ctl/soak.go
@@ -22,6 +22,7 @@
 	flags.IntVar(&cfg.Hosts, "hosts", 4, "number of host processes")
 	flags.IntVar(&cfg.Targets, "targets", 8, "number of targets")
 	flags.IntVar(&cfg.Callers, "callers", 24, "number of callers")
+	flags.BoolVar(&cfg.TargetNotices, "notices", false, "let targets state that they leave and ask for pauses, and check that hosts respect it")
 	flags.StringVar(&cfg.BinaryDir, "bin", filepath.Dir(os.Args[0]), "`directory` of the program sapphirehaven")
 	logs := flags.String("logs", filepath.Join(os.TempDir(), "sapphirehaven-soak"), "`directory` for the logs of the hosts, in a folder for each seed")
 	keepGoing := flags.Bool("continue", false, "go on after a seed that failed")
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -22,6 +22,9 @@
 	}
 	found = append(found, e.checkLostInTouch()...)
 	found = append(found, e.checkRegression()...)
+	found = append(found, e.checkDeadlines()...)
+	found = append(found, e.checkLeavingStated()...)
+	found = append(found, e.checkPauses()...)
 	found = append(found, e.checkRecovery(now)...)
 	slices.SortStableFunc(found, func(a, b breach) int { return a.at.Compare(b.at) })
 	return found
@@ -344,6 +347,9 @@
 	counts := map[string]int{}
 	for _, c := range e.calls {
 		name := endingNames[c.ending]
+		if c.left {
+			name = "left early"
+		}
 		if c.ending == answered {
 			name = fmt.Sprintf("%d", c.status)
 			if !c.signed {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -27,7 +27,7 @@
 
 // testRun returns the run of a call, which lasts from 10 ms after it was sent to the end.
 func testRun(c call) run {
-	return run{request: c.request, target: "t-1", service: noticeService, at: c.sentAt.Add(10 * time.Millisecond), endedAt: c.endedAt, progress: complete}
+	return run{request: c.request, target: "t-1", service: noticeService, at: c.sentAt.Add(10 * time.Millisecond), endedAt: c.endedAt, remaining: time.Second, progress: complete}
 }
 
 func testServices() map[string]string {
@@ -287,6 +287,59 @@
 	}
 }
 
+// TestDeadlines guards against a check that misses hosts that hand targets too much time.
+func TestDeadlines(t *testing.T) {
+	for name, test := range map[string]struct {
+		requests  int
+		remaining time.Duration
+		want      []string
+	}{
+		"few":      {20, 0, nil},
+		"none":     {21, 0, []string{"BUDGET"}},
+		"longer":   {21, routeTimeout + 600*time.Millisecond, []string{"BUDGET"}},
+		"in slack": {21, routeTimeout + 400*time.Millisecond, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := testEvidence(testCall())
+			for n := range test.requests {
+				c := testCall()
+				c.id = fmt.Sprint(n)
+				r := testRun(c)
+				r.remaining = test.remaining
+				e.calls[c.id], e.runs[c.id] = c, []run{r}
+			}
+			wantRules(t, e, test.want...)
+		})
+	}
+}
+
+// TestNotices guards against checks that miss requests to a target that stated that it leaves, or that
+// asked for a pause.
+func TestNotices(t *testing.T) {
+	e := testEvidence(testCall())
+	add := func(id string, host, sent int, leaving bool) {
+		c := testCall()
+		c.id, c.host, c.startedAt, c.sentAt, c.endedAt = id, host, at(sent), at(sent), at(sent+50)
+		r := testRun(c)
+		r.leaving = leaving
+		e.calls[id], e.runs[id] = c, []run{r}
+	}
+	add("stated", 0, 10_000, true)
+	add("in time", 0, 12_400, false)
+	add("at another host", 1, 12_700, false)
+	wantRules(t, e)
+	add("late", 0, 12_700, false)
+	wantRules(t, e, "LEAVING")
+	e.impairments = impairments{{cause: started, host: 0, place: none, start: at(11_000), end: at(11_100)}}
+	wantRules(t, e)
+	e.pauses = []requestedPause{{"t-1", at(9_900), at(12_500)}}
+	wantRules(t, e)
+	add("second in the pause", 0, 11_500, false)
+	wantRules(t, e)
+	add("third in the pause", 1, 12_000, false)
+	wantRules(t, e, "PAUSE")
+}
+
 // TestRecovery guards against a check that accepts hosts that don't serve after the last fault.
 func TestRecovery(t *testing.T) {
 	for served, want := range map[int][]string{0: {"RECOVER"}, 9: {"RECOVER"}, 10: nil, 40: nil} {
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -17,6 +17,9 @@
 	Hosts, Targets int
 	// Callers is the number of concurrent callers.
 	Callers int
+	// TargetNotices makes targets state in their answers that they leave, and ask for pauses with
+	// Retry-After, and checks that hosts respect both.
+	TargetNotices bool
 	// BinaryDir contains the program of a host.
 	BinaryDir string
 	// LogDir receives the settings and the logs of the hosts.
@@ -79,4 +82,15 @@
 	// maxLostInTouch is the number of requests on kept connections that hosts in touch may
 	// close without an answer, apart from planned work.
 	maxLostInTouch = 3
+	// deadlineSlack is the time by which the deadline of a request at its target may lie after
+	// that of its caller.
+	deadlineSlack = 500 * time.Millisecond
+	// maxLongDeadlines is the number of requests, and maxLongDeadlineShare the share of those that
+	// hosts in touch passed on, whose deadlines may lie later.
+	maxLongDeadlines     = 20
+	maxLongDeadlineShare = 0.2
+	// pauseSlack is the time after which a pause that a target asks for is kept, maxInPause the
+	// number of requests that may reach it in the rest of the pause.
+	pauseSlack = 500 * time.Millisecond
+	maxInPause = 2
 )
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -76,7 +76,11 @@
 	target, service string
 	place           int
 	at, endedAt     time.Time
-	progress        progress
+	// remaining is the time that the host left to the target, 0 if it stated none.
+	remaining time.Duration
+	progress  progress
+	// leaving is set if the answer stated that the target leaves.
+	leaving bool
 }
 
 // executed reports whether the target began to work on the request.
@@ -93,6 +97,12 @@
 	ackedAt time.Time
 }
 
+// requestedPause is a time in which a target wanted no requests.
+type requestedPause struct {
+	target     string
+	start, end time.Time
+}
+
 // version is a configuration that was sent to the store.
 type version struct {
 	number          int
@@ -114,6 +124,7 @@
 	calls      map[string]call
 	runs       map[string][]run
 	departures []departure
+	pauses     []requestedPause
 	versions   []version
 	impairments
 	// breaches were noticed at once by a caller or by the supervision of a process.
@@ -142,6 +153,7 @@
 	for id, runs := range r.e.runs {
 		e.runs[id] = slices.Clone(runs)
 	}
+	e.pauses = slices.Clone(e.pauses)
 	e.departures, e.versions, e.breaches = slices.Clone(e.departures), slices.Clone(e.versions), slices.Clone(e.breaches)
 	e.impairments = slices.Clone(e.impairments)
 	return &e
@@ -176,6 +188,12 @@
 	r.e.departures = append(r.e.departures, departure{target, time.Now()})
 }
 
+func (r *recorder) addPause(p requestedPause) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.e.pauses = append(r.e.pauses, p)
+}
+
 func (r *recorder) addVersion(v version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -39,8 +39,14 @@
 		s.freeze(ctx, s.hosts[e.index], e)
 	case changeConfig:
 		s.changeConfig(e)
+		if e.choice == changesInSeries {
+			s.changeConfig(e)
+			s.changeConfig(e)
+		}
 	case drainTarget, unlistTarget:
 		return s.replaceTarget(ctx, s.places[e.index], e)
+	case pauseTarget:
+		s.places[e.index].target().pause(e.lasting)
 	case crashTarget:
 		return s.crash(ctx, s.places[e.index], e)
 	default:
@@ -119,6 +125,9 @@
 	h.signal(syscall.SIGCONT)
 }
 
+// changesInSeries is the variant in which three configurations follow each other at once.
+const changesInSeries = 1
+
 // changeConfig sends a configuration that moves a route, or adds or removes one.
 func (s *system) changeConfig(e event) {
 	s.mu.Lock()
@@ -126,9 +135,9 @@
 	services := maps.Clone(s.version.services)
 	extra := extraPath(int(e.lasting) % extraPaths)
 	switch {
-	case e.choice%2 == 0 && services[movedPath] == movedServiceA:
+	case e.choice < 2 && services[movedPath] == movedServiceA:
 		services[movedPath] = movedServiceB
-	case e.choice%2 == 0:
+	case e.choice < 2:
 		services[movedPath] = movedServiceA
 	case services[extra] == "":
 		services[extra] = lookupService
--- /dev/null
+++ b/internal/soak/notices.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// checkDeadlines requires that hosts in touch hand targets no more time than their callers left, but
+// for a few requests.
+func (e *evidence) checkDeadlines() []breach {
+	passedOn := 0
+	var long []run
+	for id, runs := range e.runs {
+		c, known := e.calls[id]
+		for _, r := range runs {
+			if !known || !e.inTouch(c.host, r.at) || e.placeImpaired(r.place, r.at.Add(-stabilityWindow), r.at) {
+				continue
+			}
+			passedOn++
+			if r.remaining == 0 || r.at.Add(r.remaining).After(c.sentAt.Add(c.timeout+deadlineSlack)) {
+				long = append(long, r)
+			}
+		}
+	}
+	if len(long) <= maxLongDeadlines || float64(len(long)) <= maxLongDeadlineShare*float64(passedOn) {
+		return nil
+	}
+	slices.SortFunc(long, func(a, b run) int { return a.at.Compare(b.at) })
+	r := long[maxLongDeadlines]
+	text := fmt.Sprintf("target %s was left %s, as %d of %d requests at hosts in touch were left too much or nothing", r.target, r.remaining, len(long), passedOn)
+	return []breach{{"BUDGET", r.at, r.id, text}}
+}
+
+// noticeKey names a process of a host and a target.
+type noticeKey struct {
+	process
+	target string
+}
+
+// checkLeavingStated requires that a host sends no request to a target later than drain after it passed
+// on an answer in which the target stated that it leaves.
+func (e *evidence) checkLeavingStated() (found []breach) {
+	stated := map[noticeKey]time.Time{}
+	for id, runs := range e.runs {
+		c := e.calls[id]
+		for _, r := range runs {
+			if !r.leaving || c.ending != answered || !c.signed {
+				continue
+			}
+			key := noticeKey{process{c.host, e.life(c.host, c.startedAt)}, r.target}
+			if first, ok := stated[key]; !ok || c.endedAt.Before(first) {
+				stated[key] = c.endedAt
+			}
+		}
+	}
+	for id, runs := range e.runs {
+		c, known := e.calls[id]
+		for _, r := range runs {
+			first, ok := stated[noticeKey{process{c.host, e.life(c.host, c.startedAt)}, r.target}]
+			if known && ok && r.progress != rejectedInstance && c.startedAt.Sub(first) > drain {
+				found = append(found, *c.breach("LEAVING", r.at, "reached %s, which had stated %s before the request was sent that it leaves", r.target, c.startedAt.Sub(first)))
+			}
+		}
+	}
+	return found
+}
+
+// checkPauses requires that all hosts together send a target no more than maxInPause requests in a pause
+// that it asked for.
+func (e *evidence) checkPauses() (found []breach) {
+	for _, p := range e.pauses {
+		var in []run
+		for _, runs := range e.runs {
+			for _, r := range runs {
+				if r.target == p.target && r.at.After(p.start.Add(pauseSlack)) && r.at.Before(p.end) {
+					in = append(in, r)
+				}
+			}
+		}
+		if len(in) <= maxInPause {
+			continue
+		}
+		slices.SortFunc(in, func(a, b run) int { return a.at.Compare(b.at) })
+		text := fmt.Sprintf("target %s got %d requests in a pause of %s that it had asked for", p.target, len(in), p.end.Sub(p.start))
+		found = append(found, breach{"PAUSE", in[maxInPause].at, in[maxInPause].id, text})
+	}
+	return found
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -48,14 +49,17 @@
 	cutTarget
 	killAllHosts
 	kinds
+
+	// pauseTarget makes a target ask for a pause. It belongs to Config.TargetNotices.
+	pauseTarget = kinds
 )
 
-var kindNames = [kinds]string{
+var kindNames = [kinds + 1]string{
 	"stop host", "hang up host", "change configuration", "drain target", "unlist target", "store down", "store slow", "store loses answers",
 	"kill host", "freeze host", "store refuses host", "delay callers of host", "reset callers of host", "silence callers of host", "cut callers of host",
 	"delay store of host", "reset store of host", "silence store of host", "cut store of host",
 	"crash target", "fail at target", "slow target", "truncate at target", "garble at target", "repeat at target", "delay target", "reset target",
-	"silence target", "cut target", "kill all hosts",
+	"silence target", "cut target", "kill all hosts", "pause target",
 }
 
 // onHost reports whether an event is about a host, onTarget whether it is about a place of a target.
@@ -64,7 +68,7 @@
 }
 
 func (k kind) onTarget() bool {
-	return k == drainTarget || k == unlistTarget || k >= crashTarget && k <= cutTarget
+	return k == drainTarget || k == unlistTarget || k >= crashTarget && k <= cutTarget || k == pauseTarget
 }
 
 // event is one entry of a schedule.
@@ -147,9 +151,24 @@
 	for at := firstEventAt; at < cfg.Duration; at += time.Duration(rng.ExpFloat64() * float64(meanInterval)) {
 		s.add(at)
 	}
+	if cfg.TargetNotices {
+		s.addPauses()
+	}
 	return s.events, s.style.name
 }
 
+// pauseInterval is the time between two pauses that targets ask for.
+const pauseInterval = 2 * time.Second
+
+// addPauses adds pauses of targets after the other events are drawn, so that those don't depend on them.
+func (s *scheduler) addPauses() {
+	for at := firstEventAt; at < s.cfg.Duration; at += pauseInterval {
+		e := event{at: at, lasting: maxLasting, kind: pauseTarget, index: s.rng.IntN(s.cfg.Targets)}
+		s.events = append(s.events, e)
+	}
+	slices.SortStableFunc(s.events, func(a, b event) int { return int(a.at - b.at) })
+}
+
 func (s *scheduler) add(at time.Duration) {
 	lasting := minLasting + time.Duration(s.rng.Int64N(int64(maxLasting-minLasting)))
 	e := event{at: at, lasting: lasting, kind: s.chooseKind(), choice: s.rng.Uint64() % variants}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -127,6 +127,7 @@
 	if err != nil {
 		return errors.Wrap(err, "target")
 	}
+	t.notices = s.cfg.TargetNotices
 	p.mu.Lock()
 	p.current = t
 	p.mu.Unlock()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -54,6 +54,11 @@
 	mu      sync.Mutex
 	faults  targetFaults
 	leaving bool
+	// notices is set if the answers state that the target leaves.
+	notices bool
+	// pausedUntil is the end of the pause that the target asks for; pauseStated is set once it has.
+	pausedUntil time.Time
+	pauseStated bool
 	// unlisted is set once the record of the target has been removed.
 	unlisted bool
 	ended    bool
@@ -147,16 +152,23 @@
 		return x.answerHealth()
 	}
 	d := platform.Dialect()
-	r := request{req.Header.Get(d.RequestID), req.Method, req.URL.RequestURI(), sum(body)}
+	remaining, _ := strconv.Atoi(req.Header.Get(d.Deadline))
+	r := run{
+		request: request{req.Header.Get(d.RequestID), req.Method, req.URL.RequestURI(), sum(body)},
+		target:  x.ID, service: x.Service, place: x.place, at: time.Now(), remaining: time.Duration(remaining) * time.Millisecond,
+	}
 	if expected := req.Header.Get(d.ExpectTarget); expected != "" && expected != x.ID {
-		return x.reject(r, http.StatusMisdirectedRequest, rejectedInstance)
+		return x.reject(r, http.StatusMisdirectedRequest, rejectedInstance, "")
+	}
+	if left := x.pauseLeft(); left > 0 {
+		return x.reject(r, http.StatusServiceUnavailable, rejected, fmt.Sprintf("Retry-After: %.3f\r\n", left.Seconds()))
 	}
 	key, faults, ok := x.begin(r)
 	if !ok {
-		return x.reject(r, http.StatusServiceUnavailable, rejected)
+		return x.reject(r, http.StatusServiceUnavailable, rejected, "")
 	}
 	time.Sleep(workTime(r.id) + faults.slow)
-	return x.answer(r, key, faults)
+	return x.answer(r.request, key, faults)
 }
 
 // workTime returns how long a target without faults works on a request.
@@ -168,14 +180,35 @@
 	return minWork + time.Duration(choice/longShare)%workSpread
 }
 
+// pauseLeft returns the rest of the pause that the target asks for. The pause counts from its first
+// statement.
+func (t *target) pauseLeft() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	left := time.Until(t.pausedUntil)
+	if left > 0 && !t.pauseStated {
+		t.pauseStated = true
+		t.recorder.addPause(requestedPause{t.ID, time.Now(), t.pausedUntil})
+	}
+	return left
+}
+
+// pause makes the target ask for a pause.
+func (t *target) pause(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pausedUntil, t.pauseStated = time.Now().Add(d), false
+}
+
 // begin takes a slot for a request.
-func (t *target) begin(r request) (runKey, targetFaults, bool) {
+func (t *target) begin(r run) (runKey, targetFaults, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.running) >= slotsOfTarget || t.ended {
 		return runKey{}, targetFaults{}, false
 	}
-	index := t.recorder.startRun(run{request: r, target: t.ID, service: t.Service, place: t.place, at: time.Now(), progress: working})
+	r.progress, r.leaving = working, t.leaving && t.notices
+	index := t.recorder.startRun(r)
 	key := runKey{r.id, index}
 	t.running[key] = true
 	return key, t.faults, true
@@ -195,11 +228,11 @@
 }
 
 // reject states that a request did not run.
-func (x *exchange) reject(r request, status int, p progress) bool {
-	now := time.Now()
-	x.recorder.startRun(run{request: r, target: x.ID, service: x.Service, place: x.place, at: now, endedAt: now, progress: p})
+func (x *exchange) reject(r run, status int, p progress, header string) bool {
+	r.endedAt, r.progress = r.at, p
+	x.recorder.startRun(r)
 	d := platform.Dialect()
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), d.RequestID, r.id, d.NotRun)
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), d.RequestID, r.id, d.NotRun, header)
 	return x.write([]byte(head))
 }
 
@@ -271,6 +304,7 @@
 	body := r.answerBody(x.ID)
 	x.mu.Lock()
 	last = x.leaving && hash("close"+r.id)%2 == 0
+	states := x.leaving && x.notices
 	x.mu.Unlock()
 	framing := "length"
 	switch hash("framing"+r.id) % 10 {
@@ -284,6 +318,9 @@
 	if last {
 		b.WriteString("Connection: close\r\n")
 	}
+	if states {
+		b.WriteString(platformtest.LeavingHeader + ": 1\r\n")
+	}
 	switch framing {
 	case "length":
 		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
