soak: targets reject requests and repeat the rejections

A late copy of a rejection bears the ID of its request, which is sent once more, so that the copy could pass for the answer to the second attempt.

--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -32,9 +32,9 @@
 // Limits of Config.
 const (
 	MinHosts    = 2
-	MaxHosts    = 64
+	MaxHosts    = 256
 	MinTargets  = 4
-	MaxTargets  = 128
+	MaxTargets  = 512
 	MinDuration = 6 * time.Second
 )
 
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -21,7 +21,8 @@
 	// failing answers half of the requests with 500, truncating cuts a part of the answers, and
 	// garbling replaces a part of them by bytes that are no answer.
 	failing, truncating, garbling bool
-	// repeating sends a part of the answers a second time, late.
+	// repeating rejects a part of the requests, and sends a part of the answers and all rejections
+	// a second time, late.
 	repeating bool
 	// slow adds to the duration of each request.
 	slow time.Duration
@@ -231,9 +232,13 @@
 func (x *exchange) reject(r run, status int, p progress, header string) bool {
 	r.endedAt, r.progress = r.at, p
 	x.recorder.startRun(r)
+	return x.write(rejection(r.request, status, header))
+}
+
+// rejection returns the bytes of an answer that states that the request did not run.
+func rejection(r request, status int, header string) []byte {
 	d := platform.Dialect()
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), d.RequestID, r.id, d.NotRun, header)
-	return x.write([]byte(head))
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), d.RequestID, r.id, d.NotRun, header)
 }
 
 func (x *exchange) answerHealth() bool {
@@ -255,6 +260,11 @@
 		status = http.StatusInternalServerError
 	}
 	data, last := x.render(r, status)
+	result, rejects := complete, faults.repeating && hits("reject", r.id, faultyShare)
+	if rejects {
+		result, last = rejected, false
+		data = rejection(r, http.StatusServiceUnavailable, "")
+	}
 	switch {
 	case faults.truncating && hits("truncate", r.id, faultyShare):
 		if last {
@@ -268,12 +278,15 @@
 		// The host can't tell what follows a stray answer.
 		stray := x.copy
 		x.copy = nil
-		return x.finish(key, brokeOff) && x.write(append(stray, data...)) && !last
+		if !rejects {
+			result = brokeOff
+		}
+		return x.finish(key, result) && x.write(append(stray, data...)) && !last
 	}
-	if !x.finish(key, complete) || !x.write(data) || last {
+	if !x.finish(key, result) || !x.write(data) || last {
 		return false
 	}
-	if faults.repeating && hits("repeat", r.id, faultyShare) {
+	if rejects || faults.repeating && hits("repeat", r.id, faultyShare) {
 		return x.repeat(r, data)
 	}
 	return true
