soak: faults hit other hosts with each seed, and some of the store last longer

Faults of a few always hit the first host and place. A target never left and its address was never used again while a host was kept from the store, because no fault lasted that long.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -161,7 +161,7 @@
 		return nil
 	}
 	service := homeService(p.index)
-	if e.choice == 0 && p.index >= len(serviceOfPlace) {
+	if e.choice < 2 && p.index >= len(serviceOfPlace) {
 		// The address is used again by another service.
 		service = homeService(p.index + 1)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -71,6 +71,11 @@
 	return k == drainTarget || k == unlistTarget || k >= crashTarget && k <= cutTarget || k == pauseTarget
 }
 
+// onStore reports whether an event keeps hosts from the store.
+func (k kind) onStore() bool {
+	return k >= storeDown && k <= storeLosesAnswers || k == storeRefusesHost || k == cutStore
+}
+
 // event is one entry of a schedule.
 type event struct {
 	// at is the time since the start of the schedule, lasting how long the fault lasts, or the pause
@@ -119,6 +124,9 @@
 	meanInterval = 600 * time.Millisecond
 	minLasting   = 200 * time.Millisecond
 	maxLasting   = 2500 * time.Millisecond
+	// longStoreFactor multiplies the duration of a part of the faults of the store, so that a target
+	// leaves and its address is used again meanwhile.
+	longStoreFactor = 4
 	// stopSpan and killSpan are the times in which a host that was stopped or killed gets no other
 	// signal of these kinds.
 	stopSpan = grace + 4*time.Second
@@ -142,12 +150,15 @@
 	// process.
 	hostBusy, placeBusy map[int]time.Duration
 	killedAll           bool
+	// firstHost and firstPlace are the first of those that unplanned events hit.
+	firstHost, firstPlace int
 }
 
 // newSchedule returns the schedule of a seed and the name of its style.
 func newSchedule(cfg *Config, rng *rand.Rand) ([]event, string) {
 	// Consecutive seeds take turns, so that a few of them have all mixes.
 	s := &scheduler{cfg: cfg, rng: rng, style: styles[cfg.Seed%uint64(len(styles))], hostBusy: map[int]time.Duration{}, placeBusy: map[int]time.Duration{}}
+	s.firstHost, s.firstPlace = rng.IntN(cfg.Hosts), rng.IntN(cfg.Targets)
 	for at := firstEventAt; at < cfg.Duration; at += time.Duration(rng.ExpFloat64() * float64(meanInterval)) {
 		s.add(at)
 	}
@@ -172,15 +183,18 @@
 func (s *scheduler) add(at time.Duration) {
 	lasting := minLasting + time.Duration(s.rng.Int64N(int64(maxLasting-minLasting)))
 	e := event{at: at, lasting: lasting, kind: s.chooseKind(), choice: s.rng.Uint64() % variants}
+	if e.kind.onStore() && e.choice == 0 {
+		e.lasting *= longStoreFactor
+	}
 	share := 100
 	if e.kind >= firstUnplanned {
 		share = s.style.victims
 	}
 	switch {
 	case e.kind.onHost():
-		e.index = s.rng.IntN(max(1, s.cfg.Hosts*share/100))
+		e.index = (s.firstHost + s.rng.IntN(max(1, s.cfg.Hosts*share/100))) % s.cfg.Hosts
 	case e.kind.onTarget():
-		e.index = s.rng.IntN(max(1, s.cfg.Targets*share/100))
+		e.index = (s.firstPlace + s.rng.IntN(max(1, s.cfg.Targets*share/100))) % s.cfg.Targets
 	}
 	if s.reserve(e) {
 		s.events = append(s.events, e)
