standin: wait for an address that a starting process still holds

TestSoak failed with "address already in use" for two of three links that listened right after FreeAddress had returned their addresses. Between fork and exec a process that is being started holds copies of all sockets, so an address that was just closed stays in use; the parallel runs start many processes. Two collisions of random ports within one run were ruled out by their number.

Links and targets of the soak wait for their address.

--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/standin"
 	"github.com/sapphirehaven/sapphirehaven/platform"
 	"github.com/sapphirehaven/sapphirehaven/platform/platformtest"
 )
@@ -75,7 +76,7 @@
 
 // startTarget starts a target on an address.
 func startTarget(t platformtest.Target, place int, listenAddress string, r *recorder) (*target, error) {
-	listener, err := net.Listen("tcp", listenAddress)
+	listener, err := standin.Listen(listenAddress)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/address.go
+++ b/internal/standin/address.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -32,6 +34,24 @@
 	return "", errors.New("no free port found")
 }
 
+const (
+	// listenTimeout is the time for which Listen waits for an address.
+	listenTimeout  = 5 * time.Second
+	listenInterval = 10 * time.Millisecond
+)
+
+// Listen listens on a TCP address that this process had used or found free before. A process that is
+// being started at that moment holds copies of all sockets until its program runs, so the address may
+// still be in use for some milliseconds after it was closed.
+func Listen(address string) (net.Listener, error) {
+	for end := time.Now().Add(listenTimeout); ; time.Sleep(listenInterval) {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return listener, errors.Wrapf(err, "listen on %s", address)
+		}
+	}
+}
+
 func isFree(address string) bool {
 	tcp, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/standin/address_test.go
+++ b/internal/standin/address_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestFreeAddress guards against an address that an outgoing connection may take before the test that asked
@@ -33,3 +34,18 @@
 		seen[address] = true
 	}
 }
+
+// TestListenWaits guards against a link or a target that can't be started while an address that was
+// just closed is still held by a process that is being started.
+func TestListenWaits(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(100*time.Millisecond, func() { held.Close() })
+	listener, err := Listen(held.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+}
--- a/internal/standin/faultlink.go
+++ b/internal/standin/faultlink.go
@@ -64,9 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := Listen(address)
 	if err != nil {
-		return nil, errors.Wrap(err, "link")
+		return nil, err
 	}
 	l := &FaultLink{listener: listener, server: server, changed: make(chan struct{}), conns: map[*faultConn]struct{}{}}
 	go l.accept()
