--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -59,6 +59,8 @@
 	stabilityWindow = 4 * time.Second
 	// grace is the time between SIGTERM and SIGKILL.
 	grace = 6 * time.Second
+	// readyAfterStop is the time after SIGTERM from which a host must not be ready.
+	readyAfterStop = 4 * time.Second
 	// drain is the time after which a leaving target receives no requests.
 	drain = 2500 * time.Millisecond
 	// configApply is the time after which a configuration is in force.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"syscall"
 	"time"
@@ -88,6 +89,9 @@
 		}
 		h.signal(signal)
 	}
+	if !h.waitExit(kill.Add(readyAfterStop-grace)) && h.isReady() && h.isReady() {
+		s.recorder.addBreach(breach{"DRAIN", time.Now(), "", fmt.Sprintf("%s is ready %s after SIGTERM", h.settings.ID, readyAfterStop)})
+	}
 	if !h.waitExit(kill) {
 		h.kill()
 	}
