soak: more hosts kept from the store, more broken answers

A host that is kept from the store is not in touch, but lost requests are not excused by that any more, as the platform's rules say.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -121,6 +121,7 @@
 		"fault of another host":     {cut, impairments{stop, {cause: unplanned, host: 1, place: none, start: at(9_900)}}, []string{"LOST"}},
 		"fault of its target":       {cut, impairments{stop, {cause: unplanned, host: none, place: 0, start: at(9_900)}}, nil},
 		"fault of another target":   {cut, impairments{stop, {cause: unplanned, host: none, place: 3, start: at(9_900)}}, []string{"LOST"}},
+		"host kept from the store":  {cut, impairments{stop, {cause: storeReachFault, host: 0, place: none, start: at(9_900)}}, []string{"LOST"}},
 		"fault of the store":        {cut, impairments{stop, {cause: storeFault, host: none, place: none, start: at(9_900)}}, []string{"LOST"}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -215,6 +216,7 @@
 		"host was frozen":            {7_400, complete, impairments{{cause: unplanned, host: 0, place: none, start: at(6_500), end: at(6_600)}}, nil},
 		"host was frozen long ago":   {7_400, complete, impairments{{cause: unplanned, host: 0, place: none, start: at(3_000), end: at(5_900)}}, []string{"DRAIN"}},
 		"other host was frozen":      {7_400, complete, impairments{{cause: unplanned, host: 1, place: none, start: at(6_500), end: at(6_600)}}, []string{"DRAIN"}},
+		"host kept from the store":   {7_400, complete, impairments{{cause: storeReachFault, host: 0, place: none, start: at(6_500), end: at(6_600)}}, nil},
 		"host got a hangup":          {7_400, complete, impairments{{cause: hangup, host: 0, place: none, start: at(6_500), end: at(6_600)}}, []string{"DRAIN"}},
 		"store was down":             {7_400, complete, impairments{{cause: storeFault, host: none, place: none, start: at(7_000), end: at(7_100)}}, nil},
 		"link was cut":               {7_400, complete, impairments{{cause: unplanned, host: none, place: 0, start: at(7_000), end: at(7_100)}}, nil},
@@ -410,8 +412,8 @@
 		}
 		for _, e := range events {
 			seen[e.kind]++
-			if e.kind >= firstUnplanned && style == styles[0].name {
-				t.Errorf("seed %d has %s among planned work", seed, e)
+			if e.kind >= firstUnplanned && causeOf(e.kind) == unplanned && (style == styles[0].name || style == styles[1].name) {
+				t.Errorf("seed %d has %s among %s", seed, e, style)
 			}
 			if e.at > cfg.Duration || e.kind.onHost() && e.index >= cfg.Hosts || e.kind.onTarget() && e.index >= cfg.Targets {
 				t.Errorf("seed %d has %s", seed, e)
--- a/internal/soak/impairment.go
+++ b/internal/soak/impairment.go
@@ -13,8 +13,10 @@
 	planned cause = iota
 	// hangup is a SIGHUP. It impairs nothing.
 	hangup
-	// unplanned is any other signal or fault on a host, its links or a place of a target.
+	// unplanned is any other signal or fault on a host, its link to callers or a place of a target.
 	unplanned
+	// storeReachFault keeps one host from the store.
+	storeReachFault
 	// storeFault is a fault of the store for all hosts.
 	storeFault
 	// started is a start of a host's process, until it is ready.
@@ -63,8 +65,8 @@
 	return !l.any(at.Add(-stabilityWindow), at, func(i *impairment) bool { return i.cause == storeFault })
 }
 
-// impaired reports whether a host or one of its links had an unplanned fault at any moment between
-// two times. Faults of the store are none.
+// impaired reports whether a host or its link to callers had an unplanned fault at any moment between
+// two times. Faults of the store and of the way to it are none: they excuse no lost request.
 func (l impairments) impaired(host int, from, to time.Time) bool {
 	return l.any(from, to, func(i *impairment) bool { return i.cause == unplanned && i.host == host })
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -208,17 +208,24 @@
 
 // disturb applies a fault of the store, a link or a target, and ends it.
 func (s *system) disturb(ctx context.Context, e event) {
-	c := unplanned
-	if e.kind == storeDown || e.kind == storeSlow || e.kind == storeLosesAnswers {
-		c = storeFault
-	}
-	end := s.impair(c, e)
+	end := s.impair(causeOf(e.kind), e)
 	defer end()
 	s.apply(e, false)
 	pause(ctx, e.lasting)
 	s.apply(e, true)
 }
 
+// causeOf returns the cause of a fault of the store, a link or a target.
+func causeOf(k kind) cause {
+	switch k {
+	case storeDown, storeSlow, storeLosesAnswers:
+		return storeFault
+	case storeRefusesHost, delayStore, resetStore, silenceStore, cutStore:
+		return storeReachFault
+	}
+	return unplanned
+}
+
 // Strengths of faults.
 const (
 	linkDelay  = 60 * time.Millisecond
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -138,7 +138,13 @@
 // plannedKinds lists the planned kinds as often as their weights; unplanned kinds are equally likely.
 var plannedKinds = []kind{stopHost, stopHost, stopHost, stopHost, hangUpHost, changeConfig, changeConfig, changeConfig, drainTarget, drainTarget, unlistTarget}
 
-var storeKinds = []kind{storeDown, storeSlow, storeLosesAnswers}
+// storeKinds lists the faults of the store as often as their weights. A host that is kept from the store
+// while the others are not falls behind them.
+var storeKinds = []kind{storeDown, storeSlow, storeLosesAnswers, storeRefusesHost, storeRefusesHost, cutStore, cutStore}
+
+// frequentKinds lists the unplanned kinds that come more often than the others: the answers of a target
+// break in more ways than one fault shows.
+var frequentKinds = []kind{freezeHost, truncateTarget, truncateTarget, garbleTarget, repeatTarget, repeatTarget}
 
 // scheduler generates a schedule.
 type scheduler struct {
@@ -183,11 +189,11 @@
 func (s *scheduler) add(at time.Duration) {
 	lasting := minLasting + time.Duration(s.rng.Int64N(int64(maxLasting-minLasting)))
 	e := event{at: at, lasting: lasting, kind: s.chooseKind(), choice: s.rng.Uint64() % variants}
-	if e.kind.onStore() && e.choice == 0 {
+	if e.kind.onStore() && e.choice < 2 {
 		e.lasting *= longStoreFactor
 	}
 	share := 100
-	if e.kind >= firstUnplanned {
+	if e.kind >= firstUnplanned && s.style.unplannedShare > 0 {
 		share = s.style.victims
 	}
 	switch {
@@ -210,13 +216,21 @@
 	case len(s.events) < firstStops:
 		return stopHost
 	case s.rng.IntN(100) < s.style.unplannedShare:
-		return firstUnplanned + kind(s.rng.IntN(int(kinds-firstUnplanned)))
+		return s.chooseUnplanned()
 	case s.style.storeFaults && s.rng.IntN(5) == 0:
 		return storeKinds[s.rng.IntN(len(storeKinds))]
 	}
 	return plannedKinds[s.rng.IntN(len(plannedKinds))]
 }
 
+func (s *scheduler) chooseUnplanned() kind {
+	n := s.rng.IntN(int(kinds-firstUnplanned) + len(frequentKinds))
+	if n < len(frequentKinds) {
+		return frequentKinds[n]
+	}
+	return firstUnplanned + kind(n-len(frequentKinds))
+}
+
 // reserve reports whether an event is possible next to the earlier ones, and reserves its host or place.
 func (s *scheduler) reserve(e event) bool {
 	switch e.kind {
