--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: demo test build lint generate bench capacity
+.PHONY: demo test build lint generate bench capacity soak
 
 # Starts stand-ins and four hosts on loopback and sends requests through them.
 demo: build
@@ -25,6 +25,10 @@
 	PATH="$(CURDIR)/bin/tools:$$PATH" protoc --go_out=. --go_opt=module=github.com/sapphirehaven/sapphirehaven \
 		--go-drpc_out=. --go-drpc_opt=module=github.com/sapphirehaven/sapphirehaven internal/peerpb/peer.proto
 
+# Runs host processes under faults with fresh seeds, for some four minutes. SEED=N repeats a run.
+soak: build
+	bin/sapphirectl soak -continue -count 8 -seed $(or $(SEED),$(shell date +%s))
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
 
