soak: check requests without an answer; wait longer behind pipelined ones

Their callers had given up on pipelined requests: they measured the deadline from the writing of the batch, while a host reads a request once the one before it is answered. Requests that a host in touch leaves without an answer are now a breach, with the platform's allowance.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -264,7 +264,8 @@
 
 // receive reads the answer to a request and reports whether the connection can be used again.
 func (k *keptConn) receive(c *call, leaves bool) bool {
-	deadline := c.startedAt.Add(c.timeout + callerPatience)
+	// A host reads a pipelined request once the one before it is answered.
+	deadline := time.Now().Add(c.timeout + callerPatience)
 	if leaves {
 		deadline = time.Now().Add(rand.N(maxLeaveAfter))
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -23,6 +23,7 @@
 	found = append(found, e.checkLostInTouch()...)
 	found = append(found, e.checkRegression()...)
 	found = append(found, e.checkDeadlines()...)
+	found = append(found, e.checkOverdue()...)
 	found = append(found, e.checkLeavingStated()...)
 	found = append(found, e.checkPauses()...)
 	found = append(found, e.checkRecovery(now)...)
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -318,6 +318,34 @@
 	}
 }
 
+// TestOverdue guards against a check that misses hosts that leave requests without an answer.
+func TestOverdue(t *testing.T) {
+	for name, test := range map[string]struct {
+		overdue, late int
+		want          []string
+	}{
+		"few":          {7, 0, nil},
+		"many":         {8, 0, []string{"CONFIG"}},
+		"a small part": {8, 24, nil},
+		"a part":       {8, 23, []string{"CONFIG"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := testEvidence(testCall())
+			for n := range test.overdue + test.late {
+				c := testCall()
+				c.id, c.endedAt = fmt.Sprint(n), c.startedAt.Add(c.timeout+callerPatience)
+				if n < test.overdue {
+					c.ending = abandoned
+				}
+				e.calls[c.id] = c
+			}
+			wantRules(t, e, test.want...)
+			e.impairments = impairments{{cause: unplanned, host: 0, place: none, start: at(9_000), end: at(9_100)}}
+			wantRules(t, e)
+		})
+	}
+}
+
 // TestNotices guards against checks that miss requests to a target that stated that it leaves, or that
 // asked for a pause.
 func TestNotices(t *testing.T) {
--- a/internal/soak/notices.go
+++ b/internal/soak/checks_time.go
@@ -32,6 +32,30 @@
 	return []breach{{"BUDGET", r.at, r.id, text}}
 }
 
+// checkOverdue requires that hosts in touch answer requests that last longer than their time, but for a
+// few.
+func (e *evidence) checkOverdue() []breach {
+	long := 0
+	var overdue []*breach
+	for _, c := range e.calls {
+		unanswered := c.ending == abandoned && !c.left
+		if !unanswered && (c.ending != answered || c.endedAt.Before(c.startedAt.Add(c.timeout))) || !e.inTouch(c.host, c.startedAt) || !e.inTouch(c.host, c.endedAt) {
+			continue
+		}
+		long++
+		if unanswered {
+			overdue = append(overdue, c.breach("CONFIG", c.endedAt, "no answer %s after its time of %s", c.endedAt.Sub(c.startedAt.Add(c.timeout)), c.timeout))
+		}
+	}
+	if len(overdue) < minOverdue || float64(len(overdue)) <= minOverdueShare*float64(long) {
+		return nil
+	}
+	slices.SortFunc(overdue, func(a, b *breach) int { return a.at.Compare(b.at) })
+	last := *overdue[minOverdue-1]
+	last.text += fmt.Sprintf(", as %d of %d requests that lasted so long at hosts in touch", len(overdue), long)
+	return []breach{last}
+}
+
 // noticeKey names a process of a host and a target.
 type noticeKey struct {
 	process
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -84,6 +84,10 @@
 	// maxLostInTouch is the number of requests on kept connections that hosts in touch may
 	// close without an answer, apart from planned work.
 	maxLostInTouch = 3
+	// minOverdue is the number of requests, and minOverdueShare the share of those that last longer
+	// than their time, from which requests without an answer in that time break a promise.
+	minOverdue      = 8
+	minOverdueShare = 0.25
 	// deadlineSlack is the time by which the deadline of a request at its target may lie after
 	// that of its caller.
 	deadlineSlack = 500 * time.Millisecond
