soak: versions that are sent later allow nothing; targets keep their address

A path moves between two services, so a handling that only an old version allows also fits one that is sent seconds later. Only versions that were sent before the request ended count now.

The link keeps the address for the whole run, and each target listens on one of its own behind it.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -185,7 +185,7 @@
 }
 
 func (e *evidence) everAllowed(r *run) bool {
-	return slices.ContainsFunc(e.versions, func(v version) bool { return v.handling(r.path) == r.service })
+	return slices.ContainsFunc(e.versions, func(v version) bool { return !v.sentAt.After(r.at) && v.handling(r.path) == r.service })
 }
 
 // afterDrain reports whether a host in touch sent a request to a target later than drain after the
@@ -240,7 +240,7 @@
 		return nil
 	}
 	for _, service := range e.handlings(c) {
-		allowed := slices.ContainsFunc(e.versions[due:], func(v version) bool { return v.handling(c.path) == service })
+		allowed := slices.ContainsFunc(e.versions[due:], func(v version) bool { return !v.sentAt.After(c.endedAt) && v.handling(c.path) == service })
 		if !allowed {
 			v := e.versions[due]
 			return c.breach("CONFIG", c.startedAt, "handled by service %q, but version %d with %q was acknowledged %s before", service, v.number, v.handling(c.path), c.startedAt.Sub(v.ackedAt))
@@ -263,7 +263,7 @@
 		for _, service := range e.handlings(&c) {
 			f := effect{&c, c.endedAt, -1, -1}
 			for n, v := range e.versions {
-				if v.handling(c.path) != service {
+				if v.handling(c.path) != service || v.sentAt.After(c.endedAt) {
 					continue
 				}
 				if f.oldest < 0 {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -257,6 +257,9 @@
 	unacknowledged := movedEvidence(7_600, movedServiceA)
 	unacknowledged.versions[1].ackedAt = time.Time{}
 	wantRules(t, unacknowledged)
+	movedBack := movedEvidence(7_600, movedServiceA)
+	movedBack.versions = append(movedBack.versions, version{5, at(8_000), at(8_000), testServices()})
+	wantRules(t, movedBack, "CONFIG")
 	missing := movedEvidence(7_600, movedServiceB)
 	c := missing.calls["id-1"]
 	c.status, c.signed = 404, false
@@ -288,6 +291,9 @@
 			r.id = "id-2"
 			e.calls["id-2"], e.runs["id-2"], e.impairments = c, []run{r}, test.done
 			wantRules(t, e, test.want...)
+			// A version that is sent later allows nothing before.
+			e.versions = append(e.versions, version{5, at(9_000), at(9_000), testServices()})
+			wantRules(t, e, test.want...)
 		})
 	}
 }
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -53,10 +53,10 @@
 	return serviceOfPlace[place%2]
 }
 
-// place is an address at which targets run one after the other.
+// place is an address at which targets run one after the other. The address is that of its link, which
+// keeps it for the whole run.
 type place struct {
 	index, generation int
-	listenAddress     string
 	link              *standin.FaultLink
 
 	mu      sync.Mutex
@@ -81,15 +81,11 @@
 	s := &system{cfg: cfg, layout: newLayout(rng), store: platformtest.NewStore(), recorder: newRecorder()}
 	s.putVersion(1, map[string]string{lookupPath: lookupService, noticePath: noticeService, uploadPath: noticeService, movedPath: movedServiceA})
 	for n := range cfg.Targets {
-		address, err := standin.FreeAddress()
+		link, err := standin.NewFaultLink("")
 		if err != nil {
 			return nil, err
 		}
-		link, err := standin.NewFaultLink(address)
-		if err != nil {
-			return nil, err
-		}
-		p := &place{index: n, listenAddress: address, link: link}
+		p := &place{index: n, link: link}
 		s.places = append(s.places, p)
 		if err := s.startTarget(p, "", homeService(n)); err != nil {
 			return nil, err
@@ -123,11 +119,12 @@
 	entry := platformtest.Target{
 		ID: id, Service: service, Address: p.link.Address(), Zone: s.layout.zone(p.index), Slots: slotsOfTarget, Sequence: 1, Born: time.Now(),
 	}
-	t, err := startTarget(entry, p.index, p.listenAddress, s.recorder)
+	t, err := startTarget(entry, p.index, s.recorder)
 	if err != nil {
 		return errors.Wrap(err, "target")
 	}
 	t.notices = s.cfg.TargetNotices
+	p.link.SetServer(t.listener.Addr().String())
 	p.mu.Lock()
 	p.current = t
 	p.mu.Unlock()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/sapphirehaven/sapphirehaven/internal/standin"
 	"github.com/sapphirehaven/sapphirehaven/platform"
 	"github.com/sapphirehaven/sapphirehaven/platform/platformtest"
 )
@@ -74,9 +73,9 @@
 	index int
 }
 
-// startTarget starts a target on an address.
-func startTarget(t platformtest.Target, place int, listenAddress string, r *recorder) (*target, error) {
-	listener, err := standin.Listen(listenAddress)
+// startTarget starts a target on a free address of its own.
+func startTarget(t platformtest.Target, place int, r *recorder) (*target, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/faultlink.go
+++ b/internal/standin/faultlink.go
@@ -25,9 +25,10 @@
 // concurrent use.
 type FaultLink struct {
 	listener net.Listener
-	server   string
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// server is the address of the server.
+	server  string
 	faults  LinkFaults
 	changed chan struct{}
 	conns   map[*faultConn]struct{}
@@ -76,6 +77,13 @@
 // Address returns the address on which the proxy listens.
 func (l *FaultLink) Address() string { return l.listener.Addr().String() }
 
+// SetServer makes the proxy connect new connections to another server.
+func (l *FaultLink) SetServer(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.server = address
+}
+
 // SetFaults replaces the lasting faults.
 func (l *FaultLink) SetFaults(f LinkFaults) {
 	l.mu.Lock()
@@ -122,9 +130,9 @@
 
 func (l *FaultLink) proxy(client *net.TCPConn) {
 	l.mu.Lock()
-	refuse := l.faults.Refuse
+	refuse, address := l.faults.Refuse, l.server
 	l.mu.Unlock()
-	server, err := net.Dial("tcp", l.server)
+	server, err := net.Dial("tcp", address)
 	if refuse || err != nil {
 		_ = client.SetLinger(0)
 		client.Close()
