--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -185,7 +185,7 @@
 }
 
 func (e *evidence) everAllowed(r *run) bool {
-	return slices.ContainsFunc(e.versions, func(v version) bool { return !v.sentAt.After(r.at) && v.handling(r.path) == r.service })
+	return slices.ContainsFunc(e.versions, func(v version) bool { return handling{r.service, r.at}.allowedBy(&v, r.path) })
 }
 
 // afterDrain reports whether a host in touch sent a request to a target later than drain after the
@@ -214,17 +214,28 @@
 	return ""
 }
 
-// handlings returns how a request was handled: the services that ran it, or "" for 404.
-func (e *evidence) handlings(c *call) (services []string) {
+// handling is the service that ran a request, or "" for 404, and the time at which that was seen.
+type handling struct {
+	service string
+	at      time.Time
+}
+
+// allowedBy reports whether a version that had been sent by then allows the handling of a path.
+func (h handling) allowedBy(v *version, path string) bool {
+	return !v.sentAt.After(h.at) && v.handling(path) == h.service
+}
+
+// handlings returns how a request was handled.
+func (e *evidence) handlings(c *call) (list []handling) {
 	for _, r := range e.runs[c.id] {
 		if r.executed() {
-			services = append(services, r.service)
+			list = append(list, handling{r.service, r.at})
 		}
 	}
 	if c.ending == answered && !c.signed && c.status == 404 {
-		services = append(services, "")
+		list = append(list, handling{"", c.endedAt})
 	}
-	return services
+	return list
 }
 
 // checkConfiguration requires that a host in touch handles a request as a configuration allows that
@@ -239,11 +250,10 @@
 	if due < 0 || !e.inTouch(c.host, c.startedAt) {
 		return nil
 	}
-	for _, service := range e.handlings(c) {
-		allowed := slices.ContainsFunc(e.versions[due:], func(v version) bool { return !v.sentAt.After(c.endedAt) && v.handling(c.path) == service })
-		if !allowed {
+	for _, h := range e.handlings(c) {
+		if !slices.ContainsFunc(e.versions[due:], func(v version) bool { return h.allowedBy(&v, c.path) }) {
 			v := e.versions[due]
-			return c.breach("CONFIG", c.startedAt, "handled by service %q, but version %d with %q was acknowledged %s before", service, v.number, v.handling(c.path), c.startedAt.Sub(v.ackedAt))
+			return c.breach("CONFIG", c.startedAt, "handled by service %q, but version %d with %q was acknowledged %s before", h.service, v.number, v.handling(c.path), c.startedAt.Sub(v.ackedAt))
 		}
 	}
 	return nil
@@ -260,10 +270,10 @@
 func (e *evidence) effects() map[process][]effect {
 	effects := map[process][]effect{}
 	for _, c := range e.calls {
-		for _, service := range e.handlings(&c) {
-			f := effect{&c, c.endedAt, -1, -1}
+		for _, h := range e.handlings(&c) {
+			f := effect{&c, h.at, -1, -1}
 			for n, v := range e.versions {
-				if v.handling(c.path) != service || v.sentAt.After(c.endedAt) {
+				if !h.allowedBy(&v, c.path) {
 					continue
 				}
 				if f.oldest < 0 {
@@ -271,7 +281,7 @@
 				}
 				f.youngest = n
 			}
-			if f.oldest >= 0 && c.ending != pending {
+			if f.oldest >= 0 {
 				p := process{c.host, e.life(c.host, c.startedAt)}
 				effects[p] = append(effects[p], f)
 			}
@@ -305,7 +315,7 @@
 		slices.SortFunc(effects, func(a, b effect) int { return a.c.startedAt.Compare(b.c.startedAt) })
 		for _, f := range effects {
 			slack := rollbackSlack
-			if e.impaired(f.c.host, f.c.startedAt.Add(-stabilityWindow), f.c.endedAt) {
+			if e.impaired(f.c.host, f.c.startedAt.Add(-stabilityWindow), f.seenAt) {
 				slack *= slowedSlackFactor
 			}
 			for ; next < len(bySeen) && bySeen[next].seenAt.Before(f.c.startedAt.Add(-slack)); next++ {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -260,6 +260,11 @@
 	movedBack := movedEvidence(7_600, movedServiceA)
 	movedBack.versions = append(movedBack.versions, version{5, at(8_000), at(8_000), testServices()})
 	wantRules(t, movedBack, "CONFIG")
+	waiting := movedEvidence(7_600, movedServiceB)
+	unanswered := waiting.calls["id-1"]
+	unanswered.ending, unanswered.endedAt = pending, time.Time{}
+	waiting.calls["id-1"] = unanswered
+	wantRules(t, waiting)
 	missing := movedEvidence(7_600, movedServiceB)
 	c := missing.calls["id-1"]
 	c.status, c.signed = 404, false
