--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -149,7 +149,7 @@
 		return
 	}
 	h.terminated = h.terminated || s == syscall.SIGTERM
-	h.killed = h.killed || s == syscall.SIGKILL
+	h.killed = h.killed || s == syscall.SIGKILL || s == syscall.SIGQUIT
 	_ = h.cmd.Process.Signal(s)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -200,6 +200,9 @@
 	kill := time.Now().Add(grace)
 	for _, h := range s.hosts {
 		if !h.waitExit(kill) {
+			// The runtime writes the stacks of all goroutines to the log.
+			h.signal(syscall.SIGQUIT)
+			h.waitExit(time.Now().Add(time.Second))
 			report.Breaches = append(report.Breaches, breach{"EXIT", time.Now(), "", h.settings.ID + " did not stop within the grace period"})
 		}
 		if log, err := os.ReadFile(h.logPath); err == nil && strings.Contains(string(log), "panic") {
@@ -237,6 +240,9 @@
 	return longest
 }
 
+// maxBreachesShown is the largest number of breaches in a report.
+const maxBreachesShown = 6
+
 // WriteText writes the report for people.
 func (r *Report) WriteText(w io.Writer) {
 	result := "passed"
@@ -249,6 +255,9 @@
 	}
 	b := r.Breaches[0]
 	fmt.Fprintf(w, "first breach, of %d: %6.2fs %s: request %q: %s\n", len(r.Breaches), b.at.Sub(r.Started).Seconds(), b.rule, b.request, b.text)
+	for _, other := range r.Breaches[1:min(len(r.Breaches), maxBreachesShown)] {
+		fmt.Fprintf(w, "  then: %6.2fs %s: request %q: %s\n", other.at.Sub(r.Started).Seconds(), other.rule, other.request, other.text)
+	}
 	fmt.Fprintln(w, "schedule:")
 	for _, e := range r.Events {
 		fmt.Fprintln(w, " ", e)
