--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -50,6 +50,8 @@
 		{"status -admin GONE", ExitFailed, "connection refused"},
 		{"status -output xml", ExitUsage, "-output"},
 		{"replay", ExitUsage, "no trace"},
+		{"soak -hosts 1", ExitUsage, "-hosts is 1"},
+		{"soak -count 0", ExitUsage, "-count is 0"},
 		{"nothing", ExitUsage, "unknown command"},
 		{"help", ExitOK, "usage"},
 	} {
--- a/internal/ctl/soak.go
+++ b/internal/ctl/soak.go
@@ -37,23 +37,39 @@
 		code, _ := e.usageError(flags, fmt.Sprintf("-count is %d, want 1 or more", *count))
 		return code
 	}
-	first, failed := cfg.Seed, 0
-	for cfg.Seed = first; cfg.Seed < first+uint64(*count); cfg.Seed++ {
-		cfg.LogDir = filepath.Join(*logs, fmt.Sprintf("seed-%d", cfg.Seed))
+	return e.runSeeds(cfg, *count, *logs, *keepGoing, *output)
+}
+
+// soakResult is the JSON output for one seed.
+type soakResult struct {
+	Seed    uint64 `json:"seed"`
+	Failed  bool   `json:"failed"`
+	Style   string `json:"style"`
+	Summary string `json:"summary"`
+	Logs    string `json:"logs"`
+}
+
+// runSeeds runs consecutive seeds from that of the configuration on and prints their reports.
+func (e *env) runSeeds(cfg soak.Config, count int, logs string, keepGoing bool, output string) int {
+	code := ExitOK
+	for range count {
+		cfg.LogDir = filepath.Join(logs, fmt.Sprintf("seed-%d", cfg.Seed))
 		report, err := soak.RunFresh(e.ctx, cfg)
 		if err != nil {
 			return e.fail(errors.Wrapf(err, "seed %d", cfg.Seed))
 		}
-		report.WriteText(e.stdout)
+		if output == "json" {
+			e.writeJSON(soakResult{report.Seed, report.Failed(), report.Style, report.Summary, report.LogDir})
+		} else {
+			report.WriteText(e.stdout)
+		}
 		if report.Failed() {
-			failed++
-			if !*keepGoing {
+			code = ExitFailed
+			if !keepGoing {
 				break
 			}
 		}
+		cfg.Seed++
 	}
-	if failed > 0 {
-		return ExitFailed
-	}
-	return ExitOK
+	return code
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,26 +18,6 @@
 // checkInterval is the time between two checks of the evidence.
 const checkInterval = time.Second
 
-// Report is the result of a run.
-type Report struct {
-	Seed    uint64
-	Style   string
-	Events  []event
-	Started time.Time
-	// Breaches are ordered by time.
-	Breaches []breach
-	// Summary counts the requests by how they ended.
-	Summary string
-	// Stall is the longest time for which this process got no processor time when it wanted some, if
-	// it was longer than minStall.
-	Stall   time.Duration
-	LogDir  string
-	history impairments
-}
-
-// Failed reports whether a promise was broken.
-func (r *Report) Failed() bool { return len(r.Breaches) > 0 }
-
 // addressAttempts is how often a run is started with other addresses.
 const addressAttempts = 3
 
@@ -68,7 +45,7 @@
 	}
 	rng := cfg.random()
 	events, styleName := newSchedule(&cfg, rng)
-	report := &Report{Seed: cfg.Seed, Style: styleName, Events: events, LogDir: cfg.LogDir}
+	report := &Report{Seed: cfg.Seed, Style: styleName, events: events, LogDir: cfg.LogDir}
 	s, err := newSystem(&cfg, rng)
 	if err != nil {
 		return nil, err
@@ -79,7 +56,7 @@
 	if err := s.startHosts(ctx); err != nil {
 		return nil, err
 	}
-	report.Started = time.Now()
+	report.started = time.Now()
 	err = s.play(ctx, cancel, events, report)
 	for _, h := range s.hosts {
 		if h.foundAddressInUse() {
@@ -128,7 +105,7 @@
 	cancel()
 	callers.Wait()
 	injectors.Wait()
-	if len(report.Breaches) == 0 {
+	if len(report.breaches) == 0 {
 		s.finalCheck(report)
 	}
 	final := s.recorder.snapshot()
@@ -179,11 +156,11 @@
 			s.recorder.setRecovered(time.Now().Add(recovery))
 			over = time.After(recovery + recoverySample + checkInterval)
 		case <-ticks.C:
-			if report.Breaches = s.recorder.snapshot().check(time.Now()); report.Failed() {
+			if report.breaches = s.recorder.snapshot().check(time.Now()); report.Failed() {
 				return nil
 			}
 		case <-over:
-			report.Breaches = s.recorder.snapshot().check(time.Now())
+			report.breaches = s.recorder.snapshot().check(time.Now())
 			return nil
 		}
 	}
@@ -193,7 +170,7 @@
 func (s *system) finalCheck(report *Report) {
 	for _, h := range s.hosts {
 		if !h.isReady() {
-			report.Breaches = append(report.Breaches, breach{"RECOVER", time.Now(), "", h.settings.ID + " is not ready at the end"})
+			report.breaches = append(report.breaches, breach{"RECOVER", time.Now(), "", h.settings.ID + " is not ready at the end"})
 		}
 		h.signal(syscall.SIGTERM)
 	}
@@ -203,13 +180,13 @@
 			// The runtime writes the stacks of all goroutines to the log.
 			h.signal(syscall.SIGQUIT)
 			h.waitExit(time.Now().Add(time.Second))
-			report.Breaches = append(report.Breaches, breach{"EXIT", time.Now(), "", h.settings.ID + " did not stop within the grace period"})
+			report.breaches = append(report.breaches, breach{"EXIT", time.Now(), "", h.settings.ID + " did not stop within the grace period"})
 		}
 		if log, err := os.ReadFile(h.logPath); err == nil && strings.Contains(string(log), "panic") {
-			report.Breaches = append(report.Breaches, breach{"EXIT", time.Now(), "", h.settings.ID + " logged a panic"})
+			report.breaches = append(report.breaches, breach{"EXIT", time.Now(), "", h.settings.ID + " logged a panic"})
 		}
 	}
-	report.Breaches = append(report.Breaches, s.recorder.snapshot().check(time.Now())...)
+	report.breaches = append(report.breaches, s.recorder.snapshot().check(time.Now())...)
 }
 
 // Parameters of the measurement of stalls.
@@ -229,52 +206,3 @@
 		}
 	}
 }
-
-// longestStall returns the longest time in which this process was late.
-func (l impairments) longestStall() (longest time.Duration) {
-	for _, i := range l {
-		if i.cause == stalled {
-			longest = max(longest, i.end.Sub(i.start))
-		}
-	}
-	return longest
-}
-
-// maxBreachesShown is the largest number of breaches in a report.
-const maxBreachesShown = 6
-
-// WriteText writes the report for people.
-func (r *Report) WriteText(w io.Writer) {
-	result := "passed"
-	if r.Failed() {
-		result = "failed"
-	}
-	fmt.Fprintf(w, "seed %d: %s (%s; %s; longest stall of the soak %s)\n", r.Seed, result, r.Style, r.Summary, r.Stall.Round(time.Millisecond))
-	if !r.Failed() {
-		return
-	}
-	b := r.Breaches[0]
-	fmt.Fprintf(w, "first breach, of %d: %6.2fs %s: request %q: %s\n", len(r.Breaches), b.at.Sub(r.Started).Seconds(), b.rule, b.request, b.text)
-	for _, other := range r.Breaches[1:min(len(r.Breaches), maxBreachesShown)] {
-		fmt.Fprintf(w, "  then: %6.2fs %s: request %q: %s\n", other.at.Sub(r.Started).Seconds(), other.rule, other.request, other.text)
-	}
-	fmt.Fprintln(w, "schedule:")
-	for _, e := range r.Events {
-		fmt.Fprintln(w, " ", e)
-	}
-	fmt.Fprintln(w, "what was done until the end of the run:")
-	for _, i := range r.history {
-		if i.cause == stalled {
-			continue
-		}
-		end := "the end"
-		if !i.end.IsZero() {
-			end = fmt.Sprintf("%.2fs", i.end.Sub(r.Started).Seconds())
-		}
-		fmt.Fprintf(w, "  %6.2fs to %s: host %d, place %d: %s\n", i.start.Sub(r.Started).Seconds(), end, i.host+1, i.place+1, i.name)
-	}
-	fmt.Fprintf(w, "logs: %s\n", r.LogDir)
-	if b.request != "" {
-		fmt.Fprintf(w, "next: sapphirectl explain -request %s %s\n", b.request, filepath.Join(r.LogDir, "host-*.log"))
-	}
-}
