--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/schedule"
 )
 
 // bufferedResponse is a complete response that is kept until the dispatcher
@@ -43,6 +44,7 @@
 		return false
 	}
 	response, result := q.server.cfg.Transport.Do(ctx, q.newAttempt(start, endpoint, &trace))
+	q.reportLeaving(start, &trace)
 	if response == nil {
 		q.finishAttempt(start, &trace, result)
 		return false
@@ -89,6 +91,8 @@
 		CrossRegion:      endpoint.Region != q.server.cfg.Location.Region,
 		Class:            string(q.class.Name),
 		Trace:            trace,
+		MayWrite:         func() error { return q.mayWrite(start) },
+		OnPause:          func(pause target.RetryAfter) { q.reportPause(start, pause) },
 	}
 	if q.class.Upload != nil {
 		a.MinBodyBytesPerSecond = int64(q.class.Upload.MinBytesPerSecond)
@@ -116,7 +120,10 @@
 // again, so the dispatcher must not retry it.
 func (q *request) finishAttempt(start dispatch.Start, trace *target.Trace, result attempt.Result) {
 	q.mayHaveRun = q.mayHaveRun || !result.NotSent && !result.NotRun
-	if q.class.Upload != nil && trace.BodyBytesRead > 0 {
+	if q.class.Upload != nil && trace.UnsentBody != nil {
+		q.bufferedBody = trace.UnsentBody
+	}
+	if q.class.Upload != nil && trace.BodyBytesRead > 0 && q.bufferedBody == nil {
 		q.backend.Engine.Commit(start.Attempt)
 	}
 	q.reportResult(start, trace, result)
@@ -140,7 +147,7 @@
 	}
 	if trace.RateLimit.Heard {
 		q.metrics.countRateStatement(trace.RateLimit)
-		q.backend.Engine.ReportLimit(start.Target, trace.RateLimit, q.attemptStart)
+		q.backend.Engine.ReportLimit(schedule.Process{Target: start.Target, StartUnixMilli: start.StartUnixMilli}, trace.RateLimit, q.attemptStart)
 	}
 	q.backend.Engine.Finish(start.Attempt, result)
 }
--- a/internal/adapter/peer/convert_fleet.go
+++ b/internal/adapter/peer/convert_fleet.go
@@ -79,8 +79,16 @@
 func toObservations(in port.Observations) *peerpb.Observations {
 	pb := &peerpb.Observations{}
 	for _, o := range in.Services {
-		pb.Services = append(pb.Services, &peerpb.ServiceOutcomes{Service: string(o.Service), Ended: uint32(o.Ended), Unserved: uint32(o.Unserved), FloorUnserved: uint32(o.FloorUnserved)})
+		outcomes := &peerpb.ServiceOutcomes{
+			Service:       string(o.Service),
+			Ended:         uint32(o.Ended),
+			Unserved:      uint32(o.Unserved),
+			FloorUnserved: uint32(o.FloorUnserved),
+		}
+		setRetries(outcomes, o.Retries)
+		pb.Services = append(pb.Services, outcomes)
 	}
+	pb.Leaving = toLeaving(in.Leaving)
 	for _, o := range in.Targets {
 		pb.Targets = append(pb.Targets, &peerpb.TargetObservation{
 			Service:   string(o.Service),
@@ -95,13 +103,14 @@
 }
 
 func fromObservations(pb *peerpb.Observations) port.Observations {
-	var out port.Observations
+	out := port.Observations{Leaving: fromLeaving(pb.GetLeaving())}
 	for _, o := range pb.GetServices() {
 		out.Services = append(out.Services, port.ServiceOutcomes{
 			Service:       ident.ServiceName(o.GetService()),
 			Ended:         int(o.GetEnded()),
 			Unserved:      int(o.GetUnserved()),
 			FloorUnserved: int(o.GetFloorUnserved()),
+			Retries:       fromRetries(o),
 		})
 	}
 	for _, o := range pb.GetTargets() {
--- a/internal/adapter/target/exchange.go
+++ b/internal/adapter/target/exchange.go
@@ -43,7 +43,9 @@
 	// are ignored.
 	writerStopping bool
 	bytesWritten   int64
-	bodyBytesRead  int64
+	// wholeBody is a body that was read before the first byte was to be written.
+	wholeBody     []byte
+	bodyBytesRead int64
 }
 
 func (x *exchange) apply(kind outcome.EventKind) {
@@ -97,7 +99,11 @@
 func (x *exchange) fail(err error) attempt.Result {
 	kind := x.failureEvent(err)
 	x.stopWriter(0)
-	x.stopWatchingContext()
+	contextLive := x.stopWatchingContext()
+	if kind == outcome.AttemptWithdrawn && contextLive {
+		x.t.pool.putUnused(x.c, time.Now())
+		return x.end(outcome.Event{Kind: kind}, err)
+	}
 	lostOrTimedOut := kind == outcome.ConnectionFailed || kind == outcome.DeadlineExceeded
 	x.t.pool.closeInUse(x.c, x.c.reused && !x.responded && lostOrTimedOut)
 	return x.end(outcome.Event{Kind: kind}, err)
@@ -114,6 +120,8 @@
 		return outcome.DeadlineExceeded
 	case x.ctx.Err() != nil, cause != nil, isCallerError(err):
 		return outcome.AttemptCanceled
+	case errors.Is(err, ErrWithdrawn):
+		return outcome.AttemptWithdrawn
 	case errors.Is(err, ErrFirstByteTimeout):
 		return outcome.DeadlineExceeded
 	case isBadResponse(err):
@@ -168,4 +176,7 @@
 	}
 	tr.Reused = x.c != nil && x.c.reused
 	tr.BytesWritten, tr.BodyBytesRead = x.bytesWritten, x.bodyBytesRead
+	if !x.state.Sent() {
+		tr.UnsentBody = x.wholeBody
+	}
 }
--- a/internal/adapter/target/transport.go
+++ b/internal/adapter/target/transport.go
@@ -43,6 +43,9 @@
 // sent to the target. If the response is nil, the result is final. Otherwise the
 // caller must call Response.Finish, which returns the final result.
 func (t *Transport) Do(ctx context.Context, a Attempt) (*Response, attempt.Result) {
+	if a.ContentLength == 0 {
+		a.Body = nil
+	}
 	x := &exchange{t: t, a: &a, ctx: ctx, start: time.Now()}
 	if err := x.acquireConn(); err != nil {
 		return nil, x.failAcquire(err)
@@ -65,6 +68,9 @@
 	if err := x.ctx.Err(); err != nil {
 		return err
 	}
+	if err := x.checkMayWrite(); err != nil {
+		return err
+	}
 	c, err := x.t.pool.acquire(x.a, x.start)
 	if err != nil {
 		return err
@@ -95,6 +101,8 @@
 	kind := outcome.AttemptCanceled
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		kind = outcome.DeadlineExceeded
+	} else if errors.Is(err, ErrWithdrawn) {
+		kind = outcome.AttemptWithdrawn
 	} else if errors.As(err, new(dialError)) && x.ctx.Err() == nil {
 		kind = outcome.DialFailed
 	}
--- a/internal/app/gateway_rate_limit_test.go
+++ b/internal/app/gateway_rate_limit_test.go
@@ -35,26 +35,41 @@
 
 // gatewayFleet is a fleet of gateways on loopback that share a registry.
 type gatewayFleet struct {
+	store    *memoryRegistry
 	gateways []*Gateway
 	client   *http.Client
 }
 
+// fleetDialect returns the dialect of the hosts of a gatewayFleet.
+func fleetDialect() dialect.Dialect {
+	return dialect.Dialect{
+		RequestID: "X-Id", KeepCallerRequestID: true, Deadline: "X-Left", RateLimit: "X-Rate", Leaving: "X-Leaving", NotRun: "X-Not-Run",
+		StatusImpliesOutcome: true, FractionalRetryAfter: true,
+	}
+}
+
 // startGatewayFleet starts hosts that pass requests to the targets, and stops them at the
 // end of the test.
 func startGatewayFleet(t *testing.T, hosts int, targets []http.Handler) *gatewayFleet {
 	t.Helper()
-	store := &memoryRegistry{config: gatewayConfiguration()}
+	return startGatewayFleetFor(t, gatewayConfiguration(), hosts, targets)
+}
+
+// startGatewayFleetFor is like startGatewayFleet with a given configuration.
+func startGatewayFleetFor(t *testing.T, config *registry.Configuration, hosts int, targets []http.Handler) *gatewayFleet {
+	t.Helper()
+	store := &memoryRegistry{config: config}
 	for i, handler := range targets {
 		srv := httptest.NewServer(handler)
 		t.Cleanup(srv.Close)
 		id := ident.TargetID(fmt.Sprintf("t%d", i))
 		store.targets = append(store.targets, registry.TargetRecord{ID: id, Offset: int64(i + 1), Target: &registry.Target{
-			ID: id, Service: "s", Address: strings.TrimPrefix(srv.URL, "http://"), Zone: "z", Slots: 6,
+			ID: id, Service: "s", Address: strings.TrimPrefix(srv.URL, "http://"), Zone: "z", Slots: 6, StartUnixMilli: 1_700_000_000_000,
 		}})
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	fleet := &gatewayFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	fleet := &gatewayFleet{store: store, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() {
@@ -71,7 +86,8 @@
 			CallerAddress: freeAddress(t), PeerAddress: peerAddress, AdminAddress: freeAddress(t), Seeds: seeds[:1],
 			AddressMaxAge: 100 * time.Millisecond, GracePeriod: 6 * time.Second,
 			RetryRatio: 0.2, RetryAllowance: 58, RetryWindow: 10 * time.Second,
-			Dialect: dialect.Dialect{RequestID: "X-Id", KeepCallerRequestID: true, Deadline: "X-Left", RateLimit: "X-Rate", StatusImpliesOutcome: true, FractionalRetryAfter: true},
+			DrainTime: testDrainTime,
+			Dialect:   fleetDialect(),
 		}, store, log)
 		if err != nil {
 			t.Fatal(err)
@@ -119,22 +135,32 @@
 
 // post sends one request and returns its answer.
 func (f *gatewayFleet) post(g *Gateway) fleetAnswer {
+	answer, _ := f.postWithin(g, 0)
+	return answer
+}
+
+// postWithin sends one request with the time left until its deadline, 0 for none, and
+// returns its answer and the Retry-After header.
+func (f *gatewayFleet) postWithin(g *Gateway, left time.Duration) (answer fleetAnswer, retryAfter string) {
 	req, err := http.NewRequest("POST", "http://"+g.settings.CallerAddress+"/x/1", strings.NewReader("body"))
 	if err != nil {
-		return fleetAnswer{problem: err.Error()}
+		return fleetAnswer{problem: err.Error()}, ""
 	}
 	req.Host = "a.example"
 	req.Header.Set("X-Id", fmt.Sprintf("id-%d", time.Now().UnixNano()))
+	if left > 0 {
+		req.Header.Set("X-Left", fmt.Sprint(left.Milliseconds()))
+	}
 	res, err := f.client.Do(req)
 	if err != nil {
-		return fleetAnswer{problem: err.Error()}
+		return fleetAnswer{problem: err.Error()}, ""
 	}
 	var problem ingress.Problem
 	if body, err := io.ReadAll(res.Body); err == nil && len(body) > 0 {
 		_ = json.Unmarshal(body, &problem)
 	}
 	_ = res.Body.Close()
-	return fleetAnswer{status: res.StatusCode, problem: problem.Type}
+	return fleetAnswer{status: res.StatusCode, problem: problem.Type}, res.Header.Get("Retry-After")
 }
 
 // statusRates returns the rates of targets in a host's status.
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -51,10 +51,15 @@
 			Weight:   t.Weight,
 			InFlight: t.InFlight,
 			Score:    t.Score,
+			Leaving:  t.Leaving,
 		}
 		if t.RateLimited {
 			target.RateLimit = &t.RateLimit
 		}
+		if t.PauseLeft > 0 {
+			left := t.PauseLeft.Seconds()
+			target.PauseSeconds = &left
+		}
 		svc.Targets = append(svc.Targets, target)
 	}
 	return svc
--- a/internal/core/dispatch/api.go
+++ b/internal/core/dispatch/api.go
@@ -98,6 +98,12 @@
 	// RetryRatio times the requests plus RetryAllowance.
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// FleetRetryRatio and FleetRetryAllowance limit the retries of all hosts together in the
+	// same way, as far as this host knows of them; a ratio of 0 means no limit.
+	FleetRetryRatio, FleetRetryAllowance float64
+	// LeavingGrace is the time after a target's first statement that it is leaving in
+	// which it still gets requests if no other target can take them; 0 means none.
+	LeavingGrace time.Duration
 	// ProbeInterval is the interval between probes of one target; 0 disables
 	// probing.
 	ProbeInterval time.Duration
@@ -152,8 +158,11 @@
 	NoTarget         RefuseReason = "no_target"
 	// RateLimited means that all targets state the rate that they accept, and that it
 	// leaves no room for the request before its deadline.
-	RateLimited  RefuseReason = "rate_limited"
-	UnknownClass RefuseReason = "unknown_class"
+	RateLimited RefuseReason = "rate_limited"
+	// TargetsPaused means that all targets asked for no requests for a time, and that the
+	// first of these pauses ends too late for the request.
+	TargetsPaused RefuseReason = "targets_paused"
+	UnknownClass  RefuseReason = "unknown_class"
 )
 
 // Action is an operation that the driver has to carry out.
@@ -164,6 +173,8 @@
 	Request ident.RequestID
 	Attempt ident.AttemptID
 	Target  ident.TargetID
+	// StartUnixMilli is the start time of the target's process, 0 if unknown.
+	StartUnixMilli int64
 	// Timeout is the maximum duration of the attempt.
 	Timeout time.Duration
 	// Fresh requests a new connection.
@@ -258,10 +269,15 @@
 	OtherLoad float64
 	// Paused is set while the target gets no attempts because it shed load.
 	Paused bool
+	// PauseLeft is the rest of the time for which the target wants no requests of this
+	// host, 0 if it does not pause.
+	PauseLeft time.Duration
 	// RateLimited is set if the target states a rate, and RateLimit is that rate in
 	// requests per second.
 	RateLimited bool
 	RateLimit   float64
+	// Leaving is set if the target has stated in a response that it is leaving.
+	Leaving bool
 }
 
 // ClassStatus is the state of a request class.
@@ -298,7 +314,12 @@
 	Floor FloorStatus
 	// Rates is the state of the targets that state a rate. It is zero with dispatchers
 	// that apply none.
-	Rates   RateStatus
+	Rates RateStatus
+	// Pausing is the number of targets that want no requests of this host for a time.
+	Pausing int
+	// Leaving is the number of targets that have stated in a response that they are
+	// leaving. It is zero with dispatchers that read no such statements.
+	Leaving int
 	Classes []ClassStatus
 }
 
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -33,6 +33,10 @@
 	// that were not served. FloorUnserved is the number of requests that were sent to
 	// maintain the floor and not served; the other two do not include them.
 	Ended, Unserved, FloorUnserved int
+	// Retries is the report on the retry budget.
+	Retries retry.Report
+	// Leaving lists the processes that the host heard to be leaving.
+	Leaving []LeavingReport
 }
 
 // Scheduler schedules the requests of one service on one host.
@@ -43,13 +47,21 @@
 
 	targets map[ident.TargetID]*target
 	order   []*target
-	classes map[ident.ClassName]*class
-	budget  *retry.WindowBudget
-	model   *gray.Model
+	// processes holds what the processes of targets said of themselves.
+	processes processMemory
+	// anyLeaving is set once a target has been leaving. leavingNews are the processes
+	// whose statement should be sent to the other hosts.
+	anyLeaving  bool
+	leavingNews []*processState
+	classes     map[ident.ClassName]*class
+	budget      *retry.SharedBudget
+	model       *gray.Model
 
 	requests map[ident.RequestID]*request
 	attempts map[ident.AttemptID]*runningAttempt
 	lastID   ident.AttemptID
+	// pauses holds the processes whose pause has not been recorded as ended.
+	pauses []*processState
 	// waiting is the queue of requests without a slot, ordered by priority, then
 	// retries before first attempts, then by arrival.
 	waiting []*request
@@ -86,6 +98,8 @@
 // target is a target with the state that this host keeps for it.
 type target struct {
 	dispatch.Target
+	// process holds what the target's process said of itself.
+	process      *processState
 	distance     balance.Distance
 	inFlight     int
 	belief       gray.Belief
@@ -99,7 +113,9 @@
 	rateReportsLeft int
 	rateReportedAt  time.Time
 	malformedRate   bool
-	otherLoad       balance.OtherLoad
+	// malformedPauseAt is the time of the latest event for a malformed Retry-After.
+	malformedPauseAt time.Time
+	otherLoad        balance.OtherLoad
 	// responded is set once the target has answered a request of any host.
 	responded bool
 	// affinity, 0 to 1, orders targets of equal cost differently on each host.
@@ -136,10 +152,16 @@
 	attempts   int
 	// unsentAttempts is the number of attempts for which no byte was sent.
 	unsentAttempts int
-	tried          []ident.TargetID
-	mayHaveRun     bool
-	committed      bool
-	canceled       bool
+	// withdrawnAttempts is the number of those that were withdrawn because their target
+	// asked for a pause.
+	withdrawnAttempts int
+	// askedPause is set if the target of the last attempt asked for a pause, before or after
+	// the attempt was sent.
+	askedPause bool
+	tried      []ident.TargetID
+	mayHaveRun bool
+	committed  bool
+	canceled   bool
 	// forFloor is set if the request was sent to its target to maintain the floor.
 	forFloor bool
 	// deniedCounted is set once the request counted as demand for permits.
@@ -158,19 +180,24 @@
 	started time.Time
 	// overdue is set once the age of the attempt was counted as a failure.
 	overdue bool
+	// askedPause is set if a response that arrived during the attempt asked for a pause.
+	askedPause bool
+	// usedBefore is the time of the latest known request to the target before this one.
+	usedBefore time.Time
 }
 
 // New returns a scheduler.
 func New(now time.Time, cfg dispatch.Config, self dispatch.Self) *Scheduler {
 	s := &Scheduler{
-		self:     self,
-		now:      now,
-		targets:  map[ident.TargetID]*target{},
-		classes:  map[ident.ClassName]*class{},
-		budget:   retry.NewWindowBudget(),
-		model:    gray.NewModel(),
-		requests: map[ident.RequestID]*request{},
-		attempts: map[ident.AttemptID]*runningAttempt{},
+		self:      self,
+		now:       now,
+		targets:   map[ident.TargetID]*target{},
+		processes: newProcessMemory(),
+		classes:   map[ident.ClassName]*class{},
+		budget:    retry.NewSharedBudget(),
+		model:     gray.NewModel(),
+		requests:  map[ident.RequestID]*request{},
+		attempts:  map[ident.AttemptID]*runningAttempt{},
 	}
 	s.Configure(now, cfg)
 	return s
@@ -183,7 +210,13 @@
 	if s.cfg.QueueLength == 0 {
 		s.cfg.QueueLength = dispatch.DefaultQueueLength
 	}
-	s.budget.Configure(cfg.RetryWindow, max(0, cfg.RetryRatio), cfg.RetryAllowance)
+	s.budget.Configure(retry.SharedLimits{
+		Span:           cfg.RetryWindow,
+		Ratio:          max(0, cfg.RetryRatio),
+		Allowance:      cfg.RetryAllowance,
+		FleetRatio:     cfg.FleetRetryRatio,
+		FleetAllowance: cfg.FleetRetryAllowance,
+	})
 	s.configureClasses()
 	s.configureTargets(now)
 	for _, r := range slices.Clone(s.waiting) {
@@ -230,12 +263,14 @@
 	old := s.targets
 	s.targets = map[ident.TargetID]*target{}
 	s.order = s.order[:0]
-	for _, tc := range s.cfg.Targets {
+	states := s.processes.configure(now, configuredProcesses(s.cfg.Targets))
+	for i, tc := range s.cfg.Targets {
 		t := old[tc.ID]
 		if t == nil || t.StartUnixMilli != tc.StartUnixMilli {
 			t = &target{belief: gray.NewBelief(now, s.model), limit: limit.NewAdaptive(now, tc.Slots), addedAt: now, joined: s.anyResponse, affinity: affinity(s.self.Host, tc.ID)}
 		}
 		t.Target = tc
+		t.process = states[i]
 		t.distance = balance.DistanceBetween(s.self.Location, tc.Location)
 		t.limit.SetSlots(now, tc.Slots)
 		s.targets[tc.ID] = t
@@ -243,6 +278,14 @@
 	}
 }
 
+func configuredProcesses(targets []dispatch.Target) []Process {
+	list := make([]Process, len(targets))
+	for i, t := range targets {
+		list[i] = Process{Target: t.ID, StartUnixMilli: t.StartUnixMilli}
+	}
+	return list
+}
+
 // affinity is a hash of a host and a target, 0 to 1.
 func affinity(host ident.HostID, target ident.TargetID) float64 {
 	h := fnv.New64a()
@@ -261,6 +304,7 @@
 // pending actions.
 func (s *Scheduler) flush(now time.Time) []dispatch.Action {
 	s.now = now
+	s.updateLastResort(now)
 	s.startQueued(now)
 	actions := s.actions
 	s.actions = nil
@@ -269,6 +313,8 @@
 
 // Observe applies the observations of another host.
 func (s *Scheduler) Observe(now time.Time, from ident.HostID, observed Observations) []dispatch.Action {
+	s.observeLeaving(now, observed.Leaving)
+	s.budget.Observe(now, from, observed.Retries)
 	s.outcomes.add(now, observed.Ended, min(observed.Unserved, observed.Ended), observed.FloorUnserved)
 	for _, o := range observed.Targets {
 		t := s.targets[o.Target]
@@ -301,9 +347,10 @@
 func (s *Scheduler) Urgent() bool { return s.urgent }
 
 // TakeObservations returns the observations since the last call and resets them.
-func (s *Scheduler) TakeObservations() Observations {
-	out := Observations{Ended: s.ended, Unserved: s.unserved, FloorUnserved: s.floorUnserved}
+func (s *Scheduler) TakeObservations(now time.Time) Observations {
+	out := Observations{Ended: s.ended, Unserved: s.unserved, FloorUnserved: s.floorUnserved, Retries: s.budget.TakeReport(now)}
 	s.ended, s.unserved, s.floorUnserved = 0, 0, 0
+	out.Leaving = s.takeLeavingReports(now)
 	for _, t := range s.order {
 		if t.successes == 0 && t.failures == 0 && !t.inFlightChanged {
 			continue
--- a/internal/core/schedule/status.go
+++ b/internal/core/schedule/status.go
@@ -14,7 +14,7 @@
 	for _, t := range s.order {
 		state := health.Healthy
 		switch {
-		case t.Draining:
+		case t.Draining || t.process.leaving.known:
 			state = health.Draining
 		case t.avoided:
 			state = health.Excluded
@@ -25,9 +25,11 @@
 			Limit:     t.freeSlots(s.now) + t.inFlight,
 			OtherLoad: t.otherLoad.Load(s.now),
 			Paused:    t.limit.Paused(s.now),
+			PauseLeft: max(0, t.process.pausedUntil.Sub(s.now)),
 
 			RateLimited: t.rate.Limited(),
 			RateLimit:   t.rate.Limit().Rate,
+			Leaving:     t.process.leaving.known,
 		})
 	}
 	return list
@@ -45,6 +47,12 @@
 		Floor:       dispatch.FloorStatus{Active: s.floorEnforced, Healthy: s.healthyTargets, Used: s.usedTargets},
 	}
 	for _, t := range s.order {
+		if t.pausing(now) {
+			status.Pausing++
+		}
+		if t.process.leaving.known {
+			status.Leaving++
+		}
 		if t.rate.Limited() {
 			status.Rates.Limited++
 			status.Rates.Permits += t.rate.Permits(now)
--- a/internal/ctl/fleet_test.go
+++ b/internal/ctl/fleet_test.go
@@ -36,3 +36,23 @@
 		}
 	}
 }
+
+// TestPauseText guards against a status that hides why a target gets no requests.
+func TestPauseText(t *testing.T) {
+	left := 2.25
+	for want, target := range map[string]adminapi.Target{"": {}, " pause_left=2.2s": {PauseSeconds: &left}} {
+		if got := pauseText(target); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
+
+// TestLeavingText guards against a status in which a target that states to be leaving looks
+// like one that the registry lists as draining.
+func TestLeavingText(t *testing.T) {
+	for leaving, want := range map[bool]string{false: "", true: " leaving=true"} {
+		if got := leavingText(adminapi.Target{Leaving: leaving}); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/attempt"
@@ -79,6 +80,9 @@
 	timer      *time.Timer
 	nextTick   time.Time
 	closed     bool
+	// pausing is set while a target may be in a pause, so that attempts need no lock to
+	// learn that none is.
+	pausing atomic.Bool
 }
 
 // Call is a request in progress.
@@ -125,6 +129,15 @@
 	s.timer.Stop()
 }
 
+// Reopen undoes Close and applies a new configuration revision.
+func (s *Service) Reopen(cfg dispatch.Config) {
+	s.mu.Lock()
+	s.closed = false
+	s.nextTick = time.Time{}
+	s.mu.Unlock()
+	s.Configure(cfg)
+}
+
 // Configure applies a new configuration revision.
 func (s *Service) Configure(cfg dispatch.Config) {
 	s.handleEvent(func(now time.Time, d Decider) []dispatch.Action { return d.Configure(now, cfg) })
@@ -210,9 +223,36 @@
 
 // ReportLimit reports what a response states about the rate that its target accepts. sent
 // is the time at which the request was sent.
-func (s *Service) ReportLimit(target ident.TargetID, statement ratelimit.Statement, sent time.Time) {
+func (s *Service) ReportLimit(process schedule.Process, statement ratelimit.Statement, sent time.Time) {
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
+		return d.ReportLimit(now, schedule.LimitReport{Process: process, Statement: statement, SentAt: sent})
+	})
+}
+
+// ReportPause reports a response with status 503 and a Retry-After header.
+func (s *Service) ReportPause(r schedule.PauseReport) {
+	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
+		actions := d.ReportPause(now, r)
+		s.pausing.Store(d.Pausing())
+		return actions
+	})
+}
+
+// MayWrite reports whether the first byte of an attempt may be written now.
+func (s *Service) MayWrite(id ident.AttemptID) bool {
+	if !s.pausing.Load() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler == nil || s.scheduler.MayWrite(monotonicNow(), id)
+}
+
+// ReportLeaving reports what the response to an attempt states about whether the target is
+// leaving. It must be called before Finish.
+func (s *Service) ReportLeaving(id ident.AttemptID, statement attempt.LeavingStatement) {
 	s.schedule(func(now time.Time, d *schedule.Scheduler) []dispatch.Action {
-		return d.ReportLimit(now, schedule.LimitReport{Target: target, Statement: statement, SentAt: sent})
+		return d.ReportLeaving(now, id, statement)
 	})
 }
 
@@ -321,7 +361,7 @@
 	if s.scheduler == nil {
 		return schedule.Observations{}
 	}
-	return s.scheduler.TakeObservations()
+	return s.scheduler.TakeObservations(monotonicNow())
 }
 
 // Urgent reports whether an observation should be sent to the other hosts at once.
@@ -361,7 +401,9 @@
 		if s.dispatcher != nil {
 			s.dispatcher.SetPeriodicProbes(regularProbes)
 		}
-		return d.Tick(now)
+		actions := d.Tick(now)
+		s.pausing.Store(s.scheduler != nil && s.scheduler.Pausing())
+		return actions
 	})
 }
 
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/retry"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
 )
 
@@ -31,16 +33,30 @@
 	// FloorUnserved counts the requests that were sent to maintain the floor and not served, which the
 	// other counts do not include.
 	FloorUnserved int
+	// Retries is the host's report on the retry budget.
+	Retries retry.Report
+}
+
+// LeavingTarget tells that a target process stated in a response that it is leaving.
+type LeavingTarget struct {
+	Service        ident.ServiceName
+	Target         ident.TargetID
+	StartUnixMilli int64
+	// Age is the time since the first known response that stated it.
+	Age time.Duration
 }
 
 // Observations holds a host's observations since its last message.
 type Observations struct {
 	Targets  []TargetObservation
 	Services []ServiceOutcomes
+	Leaving  []LeavingTarget
 }
 
 // Empty reports whether there are no observations.
-func (o Observations) Empty() bool { return len(o.Targets) == 0 && len(o.Services) == 0 }
+func (o Observations) Empty() bool {
+	return len(o.Targets) == 0 && len(o.Services) == 0 && len(o.Leaving) == 0
+}
 
 // AddServices adds the counts of a later message of the same host.
 func (o *Observations) AddServices(later []ServiceOutcomes) {
@@ -53,6 +69,9 @@
 		o.Services[i].Ended += s.Ended
 		o.Services[i].Unserved += s.Unserved
 		o.Services[i].FloorUnserved += s.FloorUnserved
+		o.Services[i].Retries.Own.Requests += s.Retries.Own.Requests
+		o.Services[i].Retries.Own.Retries += s.Retries.Own.Retries
+		o.Services[i].Retries.Fleet = s.Retries.Fleet
 	}
 }
 
