peer: messages with the history of retries fit into datagrams

Fleet.send rejects what exceeds 1,200, and SendObservations dropped the parts after it as well, among them what other hosts have to hear of leaving targets.

Cause: the outcomes of a service counted like one observation of a target, but take up to 111 bytes with the history.

Change: a service counts as two observations, an empty history takes no bytes, and a part that cannot be sent does not keep the others back.

Evidence: TestObservationsWithRetriesFitIntoDatagram failed before (1,785 bytes) and passes.

--- a/internal/adapter/peer/convert_retries.go
+++ b/internal/adapter/peer/convert_retries.go
@@ -9,8 +9,12 @@
 // does not block retries beyond the window of the budget.
 const maxUsage = 1 << 20
 
+// setRetries encodes a report on retries. An empty history takes no bytes.
 func setRetries(pb *peerpb.ServiceOutcomes, r retry.Report) {
 	pb.Requests, pb.Retries = uint32(r.Own.Requests), uint32(r.Own.Retries)
+	if r.Fleet == (retry.History{}) {
+		return
+	}
 	for _, u := range r.Fleet {
 		pb.FleetRequests = append(pb.FleetRequests, uint32(u.Requests))
 		pb.FleetRetries = append(pb.FleetRetries, uint32(u.Retries))
--- a/internal/adapter/peer/fleet.go
+++ b/internal/adapter/peer/fleet.go
@@ -81,18 +81,24 @@
 // a datagram.
 const observationsPerMessage = 16
 
-// leavingTargetWeight is the number of observations that a leaving target replaces, which
-// takes more bytes.
-const leavingTargetWeight = 2
+// leavingTargetWeight and serviceWeight are the numbers of observations that a leaving target
+// and the outcomes of a service replace, which take more bytes.
+const (
+	leavingTargetWeight = 2
+	serviceWeight       = 2
+)
 
-// SendObservations implements port.Fleet.
+// SendObservations implements port.Fleet. A part that cannot be sent does not keep the others
+// back.
 func (f *Fleet) SendObservations(address string, o port.Observations) error {
+	var firstErr error
 	for _, part := range splitObservations(o) {
-		if err := f.send(address, &peerpb.FleetMessage{Observations: toObservations(part)}); err != nil {
-			return err
+		err := f.send(address, &peerpb.FleetMessage{Observations: toObservations(part)})
+		if firstErr == nil {
+			firstErr = err
 		}
 	}
-	return nil
+	return firstErr
 }
 
 // splitObservations splits observations into parts that fit into a datagram.
@@ -100,8 +106,10 @@
 	var parts []port.Observations
 	for !o.Empty() {
 		targets := min(len(o.Targets), observationsPerMessage)
-		services := min(len(o.Services), observationsPerMessage-targets)
-		leaving := min(len(o.Leaving), (observationsPerMessage-targets-services)/leavingTargetWeight)
+		left := observationsPerMessage - targets
+		services := min(len(o.Services), left/serviceWeight)
+		left -= serviceWeight * services
+		leaving := min(len(o.Leaving), left/leavingTargetWeight)
 		parts = append(parts, port.Observations{Targets: o.Targets[:targets], Services: o.Services[:services], Leaving: o.Leaving[:leaving]})
 		o.Targets, o.Services, o.Leaving = o.Targets[targets:], o.Services[services:], o.Leaving[leaving:]
 	}
--- a/internal/adapter/peer/retries_test.go
+++ b/internal/adapter/peer/retries_test.go
@@ -1,11 +1,16 @@
 package peer
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/retry"
 	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
 // TestRetryReports guards against reports on retries that arrive changed, and against malformed ones that
@@ -29,3 +34,22 @@
 		t.Errorf("a malformed report gives %+v", malformed)
 	}
 }
+
+// TestObservationsWithRetriesFitIntoDatagram guards against parts of observations that are too long for a datagram
+// because of the history of retries, and are rejected.
+func TestObservationsWithRetriesFitIntoDatagram(t *testing.T) {
+	var o port.Observations
+	for i := range 16 {
+		s := port.ServiceOutcomes{Service: ident.ServiceName(fmt.Sprint("service-", i)), Ended: 300, Unserved: 10}
+		s.Retries.Own = retry.Usage{Requests: 300, Retries: 3}
+		for j := range s.Retries.Fleet {
+			s.Retries.Fleet[j] = retry.Usage{Requests: 900, Retries: 130}
+		}
+		o.Services = append(o.Services, s)
+	}
+	for i, part := range splitObservations(o) {
+		if size := proto.Size(&peerpb.FleetMessage{Observations: toObservations(part)}); size > MaxDatagramBytes {
+			t.Errorf("part %d with %d services has %d bytes, a datagram %d", i, len(part.Services), size, MaxDatagramBytes)
+		}
+	}
+}
