retry: a message without a report on retries is no history

It counted as the first report of that host, whose history was never applied then. A host that takes over in a service with more than 16 targets therefore did not learn what was used of the fleet's budget.

Change: an empty report is ignored.

Evidence: TestObservationsWithoutRetriesAreNoHistory failed before (10 retries left though all were used) and passes.

--- a/internal/core/retry/shared.go
+++ b/internal/core/retry/shared.go
@@ -92,6 +92,10 @@
 // completes what it knows of the time before with what each other one knows when it is first
 // heard of. Later reports would return what this host told that one.
 func (b *SharedBudget) Observe(now time.Time, from ident.HostID, r Report) {
+	if r == (Report{}) {
+		// Not every message has a report.
+		return
+	}
 	b.start(now)
 	b.fleet.used.add(now, r.Own)
 	if now.Sub(b.startedAt) < b.span && !b.heard[from] {
