retry: a window whose length changes starts again

Change: a change of the length forgets what was counted.

Evidence: TestLongerWindowExpires fails without the change and passes.

--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -37,9 +37,13 @@
 	total Usage
 }
 
-// setSpan sets the length of the span.
+// setSpan sets the length of the span. A change of it forgets what was counted, since the
+// buckets have another length.
 func (w *usageWindow) setSpan(span time.Duration) {
-	w.bucketLength = max(time.Millisecond, span/windowBuckets)
+	length := max(time.Millisecond, span/windowBuckets)
+	if length != w.bucketLength {
+		*w = usageWindow{bucketLength: length}
+	}
 }
 
 // add counts requests and retries.
--- a/internal/core/retry/window_test.go
+++ b/internal/core/retry/window_test.go
@@ -64,3 +64,16 @@
 		t.Error("no retry allowed 11 s later")
 	}
 }
+
+// TestLongerWindowExpires guards against retries that remain blocked after the length of the span was changed.
+func TestLongerWindowExpires(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	w := NewWindowBudget()
+	w.Configure(time.Second, 0, 1)
+	w.Take(now)
+	w.Configure(10*time.Second, 0, 1)
+	w.Take(now)
+	if !w.Take(now.Add(11 * time.Second)) {
+		t.Error("no retry allowed 11 s later")
+	}
+}
