schedule: a request whose attempt was withdrawn does not wait for a permit

Cause: it counted as sent, since the number of its attempts includes those that were withdrawn before their first byte.

Evidence: TestWithdrawnRequestDoesNotWaitForPermit failed before and passes.

--- a/internal/core/schedule/pause.go
+++ b/internal/core/schedule/pause.go
@@ -183,7 +183,7 @@
 // neverStarts reports whether a waiting request would miss its deadline before it can be
 // sent. One that has been sent before waits for a permit, but not for the end of a pause.
 func (s *Scheduler) neverStarts(now time.Time, r *request, ahead int) bool {
-	if r.attempts > 0 && (!s.Pausing() || s.anyUsable(now)) {
+	if r.attempts > r.withdrawnAttempts && (!s.Pausing() || s.anyUsable(now)) {
 		return false
 	}
 	return r.deadlineTooShort(now, s.startWait(now, r, ahead))
--- a/internal/core/schedule/pause_test.go
+++ b/internal/core/schedule/pause_test.go
@@ -363,3 +363,20 @@
 		t.Errorf("ended with %+v, want a refusal with the end of the pause", end)
 	}
 }
+
+// TestWithdrawnRequestDoesNotWaitForPermit guards against a request that was never sent and waits until its deadline
+// for a permit.
+func TestWithdrawnRequestDoesNotWaitForPermit(t *testing.T) {
+	f := newFixture(t, config(hostZone, hostZone))
+	r := f.arrive("order")
+	paused := f.runningTarget(r)
+	other := map[ident.TargetID]ident.TargetID{"t0": "t1", "t1": "t0"}[paused]
+	f.stateRate(other, "0.01")
+	f.askPause(r, 20*time.Second)
+	f.finish(r, dispatch.Result{Kind: attempt.Withdrawn, NotSent: true})
+	next := f.arrive("order")
+	f.advance(10 * time.Millisecond)
+	if f.ends[next] == nil || f.ends[r] == nil {
+		t.Errorf("a withdrawn request ended: %v, one that arrived after it: %v", f.ends[r] != nil, f.ends[next] != nil)
+	}
+}
