schedule: a pause holds for a process that is registered after it asked

The pause was recorded for the previous process and lost when the new one was registered: 8 requests reached it 0.6 s after its 503.

Cause: an attempt knows the process that was registered when it started.

Change: a process that is registered with a start time before the response that asked for the pause gets the pause of the previous process under its ID. A response that arrives after the registration stays with the process that the attempt was sent to. Statements to be leaving are not handed on: they last for the life of a process, so that one of the predecessor, whose clock may differ from ours, would lose the new process for good.

--- a/internal/core/schedule/pause.go
+++ b/internal/core/schedule/pause.go
@@ -53,7 +53,7 @@
 	if !until.After(before) {
 		return
 	}
-	st.pausedUntil = until
+	st.pausedUntil, st.pauseHeardAt = until, now
 	starts := !now.Before(before)
 	if starts {
 		st.pausedSince = now
@@ -66,6 +66,18 @@
 	}
 }
 
+// inheritPause applies a pause to a target whose process has just been registered, but had been
+// started when the pause was asked for. Until then it counts for the previous process under
+// the ID.
+func (s *Scheduler) inheritPause(now time.Time, t *target) {
+	for _, st := range s.pauses {
+		if st.process.Target == t.ID && st != t.process && st.pauseHeardAt.UnixMilli() >= t.StartUnixMilli && now.Before(st.pausedUntil) {
+			s.pause(now, s.processes.hear(now, t.processID()), st.pausedUntil)
+			return
+		}
+	}
+}
+
 // pauseStatus is the only response status that pauses a target.
 const pauseStatus = 503
 
--- a/internal/core/schedule/process.go
+++ b/internal/core/schedule/process.go
@@ -32,8 +32,8 @@
 	// configured is set while the configuration contains the process.
 	configured bool
 	// pausedUntil is the end of the latest pause that the process asked for, pausedSince its
-	// start.
-	pausedSince, pausedUntil time.Time
+	// start, and pauseHeardAt the time of the response that set its end.
+	pausedSince, pausedUntil, pauseHeardAt time.Time
 	// formerSince is the time of the removal, or of the first statement of a process that
 	// was not in the configuration by then.
 	formerSince time.Time
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -266,7 +266,8 @@
 	states := s.processes.configure(now, configuredProcesses(s.cfg.Targets))
 	for i, tc := range s.cfg.Targets {
 		t := old[tc.ID]
-		if t == nil || t.StartUnixMilli != tc.StartUnixMilli {
+		isNew := t == nil || t.StartUnixMilli != tc.StartUnixMilli
+		if isNew {
 			t = &target{belief: gray.NewBelief(now, s.model), limit: limit.NewAdaptive(now, tc.Slots), addedAt: now, joined: s.anyResponse, affinity: affinity(s.self.Host, tc.ID)}
 		}
 		t.Target = tc
@@ -275,6 +276,9 @@
 		t.limit.SetSlots(now, tc.Slots)
 		s.targets[tc.ID] = t
 		s.order = append(s.order, t)
+		if isNew {
+			s.inheritPause(now, t)
+		}
 	}
 }
 
