--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,7 +40,7 @@
 	t.Helper()
 	// The logs are kept after a failure, so they are not in the directory of the test.
 	logs := filepath.Join(os.TempDir(), fmt.Sprintf("sapphirehaven-soak-test-%d", os.Getpid()), fmt.Sprintf("%s-%d", t.Name(), seed))
-	return Config{Seed: seed, Duration: 8 * time.Second, Hosts: 3, Targets: 6, Callers: 12, BinaryDir: binaryDir, LogDir: logs}
+	return Config{Seed: seed, Duration: 8 * time.Second, Hosts: 3, Targets: 6, Callers: 12, BinaryDir: binaryDir, LogDir: logs, TargetNotices: true}
 }
 
 func runSeed(t *testing.T, cfg Config) {
