--- a/internal/core/schedule/pause_fleet_test.go
+++ b/internal/core/schedule/pause_fleet_test.go
@@ -252,6 +252,7 @@
 // that waited for a connection, with entries that lapse and return, processes that restart
 // and rates that are stated meanwhile.
 func TestFewRequestsReachPausingTarget(t *testing.T) {
+	t.Parallel()
 	var sent, withdrawn, rejected, served, refused int
 	for seed := range uint64(30) {
 		p := runPauseProperty(seed)
--- a/internal/core/schedule/pause_telling_test.go
+++ b/internal/core/schedule/pause_telling_test.go
@@ -174,6 +174,7 @@
 // Where a target pauses for some hosts only, the others must not lose it: callers would get
 // fewer answers.
 func TestTellingOfPauses(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{36, 293} {
 		for _, hostShare := range []float64{1, 0.3} {
 			for _, load := range []float64{0.4, 0.7} {
