app: hold requests back after a stall until signals are handled

What callers saw: requests that were passed on after the end of a stall, late in the grace period, and cut by SIGKILL.

Cause: SIGTERM and requests arrive while the process does not run. When it runs again, the requests are passed on in the 2 to 4 ms before the handler of the signal gets processor time (log of the host: attempts, then "signal received", host_draining with stalled_ms=4092). A stop that was handled more than two checks after the stall was also taken for a new one.

Ruled out: the check for stalls alone.

Change: a request waits before it is passed on while the process has just been stalled, until 20 ms after the first check, or until the host knows of its stop; 200 ms at most. A stop that is handled within a second after a stall counts from before the stall. Two cases of TestStopSince expected a shorter memory and are replaced: the start of the stop is 50 ms earlier in one, and the stall lies 1 s instead of 110 ms before the signal in the other; a case with four checks between stall and signal is new.

--- a/internal/adapter/ingress/drain.go
+++ b/internal/adapter/ingress/drain.go
@@ -117,6 +117,9 @@
 
 // admitted reports whether the request may be passed on to a target now.
 func (q *request) admitted() bool {
+	if await := q.server.cfg.AwaitSignals; await != nil {
+		await()
+	}
 	return !q.server.drain.draining() || q.server.drain.admits(time.Now(), q.timing())
 }
 
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -52,6 +52,9 @@
 	// InitialConfigWait is how long a request waits for the first configuration
 	// after the start of the host; default 0.
 	InitialConfigWait time.Duration
+	// AwaitSignals, if set, waits until the process has handled the signals that arrived before now, such as
+	// that to stop. It is called before a request is passed on.
+	AwaitSignals func()
 	// WriteTimeout is the time within which a caller must accept 64 KiB of its
 	// response; default 30 s.
 	WriteTimeout time.Duration
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -80,6 +80,7 @@
 	generation     uint64
 	retryAllowance float64
 	draining       atomic.Bool
+	signals        signalGate
 	// activatedAt is the time at which the active configuration took effect, in microseconds since the
 	// Unix epoch, or 0 before the first configuration.
 	activatedAt atomic.Int64
@@ -129,6 +130,7 @@
 		Dialect:           settings.Dialect,
 		InitialConfigWait: initialConfigWait,
 		Log:               g.requests,
+		AwaitSignals:      g.signals.await,
 	})
 	metrics.RegisterSet(g.ingress.Metrics())
 	g.admin = admin.New(g, &platformDocuments{g}, "")
@@ -177,7 +179,7 @@
 	} {
 		running.Go(func() { recovery.Loop(background, g.log, task.name, task.run) })
 	}
-	since, err := awaitStop(ctx, listeners.serve())
+	since, err := awaitStop(ctx, listeners.serve(), &g.signals)
 	g.shutDown(since)
 	stop()
 	listeners.close()
--- a/internal/app/gateway_callers.go
+++ b/internal/app/gateway_callers.go
@@ -74,6 +74,7 @@
 	deadline := started.Add(period)
 	g.draining.Store(true)
 	g.ingress.Drain(since.Add(period - responseMargin))
+	g.signals.open()
 	g.announceLeaving()
 	g.timeline.Record(event.HostDraining, event.F("in_flight", g.ingress.InFlight()), event.F("stalled_ms", started.Sub(since).Milliseconds()))
 	reason := g.awaitCallersLeaving(started)
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -52,6 +52,7 @@
 	ingress      *ingress.Server
 	admin        *admin.Server
 	draining     atomic.Bool
+	signals      signalGate
 	// activatedAt is the time at which the active configuration took effect, in microseconds since the
 	// Unix epoch, or 0 before the first configuration.
 	activatedAt atomic.Int64
@@ -91,6 +92,7 @@
 		Tickets:       h.tickets,
 		CallerAddress: settings.CallerAdvertise,
 		Recorder:      h.timeline,
+		AwaitSignals:  h.signals.await,
 	})
 	metrics.RegisterSet(h.ingress.Metrics())
 	h.admin = admin.New(h, &documents{follower: h.follower, writer: h.writer}, settings.AdminToken)
@@ -189,7 +191,7 @@
 			run(background)
 		}()
 	}
-	since, err := awaitStop(ctx, listeners.serve())
+	since, err := awaitStop(ctx, listeners.serve(), &h.signals)
 	h.shutDown(listeners, since)
 	stop()
 	running.Wait()
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -89,6 +89,7 @@
 	started := time.Now()
 	h.draining.Store(true)
 	h.ingress.Drain(since.Add(h.settings.DrainLimit - responseMargin))
+	h.signals.open()
 	h.membership.announceLeaving()
 	h.timeline.Record(event.HostDraining, event.F("in_flight", h.ingress.InFlight()), event.F("stalled_ms", started.Sub(since).Milliseconds()))
 	time.Sleep(min(h.settings.AddressMaxAge+departurePropagationTime, h.settings.DrainLimit))
--- a/internal/app/stop_test.go
+++ b/internal/app/stop_test.go
@@ -19,8 +19,9 @@
 		{"no stall", []int{50, 100, 150}, 199, 199},
 		{"late checks", []int{50, 130, 210}, 300, 300},
 		{"stall until the signal", []int{50, 100}, 4100, 50},
-		{"check after the stall", []int{50, 100, 4100}, 4110, 100},
-		{"stall long before the signal", []int{50, 4050, 4100, 4150}, 4160, 4160},
+		{"check after the stall", []int{50, 100, 4100}, 4110, 50},
+		{"checks after the stall", []int{50, 100, 4100, 4150, 4200, 4250}, 4290, 50},
+		{"stall long before the signal", []int{50, 4050, 4200, 4350, 4500, 4650, 4800, 4950, 5050}, 5060, 5060},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			watch := stallWatch{last: start, beforeLast: start}
--- a/internal/systemtest/signals_test.go
+++ b/internal/systemtest/signals_test.go
@@ -80,6 +80,9 @@
 		h.signal(syscall.SIGKILL)
 	}
 	d.target.checkNoneLost(t, callers.wait(), signaledAt)
+	if t.Failed() {
+		t.Logf("the signal was sent at %s; log of the host:\n%s", signaledAt.UTC().Format(time.RFC3339Nano), h.out)
+	}
 }
 
 // TestSignalsWhileStarting guards against a host that is ended by a signal that arrives before it
