--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -290,7 +290,7 @@
 func (k *keptConn) readAnswer(c *call, leaves bool) bool {
 	res, err := http.ReadResponse(k.br, nil)
 	if err != nil && strings.Contains(err.Error(), "malformed") {
-		k.recorder.addBreach(*c.breach("MIXED", time.Now(), "bytes that are no answer: %v", err))
+		k.recorder.addBreach(*c.breach(ruleAnswer, time.Now(), "bytes that are no answer: %v", err))
 	}
 	var body []byte
 	if err == nil {
@@ -310,7 +310,7 @@
 	signed := res.Header.Get(platformtest.SignatureHeader)
 	c.signed = signed != ""
 	if wrong := c.verify(res.StatusCode, res.Header.Get(platform.Dialect().RequestID), signed, body); wrong != "" {
-		k.recorder.addBreach(*c.breach("MIXED", c.endedAt, "%s", wrong))
+		k.recorder.addBreach(*c.breach(ruleAnswer, c.endedAt, "%s", wrong))
 	}
 	k.served = true
 	return !res.Close
@@ -329,7 +329,7 @@
 	_ = k.conn.SetReadDeadline(time.Now().Add(callerPatience))
 	res, err := http.ReadResponse(k.br, nil)
 	if err != nil || res.StatusCode < 400 {
-		k.recorder.addBreach(breach{"MIXED", time.Now(), "", fmt.Sprintf("host %d sent bytes while no request was waiting: %v, %v", k.host+1, res, err)})
+		k.recorder.addBreach(breach{ruleAnswer, time.Now(), "", fmt.Sprintf("host %d sent bytes while no request was waiting: %v, %v", k.host+1, res, err)})
 	}
 	return false
 }
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -47,9 +47,9 @@
 	return found
 }
 
-func (c *call) breach(rule string, at time.Time, format string, args ...any) *breach {
+func (c *call) breach(broken rule, at time.Time, format string, args ...any) *breach {
 	text := fmt.Sprintf(format, args...)
-	return &breach{rule, at, c.id, fmt.Sprintf("%s %s at host %d: %s", c.method, c.path, c.host+1, text)}
+	return &breach{broken, at, c.id, fmt.Sprintf("%s %s at host %d: %s", c.method, c.path, c.host+1, text)}
 }
 
 // checkTwice requires that a non-idempotent request runs once at most.
@@ -63,7 +63,7 @@
 	if c.idempotent || len(executed) < 2 {
 		return nil
 	}
-	return c.breach("TWICE", executed[1].at, "ran at %s and again at %s", executed[0].target, executed[1].target)
+	return c.breach(ruleTwice, executed[1].at, "ran at %s and again at %s", executed[0].target, executed[1].target)
 }
 
 // promisesNotRun reports whether a status promises that the request has not run and never will.
@@ -77,7 +77,7 @@
 	}
 	for _, r := range e.runs[c.id] {
 		if r.executed() {
-			return c.breach("REFUSED", r.at, "answered with %d and ran at %s, %s after the answer", c.status, r.target, r.at.Sub(c.endedAt))
+			return c.breach(ruleRefused, r.at, "answered with %d and ran at %s, %s after the answer", c.status, r.target, r.at.Sub(c.endedAt))
 		}
 	}
 	return nil
@@ -93,9 +93,9 @@
 	case stopped && e.finishesTooLate(c, signaledAt):
 		return nil
 	case stopped:
-		return c.breach("LOST", c.endedAt, "%s %s after SIGTERM, sent %s after it, passed on to %d targets", endingNames[c.ending], c.endedAt.Sub(signaledAt), c.sentAt.Sub(signaledAt), len(e.runs[c.id]))
+		return c.breach(ruleLost, c.endedAt, "%s %s after SIGTERM, sent %s after it, passed on to %d targets", endingNames[c.ending], c.endedAt.Sub(signaledAt), c.sentAt.Sub(signaledAt), len(e.runs[c.id]))
 	case e.hangupCovers(c):
-		return c.breach("LOST", c.endedAt, "%s around a SIGHUP, passed on to %d targets", endingNames[c.ending], len(e.runs[c.id]))
+		return c.breach(ruleLost, c.endedAt, "%s around a SIGHUP, passed on to %d targets", endingNames[c.ending], len(e.runs[c.id]))
 	}
 	return nil
 }
@@ -121,11 +121,11 @@
 // broke off, or the host, its links or the target had an unplanned fault.
 func (e *evidence) excusesLoss(c *call) bool {
 	from := c.startedAt.Add(-stabilityWindow)
-	if !c.endedAt.Before(c.startedAt.Add(c.timeout)) || e.impaired(c.host, from, c.endedAt) {
+	if !c.endedAt.Before(c.startedAt.Add(c.timeout)) || e.disrupted(c.host, from, c.endedAt) {
 		return true
 	}
 	return slices.ContainsFunc(e.runs[c.id], func(r run) bool {
-		return r.progress == brokeOff || e.placeImpaired(r.place, from, c.endedAt)
+		return r.progress == brokeOff || e.placeDisrupted(r.place, from, c.endedAt)
 	})
 }
 
@@ -150,7 +150,7 @@
 	for _, c := range e.calls {
 		lost := c.kept && c.ending != answered && len(e.runs[c.id]) > 0 && e.lost(&c, false)
 		if lost && e.inTouch(c.host, c.startedAt) && e.inTouch(c.host, c.endedAt) && !e.excusesLoss(&c) {
-			cut = append(cut, c.breach("LOST", c.endedAt, "%s at a host in touch", endingNames[c.ending]))
+			cut = append(cut, c.breach(ruleLost, c.endedAt, "%s at a host in touch", endingNames[c.ending]))
 		}
 	}
 	if len(cut) <= maxLostInTouch {
@@ -163,23 +163,23 @@
 }
 
 func (e *evidence) checkRun(r *run, c *call, known bool) (found []breach) {
-	add := func(rule, format string, args ...any) {
-		found = append(found, breach{rule, r.at, r.id, fmt.Sprintf("%s %s at target %s: %s", r.method, r.path, r.target, fmt.Sprintf(format, args...))})
+	add := func(broken rule, format string, args ...any) {
+		found = append(found, breach{broken, r.at, r.id, fmt.Sprintf("%s %s at target %s: %s", r.method, r.path, r.target, fmt.Sprintf(format, args...))})
 	}
 	switch {
 	case !known:
-		add("UNASKED", "no caller sent a request with this ID")
+		add(ruleUnknown, "no caller sent a request with this ID")
 	case r.request != c.request:
-		add("UNASKED", "differs from the caller's request %s %s (%s instead of %s)", c.method, c.path, r.bodySum, c.bodySum)
+		add(ruleUnknown, "differs from the caller's request %s %s (%s instead of %s)", c.method, c.path, r.bodySum, c.bodySum)
 	}
 	if !known {
 		return found
 	}
 	if r.executed() && !e.everAllowed(r) {
-		add("ROUTE", "no configuration sends this path to service %s", r.service)
+		add(ruleService, "no configuration sends this path to service %s", r.service)
 	}
 	if late, ok := e.afterDrain(r, c); ok {
-		add("DRAIN", "arrived through host %d %s after the store acknowledged that the target leaves", c.host+1, late)
+		add(ruleDrain, "arrived through host %d %s after the store acknowledged that the target leaves", c.host+1, late)
 	}
 	return found
 }
@@ -198,7 +198,7 @@
 		if late = r.at.Sub(d.ackedAt); d.target != r.target || late <= drain {
 			continue
 		}
-		heldUp := e.placeImpaired(r.place, r.at.Add(-stabilityWindow), r.at)
+		heldUp := e.placeDisrupted(r.place, r.at.Add(-stabilityWindow), r.at)
 		return late, e.coreStable(d.ackedAt) && e.inTouch(c.host, r.at) && !heldUp
 	}
 	return 0, false
@@ -253,7 +253,7 @@
 	for _, h := range e.handlings(c) {
 		if !slices.ContainsFunc(e.versions[due:], func(v version) bool { return h.allowedBy(&v, c.path) }) {
 			v := e.versions[due]
-			return c.breach("CONFIG", c.startedAt, "handled by service %q, but version %d with %q was acknowledged %s before", h.service, v.number, v.handling(c.path), c.startedAt.Sub(v.ackedAt))
+			return c.breach(ruleConfiguration, c.startedAt, "handled by service %q, but version %d with %q was acknowledged %s before", h.service, v.number, v.handling(c.path), c.startedAt.Sub(v.ackedAt))
 		}
 	}
 	return nil
@@ -294,7 +294,7 @@
 type process struct{ host, life int }
 
 // life returns the number of starts of a host until a time.
-func (l impairments) life(host int, at time.Time) (starts int) {
+func (l disruptions) life(host int, at time.Time) (starts int) {
 	for n := range l {
 		if l[n].cause == started && l[n].host == host && !l[n].start.After(at) {
 			starts++
@@ -315,14 +315,14 @@
 		slices.SortFunc(effects, func(a, b effect) int { return a.c.startedAt.Compare(b.c.startedAt) })
 		for _, f := range effects {
 			slack := rollbackSlack
-			if e.impaired(f.c.host, f.c.startedAt.Add(-stabilityWindow), f.seenAt) {
+			if e.disrupted(f.c.host, f.c.startedAt.Add(-stabilityWindow), f.seenAt) {
 				slack *= slowedSlackFactor
 			}
 			for ; next < len(bySeen) && bySeen[next].seenAt.Before(f.c.startedAt.Add(-slack)); next++ {
 				newest = max(newest, bySeen[next].oldest)
 			}
 			if f.youngest < newest {
-				found = append(found, *f.c.breach("CONFIG", f.c.startedAt, "handled as version %d allows, after version %d had an effect", e.versions[f.youngest].number, e.versions[newest].number))
+				found = append(found, *f.c.breach(ruleConfiguration, f.c.startedAt, "handled as version %d allows, after version %d had an effect", e.versions[f.youngest].number, e.versions[newest].number))
 			}
 		}
 	}
@@ -351,7 +351,7 @@
 	if sent >= minRecoverySample && float64(served) >= minServedShare*float64(sent) {
 		return nil
 	}
-	return []breach{{"RECOVER", end, "", fmt.Sprintf("%d of %d requests were served from %s after the last fault on", served, sent, recovery)}}
+	return []breach{{ruleRecovery, end, "", fmt.Sprintf("%d of %d requests were served from %s after the last fault on", served, sent, recovery)}}
 }
 
 // summary counts the calls by ending and status.
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -45,9 +45,9 @@
 }
 
 // wantRules compares the rules that are broken.
-func wantRules(t *testing.T, e *evidence, want ...string) {
+func wantRules(t *testing.T, e *evidence, want ...rule) {
 	t.Helper()
-	var got []string
+	var got []rule
 	for _, b := range e.check(at(60_000)) {
 		got = append(got, b.rule)
 	}
@@ -76,19 +76,19 @@
 	unknown.runs["id-2"] = []run{other(func(n *run) { n.id = "id-2" })}
 	for name, test := range map[string]struct {
 		e    *evidence
-		want []string
+		want []rule
 	}{
 		"served":                 {testEvidence(c, r), nil},
-		"twice":                  {testEvidence(c, r, again), []string{"TWICE"}},
+		"twice":                  {testEvidence(c, r, again), []rule{ruleTwice}},
 		"twice, idempotent":      {testEvidence(idempotent, r, again), nil},
 		"second attempt refused": {testEvidence(c, other(func(n *run) { n.progress = rejected }), r), nil},
-		"refused and ran":        {testEvidence(refused, r), []string{"REFUSED"}},
-		"refused and ran later":  {testEvidence(refused, other(func(n *run) { n.at = at(14_000) })), []string{"REFUSED"}},
+		"refused and ran":        {testEvidence(refused, r), []rule{ruleRefused}},
+		"refused and ran later":  {testEvidence(refused, other(func(n *run) { n.at = at(14_000) })), []rule{ruleRefused}},
 		"refused":                {testEvidence(refused, other(func(n *run) { n.progress = rejected })), nil},
-		"unknown":                {unknown, []string{"UNASKED"}},
-		"path changed":           {testEvidence(c, other(func(n *run) { n.path = noticePath + "2" })), []string{"UNASKED"}},
-		"body changed":           {testEvidence(c, other(func(n *run) { n.bodySum = sum([]byte("x")) })), []string{"UNASKED"}},
-		"wrong service":          {testEvidence(c, other(func(n *run) { n.service = lookupService })), []string{"CONFIG", "ROUTE"}},
+		"unknown":                {unknown, []rule{ruleUnknown}},
+		"path changed":           {testEvidence(c, other(func(n *run) { n.path = noticePath + "2" })), []rule{ruleUnknown}},
+		"body changed":           {testEvidence(c, other(func(n *run) { n.bodySum = sum([]byte("x")) })), []rule{ruleUnknown}},
+		"wrong service":          {testEvidence(c, other(func(n *run) { n.service = lookupService })), []rule{ruleConfiguration, ruleService}},
 	} {
 		t.Run(name, func(t *testing.T) { wantRules(t, test.e, test.want...) })
 	}
@@ -97,40 +97,40 @@
 // TestLost guards against a check that misses a request that a planned stop cuts, and against one that
 // blames the host for what others did.
 func TestLost(t *testing.T) {
-	stop := impairment{cause: planned, host: 0, place: none, start: at(9_500), end: at(12_000)}
-	hangup := impairment{cause: hangup, host: 0, place: none, start: at(9_500), end: at(9_500)}
+	stop := disruption{cause: planned, host: 0, place: none, start: at(9_500), end: at(12_000)}
+	hangup := disruption{cause: hangup, host: 0, place: none, start: at(9_500), end: at(9_500)}
 	cut := func(c *call, _ *run) { c.ending = closed }
 	for name, test := range map[string]struct {
 		change func(c *call, r *run)
-		done   impairments
-		want   []string
+		done   disruptions
+		want   []rule
 	}{
-		"closed":                    {cut, impairments{stop}, []string{"LOST"}},
-		"reset":                     {func(c *call, _ *run) { c.ending = reset }, impairments{stop}, []string{"LOST"}},
-		"partial":                   {func(c *call, _ *run) { c.ending = partial }, impairments{stop}, []string{"LOST"}},
-		"closed around a hangup":    {cut, impairments{hangup}, []string{"LOST"}},
+		"closed":                    {cut, disruptions{stop}, []rule{ruleLost}},
+		"reset":                     {func(c *call, _ *run) { c.ending = reset }, disruptions{stop}, []rule{ruleLost}},
+		"partial":                   {func(c *call, _ *run) { c.ending = partial }, disruptions{stop}, []rule{ruleLost}},
+		"closed around a hangup":    {cut, disruptions{hangup}, []rule{ruleLost}},
 		"closed once in touch":      {cut, nil, nil},
-		"abandoned by its caller":   {func(c *call, _ *run) { c.ending = abandoned }, impairments{stop}, nil},
-		"target broke off":          {func(c *call, r *run) { c.ending, r.progress = closed, brokeOff }, impairments{stop}, nil},
-		"time over":                 {func(c *call, _ *run) { c.ending, c.endedAt = closed, at(13_000) }, impairments{stop}, nil},
-		"own answer while at work":  {func(c *call, r *run) { c.signed, c.status, r.endedAt = false, 502, at(10_500) }, impairments{stop}, []string{"LOST"}},
-		"own answer after the end":  {func(c *call, r *run) { c.signed, c.status, r.endedAt = false, 502, at(10_040) }, impairments{stop}, nil},
-		"stop of another host":      {cut, impairments{{cause: planned, host: 1, place: none, start: at(9_500)}}, nil},
-		"stop long before":          {cut, impairments{{cause: planned, host: 0, place: none, start: at(3_000), end: at(5_000)}}, nil},
-		"fault of the host":         {cut, impairments{stop, {cause: unplanned, host: 0, place: none, start: at(6_500), end: at(7_000)}}, nil},
-		"earlier fault of the host": {cut, impairments{stop, {cause: unplanned, host: 0, place: none, start: at(5_000), end: at(5_900)}}, []string{"LOST"}},
-		"fault of another host":     {cut, impairments{stop, {cause: unplanned, host: 1, place: none, start: at(9_900)}}, []string{"LOST"}},
-		"fault of its target":       {cut, impairments{stop, {cause: unplanned, host: none, place: 0, start: at(9_900)}}, nil},
-		"fault of another target":   {cut, impairments{stop, {cause: unplanned, host: none, place: 3, start: at(9_900)}}, []string{"LOST"}},
-		"host kept from the store":  {cut, impairments{stop, {cause: storeReachFault, host: 0, place: none, start: at(9_900)}}, []string{"LOST"}},
-		"fault of the store":        {cut, impairments{stop, {cause: storeFault, host: none, place: none, start: at(9_900)}}, []string{"LOST"}},
+		"abandoned by its caller":   {func(c *call, _ *run) { c.ending = abandoned }, disruptions{stop}, nil},
+		"target broke off":          {func(c *call, r *run) { c.ending, r.progress = closed, brokeOff }, disruptions{stop}, nil},
+		"time over":                 {func(c *call, _ *run) { c.ending, c.endedAt = closed, at(13_000) }, disruptions{stop}, nil},
+		"own answer while at work":  {func(c *call, r *run) { c.signed, c.status, r.endedAt = false, 502, at(10_500) }, disruptions{stop}, []rule{ruleLost}},
+		"own answer after the end":  {func(c *call, r *run) { c.signed, c.status, r.endedAt = false, 502, at(10_040) }, disruptions{stop}, nil},
+		"stop of another host":      {cut, disruptions{{cause: planned, host: 1, place: none, start: at(9_500)}}, nil},
+		"stop long before":          {cut, disruptions{{cause: planned, host: 0, place: none, start: at(3_000), end: at(5_000)}}, nil},
+		"fault of the host":         {cut, disruptions{stop, {cause: unplanned, host: 0, place: none, start: at(6_500), end: at(7_000)}}, nil},
+		"earlier fault of the host": {cut, disruptions{stop, {cause: unplanned, host: 0, place: none, start: at(5_000), end: at(5_900)}}, []rule{ruleLost}},
+		"fault of another host":     {cut, disruptions{stop, {cause: unplanned, host: 1, place: none, start: at(9_900)}}, []rule{ruleLost}},
+		"fault of its target":       {cut, disruptions{stop, {cause: unplanned, host: none, place: 0, start: at(9_900)}}, nil},
+		"fault of another target":   {cut, disruptions{stop, {cause: unplanned, host: none, place: 3, start: at(9_900)}}, []rule{ruleLost}},
+		"host kept from the store":  {cut, disruptions{stop, {cause: storeReachFault, host: 0, place: none, start: at(9_900)}}, []rule{ruleLost}},
+		"fault of the store":        {cut, disruptions{stop, {cause: storeFault, host: none, place: none, start: at(9_900)}}, []rule{ruleLost}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := testCall()
 			r := testRun(c)
 			test.change(&c, &r)
 			e := testEvidence(c, r)
-			e.impairments = test.done
+			e.disruptions = test.done
 			wantRules(t, e, test.want...)
 		})
 	}
@@ -143,10 +143,10 @@
 		endedAt     time.Time
 		ending      ending
 		behindClose bool
-		want        []string
+		want        []rule
 	}{
 		"closed at once":         {at(10_100), closed, false, nil},
-		"closed later":           {at(10_300), closed, false, []string{"LOST"}},
+		"closed later":           {at(10_300), closed, false, []rule{ruleLost}},
 		"reset later":            {at(10_300), reset, false, nil},
 		"behind the last answer": {at(10_300), closed, true, nil},
 	} {
@@ -154,7 +154,7 @@
 			c := testCall()
 			c.endedAt, c.ending, c.behindClose = test.endedAt, test.ending, test.behindClose
 			e := testEvidence(c)
-			e.impairments = impairments{
+			e.disruptions = disruptions{
 				{cause: planned, host: 0, place: none, start: at(9_500), end: at(12_000)},
 				{cause: stalled, host: none, place: none, start: at(10_350), end: at(10_440)},
 			}
@@ -167,11 +167,11 @@
 func TestLostAtTheEnd(t *testing.T) {
 	for name, test := range map[string]struct {
 		sent, ended int
-		want        []string
+		want        []rule
 	}{
 		"sent early, cut in the last sixth":   {11_900, 14_700, nil},
-		"sent late, cut in the last sixth":    {13_200, 14_700, []string{"LOST"}},
-		"sent early, cut before":              {11_900, 14_000, []string{"LOST"}},
+		"sent late, cut in the last sixth":    {13_200, 14_700, []rule{ruleLost}},
+		"sent early, cut before":              {11_900, 14_000, []rule{ruleLost}},
 		"sent early, cut at the end of grace": {11_900, 14_800, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -180,7 +180,7 @@
 			r := testRun(c)
 			r.progress, r.endedAt = working, time.Time{}
 			e := testEvidence(c, r)
-			e.impairments = impairments{{cause: planned, host: 0, place: none, start: at(9_500)}}
+			e.disruptions = disruptions{{cause: planned, host: 0, place: none, start: at(9_500)}}
 			wantRules(t, e, test.want...)
 		})
 	}
@@ -188,7 +188,7 @@
 
 // TestLostInTouch guards against a check that misses requests that a host cuts without any reason.
 func TestLostInTouch(t *testing.T) {
-	for cuts, want := range map[int][]string{3: nil, 4: {"LOST"}} {
+	for cuts, want := range map[int][]rule{3: nil, 4: {ruleLost}} {
 		e := testEvidence(testCall())
 		for n := range cuts {
 			c := testCall()
@@ -196,7 +196,7 @@
 			e.calls[c.id], e.runs[c.id] = c, []run{testRun(c)}
 		}
 		wantRules(t, e, want...)
-		e.impairments = impairments{{cause: unplanned, host: 0, place: none, start: at(9_000), end: at(9_100)}}
+		e.disruptions = disruptions{{cause: unplanned, host: 0, place: none, start: at(9_000), end: at(9_100)}}
 		wantRules(t, e)
 	}
 }
@@ -207,27 +207,27 @@
 	for name, test := range map[string]struct {
 		ackedAt  int
 		progress progress
-		done     impairments
-		want     []string
+		done     disruptions
+		want     []rule
 	}{
 		"in time":                    {7_600, complete, nil, nil},
-		"late":                       {7_400, complete, nil, []string{"DRAIN"}},
-		"late, refused":              {7_400, rejected, nil, []string{"DRAIN"}},
+		"late":                       {7_400, complete, nil, []rule{ruleDrain}},
+		"late, refused":              {7_400, rejected, nil, []rule{ruleDrain}},
 		"late, for another instance": {7_400, rejectedInstance, nil, nil},
-		"host was frozen":            {7_400, complete, impairments{{cause: unplanned, host: 0, place: none, start: at(6_500), end: at(6_600)}}, nil},
-		"host was frozen long ago":   {7_400, complete, impairments{{cause: unplanned, host: 0, place: none, start: at(3_000), end: at(5_900)}}, []string{"DRAIN"}},
-		"other host was frozen":      {7_400, complete, impairments{{cause: unplanned, host: 1, place: none, start: at(6_500), end: at(6_600)}}, []string{"DRAIN"}},
-		"host kept from the store":   {7_400, complete, impairments{{cause: storeReachFault, host: 0, place: none, start: at(6_500), end: at(6_600)}}, nil},
-		"host got a hangup":          {7_400, complete, impairments{{cause: hangup, host: 0, place: none, start: at(6_500), end: at(6_600)}}, []string{"DRAIN"}},
-		"store was down":             {7_400, complete, impairments{{cause: storeFault, host: none, place: none, start: at(7_000), end: at(7_100)}}, nil},
-		"link was cut":               {7_400, complete, impairments{{cause: unplanned, host: none, place: 0, start: at(7_000), end: at(7_100)}}, nil},
+		"host was frozen":            {7_400, complete, disruptions{{cause: unplanned, host: 0, place: none, start: at(6_500), end: at(6_600)}}, nil},
+		"host was frozen long ago":   {7_400, complete, disruptions{{cause: unplanned, host: 0, place: none, start: at(3_000), end: at(5_900)}}, []rule{ruleDrain}},
+		"other host was frozen":      {7_400, complete, disruptions{{cause: unplanned, host: 1, place: none, start: at(6_500), end: at(6_600)}}, []rule{ruleDrain}},
+		"host kept from the store":   {7_400, complete, disruptions{{cause: storeReachFault, host: 0, place: none, start: at(6_500), end: at(6_600)}}, nil},
+		"host got a hangup":          {7_400, complete, disruptions{{cause: hangup, host: 0, place: none, start: at(6_500), end: at(6_600)}}, []rule{ruleDrain}},
+		"store was down":             {7_400, complete, disruptions{{cause: storeFault, host: none, place: none, start: at(7_000), end: at(7_100)}}, nil},
+		"link was cut":               {7_400, complete, disruptions{{cause: unplanned, host: none, place: 0, start: at(7_000), end: at(7_100)}}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := testCall()
 			r := testRun(c)
 			r.progress = test.progress
 			e := testEvidence(c, r)
-			e.departures, e.impairments = []departure{{"t-1", at(test.ackedAt)}}, test.done
+			e.departures, e.disruptions = []departure{{"t-1", at(test.ackedAt)}}, test.done
 			wantRules(t, e, test.want...)
 		})
 	}
@@ -250,17 +250,17 @@
 // TestConfigurationInForce guards against a check that misses a host with an old configuration.
 func TestConfigurationInForce(t *testing.T) {
 	wantRules(t, movedEvidence(7_400, movedServiceA))
-	wantRules(t, movedEvidence(7_600, movedServiceA), "CONFIG")
+	wantRules(t, movedEvidence(7_600, movedServiceA), ruleConfiguration)
 	wantRules(t, movedEvidence(7_600, movedServiceB))
 	slow := movedEvidence(7_600, movedServiceA)
-	slow.impairments = impairments{{cause: storeFault, host: none, place: none, start: at(4_000), end: at(4_100)}}
+	slow.disruptions = disruptions{{cause: storeFault, host: none, place: none, start: at(4_000), end: at(4_100)}}
 	wantRules(t, slow)
 	unacknowledged := movedEvidence(7_600, movedServiceA)
 	unacknowledged.versions[1].ackedAt = time.Time{}
 	wantRules(t, unacknowledged)
 	movedBack := movedEvidence(7_600, movedServiceA)
 	movedBack.versions = append(movedBack.versions, version{5, at(8_000), at(8_000), testServices()})
-	wantRules(t, movedBack, "CONFIG")
+	wantRules(t, movedBack, ruleConfiguration)
 	waiting := movedEvidence(7_600, movedServiceB)
 	unanswered := waiting.calls["id-1"]
 	unanswered.ending, unanswered.endedAt = pending, time.Time{}
@@ -270,23 +270,23 @@
 	c := missing.calls["id-1"]
 	c.status, c.signed = 404, false
 	missing.calls["id-1"], missing.runs = c, nil
-	wantRules(t, missing, "CONFIG")
+	wantRules(t, missing, ruleConfiguration)
 }
 
 // TestRegression guards against a check that misses a process that returns to an older configuration.
 func TestRegression(t *testing.T) {
 	for name, test := range map[string]struct {
 		newAt, oldAt int
-		done         impairments
-		want         []string
+		done         disruptions
+		want         []rule
 	}{
 		"new after old":     {5_400, 5_200, nil, nil},
 		"old within slack":  {5_200, 5_400, nil, nil},
-		"old after slack":   {5_200, 5_600, nil, []string{"CONFIG"}},
-		"old after a start": {5_200, 5_600, impairments{{cause: started, host: 0, place: none, start: at(5_300), end: at(5_400)}}, nil},
-		"old at another":    {5_200, 5_600, impairments{{cause: started, host: 1, place: none, start: at(5_300), end: at(5_400)}}, []string{"CONFIG"}},
-		"old while slow":    {5_200, 6_600, impairments{{cause: unplanned, host: 0, place: none, start: at(5_300), end: at(5_400)}}, nil},
-		"old after a fault": {5_200, 7_400, impairments{{cause: unplanned, host: 0, place: none, start: at(5_300), end: at(5_400)}}, []string{"CONFIG"}},
+		"old after slack":   {5_200, 5_600, nil, []rule{ruleConfiguration}},
+		"old after a start": {5_200, 5_600, disruptions{{cause: started, host: 0, place: none, start: at(5_300), end: at(5_400)}}, nil},
+		"old at another":    {5_200, 5_600, disruptions{{cause: started, host: 1, place: none, start: at(5_300), end: at(5_400)}}, []rule{ruleConfiguration}},
+		"old while slow":    {5_200, 6_600, disruptions{{cause: unplanned, host: 0, place: none, start: at(5_300), end: at(5_400)}}, nil},
+		"old after a fault": {5_200, 7_400, disruptions{{cause: unplanned, host: 0, place: none, start: at(5_300), end: at(5_400)}}, []rule{ruleConfiguration}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := movedEvidence(test.newAt, movedServiceB)
@@ -295,7 +295,7 @@
 			c.id = "id-2"
 			r := old.runs["id-1"][0]
 			r.id = "id-2"
-			e.calls["id-2"], e.runs["id-2"], e.impairments = c, []run{r}, test.done
+			e.calls["id-2"], e.runs["id-2"], e.disruptions = c, []run{r}, test.done
 			wantRules(t, e, test.want...)
 			// A version that is sent later allows nothing before.
 			e.versions = append(e.versions, version{5, at(9_000), at(9_000), testServices()})
@@ -309,11 +309,11 @@
 	for name, test := range map[string]struct {
 		requests  int
 		remaining time.Duration
-		want      []string
+		want      []rule
 	}{
 		"few":      {20, 0, nil},
-		"none":     {21, 0, []string{"BUDGET"}},
-		"longer":   {21, routeTimeout + 600*time.Millisecond, []string{"BUDGET"}},
+		"none":     {21, 0, []rule{ruleDeadline}},
+		"longer":   {21, routeTimeout + 600*time.Millisecond, []rule{ruleDeadline}},
 		"in slack": {21, routeTimeout + 400*time.Millisecond, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -334,12 +334,12 @@
 func TestOverdue(t *testing.T) {
 	for name, test := range map[string]struct {
 		overdue, late int
-		want          []string
+		want          []rule
 	}{
 		"few":          {7, 0, nil},
-		"many":         {8, 0, []string{"CONFIG"}},
+		"many":         {8, 0, []rule{ruleConfiguration}},
 		"a small part": {8, 24, nil},
-		"a part":       {8, 23, []string{"CONFIG"}},
+		"a part":       {8, 23, []rule{ruleConfiguration}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := testEvidence(testCall())
@@ -352,7 +352,7 @@
 				e.calls[c.id] = c
 			}
 			wantRules(t, e, test.want...)
-			e.impairments = impairments{{cause: unplanned, host: 0, place: none, start: at(9_000), end: at(9_100)}}
+			e.disruptions = disruptions{{cause: unplanned, host: 0, place: none, start: at(9_000), end: at(9_100)}}
 			wantRules(t, e)
 		})
 	}
@@ -374,20 +374,20 @@
 	add("at another host", 1, 12_700, false)
 	wantRules(t, e)
 	add("late", 0, 12_700, false)
-	wantRules(t, e, "LEAVING")
-	e.impairments = impairments{{cause: started, host: 0, place: none, start: at(11_000), end: at(11_100)}}
+	wantRules(t, e, ruleLeaving)
+	e.disruptions = disruptions{{cause: started, host: 0, place: none, start: at(11_000), end: at(11_100)}}
 	wantRules(t, e)
 	e.pauses = []requestedPause{{"t-1", at(9_900), at(12_500)}}
 	wantRules(t, e)
 	add("second in the pause", 0, 11_500, false)
 	wantRules(t, e)
 	add("third in the pause", 1, 12_000, false)
-	wantRules(t, e, "PAUSE")
+	wantRules(t, e, rulePause)
 }
 
 // TestRecovery guards against a check that accepts hosts that don't serve after the last fault.
 func TestRecovery(t *testing.T) {
-	for served, want := range map[int][]string{0: {"RECOVER"}, 9: {"RECOVER"}, 10: nil, 40: nil} {
+	for served, want := range map[int][]rule{0: {ruleRecovery}, 9: {ruleRecovery}, 10: nil, 40: nil} {
 		e := testEvidence(testCall(), testRun(testCall()))
 		e.recoveredAt = at(20_000)
 		for n := range 40 {
@@ -403,7 +403,7 @@
 	}
 	silent := testEvidence(testCall(), testRun(testCall()))
 	silent.recoveredAt = at(20_000)
-	wantRules(t, silent, "RECOVER")
+	wantRules(t, silent, ruleRecovery)
 }
 
 // TestVerify guards against a caller that accepts another answer than the complete one to its request.
@@ -489,8 +489,8 @@
 
 // TestReport guards against a report that leaves out what leads to the cause of a breach.
 func TestReport(t *testing.T) {
-	r := Report{Seed: 7, LogDir: "logs", started: at(0), events: []event{{at: time.Second, kind: stopHost}}, history: impairments{{cause: planned, place: none, start: at(1_000), name: "stop"}}}
-	r.breaches = []breach{{"LOST", at(2_500), "id-1", "closed"}, {"TWICE", at(3_000), "id-2", "ran again"}}
+	r := Report{Seed: 7, LogDir: "logs", started: at(0), events: []event{{at: time.Second, kind: stopHost}}, history: disruptions{{cause: planned, place: none, start: at(1_000), name: "stop"}}}
+	r.breaches = []breach{{ruleLost, at(2_500), "id-1", "closed"}, {ruleTwice, at(3_000), "id-2", "ran again"}}
 	var text strings.Builder
 	r.WriteText(&text)
 	for _, want := range []string{"seed 7: failed", "first breach, of 2:   2.50s LOST: request \"id-1\": closed", "then:   3.00s TWICE", "1.00s stop host 1", "1.00s to the end: host 1", "explain -request id-1 logs/host-*.log"} {
--- a/internal/soak/checks_time.go
+++ b/internal/soak/checks_time.go
@@ -14,7 +14,7 @@
 	for id, runs := range e.runs {
 		c, known := e.calls[id]
 		for _, r := range runs {
-			if !known || !e.inTouch(c.host, r.at) || e.placeImpaired(r.place, r.at.Add(-stabilityWindow), r.at) {
+			if !known || !e.inTouch(c.host, r.at) || e.placeDisrupted(r.place, r.at.Add(-stabilityWindow), r.at) {
 				continue
 			}
 			passedOn++
@@ -29,7 +29,7 @@
 	slices.SortFunc(long, func(a, b run) int { return a.at.Compare(b.at) })
 	r := long[maxLongDeadlines]
 	text := fmt.Sprintf("target %s was left %s, as %d of %d requests at hosts in touch were left too much or nothing", r.target, r.remaining, len(long), passedOn)
-	return []breach{{"BUDGET", r.at, r.id, text}}
+	return []breach{{ruleDeadline, r.at, r.id, text}}
 }
 
 // checkOverdue requires that hosts in touch answer requests that last longer than their time, but for a
@@ -44,7 +44,7 @@
 		}
 		long++
 		if unanswered {
-			overdue = append(overdue, c.breach("CONFIG", c.endedAt, "no answer %s after its time of %s", c.endedAt.Sub(c.startedAt.Add(c.timeout)), c.timeout))
+			overdue = append(overdue, c.breach(ruleConfiguration, c.endedAt, "no answer %s after its time of %s", c.endedAt.Sub(c.startedAt.Add(c.timeout)), c.timeout))
 		}
 	}
 	if len(overdue) < minOverdue || float64(len(overdue)) <= minOverdueShare*float64(long) {
@@ -83,7 +83,7 @@
 		for _, r := range runs {
 			first, ok := stated[noticeKey{process{c.host, e.life(c.host, c.startedAt)}, r.target}]
 			if known && ok && r.progress != rejectedInstance && c.startedAt.Sub(first) > drain {
-				found = append(found, *c.breach("LEAVING", r.at, "reached %s, which had stated %s before the request was sent that it leaves", r.target, c.startedAt.Sub(first)))
+				found = append(found, *c.breach(ruleLeaving, r.at, "reached %s, which had stated %s before the request was sent that it leaves", r.target, c.startedAt.Sub(first)))
 			}
 		}
 	}
@@ -107,7 +107,7 @@
 		}
 		slices.SortFunc(in, func(a, b run) int { return a.at.Compare(b.at) })
 		text := fmt.Sprintf("target %s got %d requests in a pause of %s that it had asked for", p.target, len(in), p.end.Sub(p.start))
-		found = append(found, breach{"PAUSE", in[maxInPause].at, in[maxInPause].id, text})
+		found = append(found, breach{rulePause, in[maxInPause].at, in[maxInPause].id, text})
 	}
 	return found
 }
--- a/internal/soak/impairment.go
+++ b/internal/soak/disruption.go
@@ -5,13 +5,13 @@
 // none is the index of no host or no place.
 const none = -1
 
-// cause is the kind of an impairment, as far as the promises tell them apart.
+// cause is the kind of a disruption, as far as the promises tell them apart.
 type cause int
 
 const (
 	// planned is a SIGTERM with the SIGKILL and the start that follow it.
 	planned cause = iota
-	// hangup is a SIGHUP. It impairs nothing.
+	// hangup is a SIGHUP. It disrupts nothing.
 	hangup
 	// unplanned is any other signal or fault on a host, its link to callers or a place of a target.
 	unplanned
@@ -25,25 +25,25 @@
 	stalled
 )
 
-// impairment is something that was done to a host, to a place of a target or to the store.
-type impairment struct {
+// disruption is something that was done to a host, to a place of a target or to the store.
+type disruption struct {
 	cause cause
 	// host and place are indices or none.
 	host, place int
 	name        string
-	// end is zero while the impairment lasts.
+	// end is zero while the disruption lasts.
 	start, end time.Time
 }
 
-// overlaps reports whether the impairment lasted at any moment from one time to another.
-func (i *impairment) overlaps(from, to time.Time) bool {
+// overlaps reports whether the disruption lasted at any moment from one time to another.
+func (i *disruption) overlaps(from, to time.Time) bool {
 	return !i.start.After(to) && (i.end.IsZero() || !i.end.Before(from))
 }
 
-type impairments []impairment
+type disruptions []disruption
 
-// any reports whether an impairment that matches lasted at any moment between two times.
-func (l impairments) any(from, to time.Time, match func(i *impairment) bool) bool {
+// any reports whether a disruption that matches lasted at any moment between two times.
+func (l disruptions) any(from, to time.Time, match func(i *disruption) bool) bool {
 	for n := range l {
 		if match(&l[n]) && l[n].overlaps(from, to) {
 			return true
@@ -54,37 +54,37 @@
 
 // inTouch reports whether a host was in touch at a time: for the whole stability window before,
 // its process ran without signals and faults, and so did its links and the store.
-func (l impairments) inTouch(host int, at time.Time) bool {
-	return !l.any(at.Add(-stabilityWindow), at, func(i *impairment) bool {
+func (l disruptions) inTouch(host int, at time.Time) bool {
+	return !l.any(at.Add(-stabilityWindow), at, func(i *disruption) bool {
 		return i.cause == storeFault || i.host == host && i.cause != hangup
 	})
 }
 
 // coreStable reports whether the store had no fault in the stability window before a time.
-func (l impairments) coreStable(at time.Time) bool {
-	return !l.any(at.Add(-stabilityWindow), at, func(i *impairment) bool { return i.cause == storeFault })
+func (l disruptions) coreStable(at time.Time) bool {
+	return !l.any(at.Add(-stabilityWindow), at, func(i *disruption) bool { return i.cause == storeFault })
 }
 
-// impaired reports whether a host or its link to callers had an unplanned fault at any moment between
+// disrupted reports whether a host or its link to callers had an unplanned fault at any moment between
 // two times. Faults of the store and of the way to it are none: they excuse no lost request.
-func (l impairments) impaired(host int, from, to time.Time) bool {
-	return l.any(from, to, func(i *impairment) bool { return i.cause == unplanned && i.host == host })
+func (l disruptions) disrupted(host int, from, to time.Time) bool {
+	return l.any(from, to, func(i *disruption) bool { return i.cause == unplanned && i.host == host })
 }
 
-// placeImpaired reports whether a place of a target or its link had a fault at any moment between
+// placeDisrupted reports whether a place of a target or its link had a fault at any moment between
 // two times.
-func (l impairments) placeImpaired(place int, from, to time.Time) bool {
-	return l.any(from, to, func(i *impairment) bool { return i.cause == unplanned && i.place == place })
+func (l disruptions) placeDisrupted(place int, from, to time.Time) bool {
+	return l.any(from, to, func(i *disruption) bool { return i.cause == unplanned && i.place == place })
 }
 
 // stalled reports whether callers and links were late at any moment between two times.
-func (l impairments) stalled(from, to time.Time) bool {
-	return l.any(from, to, func(i *impairment) bool { return i.cause == stalled })
+func (l disruptions) stalled(from, to time.Time) bool {
+	return l.any(from, to, func(i *disruption) bool { return i.cause == stalled })
 }
 
 // stopOf returns the last SIGTERM of a host whose work covers a time: until one second after the
 // grace period.
-func (l impairments) stopOf(host int, at time.Time) (signaledAt time.Time, ok bool) {
+func (l disruptions) stopOf(host int, at time.Time) (signaledAt time.Time, ok bool) {
 	for n := range l {
 		i := &l[n]
 		if i.cause == planned && i.host == host && !at.Before(i.start) && !at.After(i.start.Add(grace+time.Second)) {
@@ -96,8 +96,8 @@
 
 // hangupCovers reports whether a request belongs to the planned work of a SIGHUP of its host: it was
 // sent up to configApply after it and ended after it.
-func (l impairments) hangupCovers(c *call) bool {
-	return l.any(c.sentAt.Add(-configApply), c.endedAt, func(i *impairment) bool {
+func (l disruptions) hangupCovers(c *call) bool {
+	return l.any(c.sentAt.Add(-configApply), c.endedAt, func(i *disruption) bool {
 		return i.cause == hangup && i.host == c.host && !c.sentAt.After(i.start.Add(configApply)) && !c.endedAt.Before(i.start)
 	})
 }
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -113,7 +113,7 @@
 
 // breach is a broken promise.
 type breach struct {
-	rule    string
+	rule    rule
 	at      time.Time
 	request string
 	text    string
@@ -126,7 +126,7 @@
 	departures []departure
 	pauses     []requestedPause
 	versions   []version
-	impairments
+	disruptions
 	// breaches were noticed at once by a caller or by the supervision of a process.
 	breaches []breach
 	// recoveredAt is the time from which requests must be served again, if it is known.
@@ -155,7 +155,7 @@
 	}
 	e.pauses = slices.Clone(e.pauses)
 	e.departures, e.versions, e.breaches = slices.Clone(e.departures), slices.Clone(e.versions), slices.Clone(e.breaches)
-	e.impairments = slices.Clone(e.impairments)
+	e.disruptions = slices.Clone(e.disruptions)
 	return &e
 }
 
@@ -227,19 +227,19 @@
 func (r *recorder) addStall(start, end time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.e.impairments = append(r.e.impairments, impairment{cause: stalled, host: none, place: none, name: "stall of the soak", start: start, end: end})
+	r.e.disruptions = append(r.e.disruptions, disruption{cause: stalled, host: none, place: none, name: "stall of the soak", start: start, end: end})
 }
 
-// impair adds an impairment that lasts until the returned function is called.
-func (r *recorder) impair(i impairment) (end func()) {
+// disrupt adds a disruption that lasts until the returned function is called.
+func (r *recorder) disrupt(i disruption) (end func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i.start = time.Now()
-	r.e.impairments = append(r.e.impairments, i)
-	index := len(r.e.impairments) - 1
+	r.e.disruptions = append(r.e.disruptions, i)
+	index := len(r.e.disruptions) - 1
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.e.impairments[index].end = time.Now()
+		r.e.disruptions[index].end = time.Now()
 	}
 }
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -94,7 +94,7 @@
 	cmd := exec.Command(h.program, "-config", h.settingsPath)
 	cmd.Stdout, cmd.Stderr = log, log
 	endOnDeath(cmd)
-	ready := h.recorder.impair(impairment{cause: started, host: h.index, place: none, name: "start"})
+	ready := h.recorder.disrupt(disruption{cause: started, host: h.index, place: none, name: "start"})
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "host")
 	}
@@ -120,7 +120,7 @@
 		h.addressInUse = true
 		return
 	}
-	h.recorder.addBreach(breach{"EXIT", time.Now(), "", fmt.Sprintf("%s ended by itself: %s", h.settings.ID, cmd.ProcessState)})
+	h.recorder.addBreach(breach{ruleExit, time.Now(), "", fmt.Sprintf("%s ended by itself: %s", h.settings.ID, cmd.ProcessState)})
 }
 
 func (h *host) watchReady(exited chan struct{}, ready func()) {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -22,14 +22,14 @@
 	expiry = 3 * heartbeat
 )
 
-// inject applies one event and returns once its impairment has ended.
+// inject applies one event and returns once its disruption has ended.
 func (s *system) inject(ctx context.Context, e event) error {
 	switch e.kind {
 	case stopHost:
 		return s.stopHost(s.hosts[e.index], e)
 	case hangUpHost:
 		h := s.hosts[e.index]
-		end := s.impair(hangup, e)
+		end := s.disrupt(hangup, e)
 		h.signal(syscall.SIGHUP)
 		end()
 	case killHost:
@@ -56,15 +56,15 @@
 	return nil
 }
 
-// impair records the impairment of an event.
-func (s *system) impair(c cause, e event) (end func()) {
-	i := impairment{cause: c, host: none, place: none, name: e.String()}
+// disrupt records the disruption of an event.
+func (s *system) disrupt(c cause, e event) (end func()) {
+	i := disruption{cause: c, host: none, place: none, name: e.String()}
 	if e.kind.onHost() {
 		i.host = e.index
 	} else if e.kind.onTarget() {
 		i.place = e.index
 	}
-	return s.recorder.impair(i)
+	return s.recorder.disrupt(i)
 }
 
 // pause waits, or until the context ends.
@@ -80,7 +80,7 @@
 
 // stopHost stops a host like the platform, with further signals on the way, and starts it again.
 func (s *system) stopHost(h *host, e event) error {
-	end := s.impair(planned, e)
+	end := s.disrupt(planned, e)
 	kill := time.Now().Add(grace)
 	h.signal(syscall.SIGTERM)
 	for _, signal := range seriesOf[e.choice%variants] {
@@ -90,7 +90,7 @@
 		h.signal(signal)
 	}
 	if !h.waitExit(kill.Add(readyAfterStop-grace)) && h.isReady() && h.isReady() {
-		s.recorder.addBreach(breach{"DRAIN", time.Now(), "", fmt.Sprintf("%s is ready %s after SIGTERM", h.settings.ID, readyAfterStop)})
+		s.recorder.addBreach(breach{ruleDrain, time.Now(), "", fmt.Sprintf("%s is ready %s after SIGTERM", h.settings.ID, readyAfterStop)})
 	}
 	if !h.waitExit(kill) {
 		h.kill()
@@ -104,7 +104,7 @@
 func (s *system) killHosts(e event, hosts ...*host) error {
 	var ends []func()
 	for _, h := range hosts {
-		ends = append(ends, s.recorder.impair(impairment{cause: unplanned, host: h.index, place: none, name: e.String()}))
+		ends = append(ends, s.recorder.disrupt(disruption{cause: unplanned, host: h.index, place: none, name: e.String()}))
 		h.signal(syscall.SIGKILL)
 	}
 	var result error
@@ -122,7 +122,7 @@
 }
 
 func (s *system) freeze(ctx context.Context, h *host, e event) {
-	end := s.impair(unplanned, e)
+	end := s.disrupt(unplanned, e)
 	defer end()
 	h.signal(syscall.SIGSTOP)
 	pause(ctx, e.lasting)
@@ -189,7 +189,7 @@
 
 // crash ends a target without a word and starts it again, at times under the same ID.
 func (s *system) crash(ctx context.Context, p *place, e event) error {
-	end := s.impair(unplanned, e)
+	end := s.disrupt(unplanned, e)
 	defer end()
 	old := p.target()
 	old.end()
@@ -208,7 +208,7 @@
 
 // disturb applies a fault of the store, a link or a target, and ends it.
 func (s *system) disturb(ctx context.Context, e event) {
-	end := s.impair(causeOf(e.kind), e)
+	end := s.disrupt(causeOf(e.kind), e)
 	defer end()
 	s.apply(e, false)
 	pause(ctx, e.lasting)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -23,14 +23,14 @@
 	started time.Time
 	// breaches are ordered by time.
 	breaches []breach
-	history  impairments
+	history  disruptions
 }
 
 // Failed reports whether a promise was broken.
 func (r *Report) Failed() bool { return len(r.breaches) > 0 }
 
 // longestStall returns the longest time in which this process was late.
-func (l impairments) longestStall() (longest time.Duration) {
+func (l disruptions) longestStall() (longest time.Duration) {
 	for _, i := range l {
 		if i.cause == stalled {
 			longest = max(longest, i.end.Sub(i.start))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 )
 
-// ErrAddressTaken is returned if another process on the machine has taken an address of a host. The
+// ErrAddressTaken is returned if another process on this computer has taken an address of a host. The
 // run says nothing about the hosts then.
 var ErrAddressTaken = errors.New("another process uses an address of the run")
 
@@ -109,12 +109,12 @@
 		s.finalCheck(report)
 	}
 	final := s.recorder.snapshot()
-	report.Summary, report.history = final.summary(), final.impairments
+	report.Summary, report.history = final.summary(), final.disruptions
 	report.Stall = final.longestStall()
 	return err
 }
 
-// injectAll applies the events in time and returns once all impairments have ended.
+// injectAll applies the events in time and returns once all disruptions have ended.
 func (s *system) injectAll(ctx context.Context, group *sync.WaitGroup, events []event) error {
 	started := time.Now()
 	failed := make(chan error, len(events))
@@ -170,7 +170,7 @@
 func (s *system) finalCheck(report *Report) {
 	for _, h := range s.hosts {
 		if !h.isReady() {
-			report.breaches = append(report.breaches, breach{"RECOVER", time.Now(), "", h.settings.ID + " is not ready at the end"})
+			report.breaches = append(report.breaches, breach{ruleRecovery, time.Now(), "", h.settings.ID + " is not ready at the end"})
 		}
 		h.signal(syscall.SIGTERM)
 	}
@@ -180,10 +180,10 @@
 			// The runtime writes the stacks of all goroutines to the log.
 			h.signal(syscall.SIGQUIT)
 			h.waitExit(time.Now().Add(time.Second))
-			report.breaches = append(report.breaches, breach{"EXIT", time.Now(), "", h.settings.ID + " did not stop within the grace period"})
+			report.breaches = append(report.breaches, breach{ruleExit, time.Now(), "", h.settings.ID + " did not stop within the grace period"})
 		}
 		if log, err := os.ReadFile(h.logPath); err == nil && strings.Contains(string(log), "panic") {
-			report.breaches = append(report.breaches, breach{"EXIT", time.Now(), "", h.settings.ID + " logged a panic"})
+			report.breaches = append(report.breaches, breach{ruleExit, time.Now(), "", h.settings.ID + " logged a panic"})
 		}
 	}
 	report.breaches = append(report.breaches, s.recorder.snapshot().check(time.Now())...)
