--- a/internal/core/schedule/leaving.go
+++ b/internal/core/schedule/leaving.go
@@ -60,9 +60,9 @@
 	}
 	known.malformed = statement.Malformed
 	if statement.Leaving && s.setLeaving(now, LeavingReport{Process: a.target.process.process}, "own response") {
-		st := s.processes.hear(now, a.target.process.process)
+		st := s.processes.recordStatement(now, a.target.process.process)
 		st.leaving.reportUntil = now.Add(leavingReportTime)
-		s.leavingNews = append(s.leavingNews, st)
+		s.leavingToReport = append(s.leavingToReport, st)
 		s.urgent = true
 	}
 	return s.flush(now)
@@ -77,7 +77,7 @@
 
 // setLeaving records that a process is leaving and reports whether that was not known.
 func (s *Scheduler) setLeaving(now time.Time, r LeavingReport, source string) bool {
-	known := &s.processes.hear(now, r.Process).leaving
+	known := &s.processes.recordStatement(now, r.Process).leaving
 	since := now.Add(-max(0, r.Age))
 	if known.known {
 		if since.Before(known.since) {
@@ -95,9 +95,9 @@
 
 // takeLeavingReports returns the reports for the next message to the other hosts.
 func (s *Scheduler) takeLeavingReports(now time.Time) []LeavingReport {
-	s.leavingNews = slices.DeleteFunc(s.leavingNews, func(st *processState) bool { return now.After(st.leaving.reportUntil) })
+	s.leavingToReport = slices.DeleteFunc(s.leavingToReport, func(st *processState) bool { return now.After(st.leaving.reportUntil) })
 	var reports []LeavingReport
-	for _, st := range s.leavingNews {
+	for _, st := range s.leavingToReport {
 		reports = append(reports, LeavingReport{Process: st.process, Age: now.Sub(st.leaving.since)})
 	}
 	return reports
--- a/internal/core/schedule/pause.go
+++ b/internal/core/schedule/pause.go
@@ -42,7 +42,7 @@
 	}
 	if r.Wait > 0 {
 		a.askedPause = true
-		s.pause(now, s.processes.hear(now, p), now.Add(r.Wait))
+		s.pause(now, s.processes.recordStatement(now, p), now.Add(r.Wait))
 	}
 	return s.flush(now)
 }
@@ -72,7 +72,7 @@
 func (s *Scheduler) inheritPause(now time.Time, t *target) {
 	for _, st := range s.pauses {
 		if st.process.Target == t.ID && st != t.process && st.pauseHeardAt.UnixMilli() >= t.StartUnixMilli && now.Before(st.pausedUntil) {
-			s.pause(now, s.processes.hear(now, t.processID()), st.pausedUntil)
+			s.pause(now, s.processes.recordStatement(now, t.processID()), st.pausedUntil)
 			return
 		}
 	}
--- a/internal/core/schedule/pause_telling_test.go
+++ b/internal/core/schedule/pause_sharing_test.go
@@ -12,8 +12,8 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 )
 
-// tellingScenario describes hosts that share targets, some of which pause at times.
-type tellingScenario struct {
+// sharingScenario describes hosts that share targets, some of which pause at times.
+type sharingScenario struct {
 	hosts, targets, slots int
 	perSecond             float64
 	serviceTime           time.Duration
@@ -22,26 +22,26 @@
 	pausedShare float64
 	// hostShare is the share of the hosts whose requests are rejected in such a period.
 	hostShare float64
-	// tell is set if hosts tell each other of pauses, which takes tellDelay.
-	tell     bool
+	// tell is set if hosts share pauses, which takes shareDelay.
+	share    bool
 	duration time.Duration
 }
 
 const (
 	pausePeriod = 4 * time.Second
-	tellDelay   = 300 * time.Millisecond
+	shareDelay  = 300 * time.Millisecond
 )
 
-// tellingResult counts requests by their end and attempts that were rejected.
-type tellingResult struct{ requests, served, inTime, refused, rejections int }
+// sharingResult counts requests by their end and attempts that were rejected.
+type sharingResult struct{ requests, served, inTime, refused, rejections int }
 
-func (r tellingResult) String() string {
+func (r sharingResult) String() string {
 	return fmt.Sprintf("%d requests, %d served, %d of them in time, %d refused; %d attempts rejected", r.requests, r.served, r.inTime, r.refused, r.rejections)
 }
 
-// tellingSim plays a scenario with one scheduler for each host.
-type tellingSim struct {
-	scenario tellingScenario
+// sharingSim plays a scenario with one scheduler for each host.
+type sharingSim struct {
+	scenario sharingScenario
 	rng      *rand.Rand
 	now      time.Duration
 	events   fleetEvents
@@ -51,18 +51,18 @@
 	arrived map[ident.RequestID]time.Duration
 	next    ident.RequestID
 	seed    uint64
-	result  tellingResult
+	result  sharingResult
 }
 
-func (s *tellingSim) time() time.Time { return epoch.Add(s.now) }
+func (s *sharingSim) time() time.Time { return epoch.Add(s.now) }
 
-func (s *tellingSim) after(d time.Duration, run func()) {
+func (s *sharingSim) after(d time.Duration, run func()) {
 	heap.Push(&s.events, fleetEvent{s.now + d, run})
 }
 
 // rejects reports whether a target rejects the requests of a host, and the rest of the time
 // for which it does.
-func (s *tellingSim) rejects(target ident.TargetID, host int) (time.Duration, bool) {
+func (s *sharingSim) rejects(target ident.TargetID, host int) (time.Duration, bool) {
 	period := s.now / pausePeriod
 	rng := rand.New(rand.NewPCG(s.seed+uint64(period), uint64(affinity("", target)*affinitySteps)))
 	if rng.Float64() >= s.scenario.pausedShare {
@@ -72,7 +72,7 @@
 	return (period+1)*pausePeriod - s.now, concerned
 }
 
-func (s *tellingSim) apply(host int, actions []dispatch.Action) {
+func (s *sharingSim) apply(host int, actions []dispatch.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case dispatch.Start:
@@ -88,7 +88,7 @@
 	}
 }
 
-func (s *tellingSim) arriveAt(host int, a dispatch.Start) {
+func (s *sharingSim) arriveAt(host int, a dispatch.Start) {
 	scheduler := s.hosts[host]
 	if left, rejected := s.rejects(a.Target, host); rejected {
 		s.result.rejections++
@@ -96,9 +96,9 @@
 			s.apply(host, scheduler.ReportPause(s.time(), PauseReport{Attempt: a.Attempt, Wait: left}))
 			s.apply(host, scheduler.Finish(s.time(), a.Attempt, dispatch.Result{Kind: attempt.Shed, NotRun: true, RetryAfter: left}))
 		})
-		if s.scenario.tell {
+		if s.scenario.share {
 			until := s.time().Add(left)
-			s.after(tellDelay, func() { s.tellAll(a.Target, until) })
+			s.after(shareDelay, func() { s.shareWithAll(a.Target, until) })
 		}
 		return
 	}
@@ -117,17 +117,17 @@
 	})
 }
 
-// tellAll applies a pause on all hosts.
-func (s *tellingSim) tellAll(id ident.TargetID, until time.Time) {
+// shareWithAll applies a pause on all hosts.
+func (s *sharingSim) shareWithAll(id ident.TargetID, until time.Time) {
 	for i, h := range s.hosts {
-		if st := h.processes.hear(s.time(), h.targets[id].processID()); until.After(st.pausedUntil) {
+		if st := h.processes.recordStatement(s.time(), h.targets[id].processID()); until.After(st.pausedUntil) {
 			h.pause(s.time(), st, until)
 			s.apply(i, h.flush(s.time()))
 		}
 	}
 }
 
-func (s *tellingSim) arrivals() {
+func (s *sharingSim) arrivals() {
 	s.next++
 	s.result.requests++
 	s.arrived[s.next] = s.now
@@ -137,14 +137,14 @@
 	s.after(time.Duration(s.rng.ExpFloat64()/s.scenario.perSecond*float64(time.Second)), s.arrivals)
 }
 
-func (s *tellingSim) tick(host int) {
+func (s *sharingSim) tick(host int) {
 	h := s.hosts[host]
 	s.apply(host, h.Tick(s.time()))
 	s.after(max(5*time.Millisecond, h.NextTick(s.time()).Sub(s.time())), func() { s.tick(host) })
 }
 
-func simulateTelling(scenario tellingScenario, seed uint64) tellingResult {
-	s := &tellingSim{scenario: scenario, rng: rand.New(rand.NewPCG(seed, 2)), seed: seed * 1000, running: map[ident.TargetID]int{}, arrived: map[ident.RequestID]time.Duration{}}
+func simulateSharing(scenario sharingScenario, seed uint64) sharingResult {
+	s := &sharingSim{scenario: scenario, rng: rand.New(rand.NewPCG(seed, 2)), seed: seed * 1000, running: map[ident.TargetID]int{}, arrived: map[ident.RequestID]time.Duration{}}
 	places := make([]ident.Location, scenario.targets)
 	for i := range places {
 		places[i] = hostZone
@@ -170,22 +170,22 @@
 // third of the hosts and the targets have capacity for the others.
 const minServedInPartialPauses = 0.95
 
-// TestTellingOfPauses compares hosts that tell each other of pauses with hosts that do not.
+// TestSharingOfPauses compares hosts that share pauses with hosts that do not.
 // Where a target pauses for some hosts only, the others must not lose it: callers would get
 // fewer answers.
-func TestTellingOfPauses(t *testing.T) {
+func TestSharingOfPauses(t *testing.T) {
 	t.Parallel()
 	for _, hosts := range []int{36, 293} {
 		for _, hostShare := range []float64{1, 0.3} {
 			for _, load := range []float64{0.4, 0.7} {
-				scenario := tellingScenario{
+				scenario := sharingScenario{
 					hosts: hosts, targets: 20, slots: 4, serviceTime: 100 * time.Millisecond, perSecond: load * 20 * 4 / 0.1,
 					pausedShare: 0.3, hostShare: hostShare, duration: 16 * time.Second,
 				}
-				without := simulateTelling(scenario, 1)
-				scenario.tell = true
-				with := simulateTelling(scenario, 1)
-				t.Logf("%d hosts, pauses for %v of them, load %v: without telling %v; with %v", hosts, hostShare, load, without, with)
+				without := simulateSharing(scenario, 1)
+				scenario.share = true
+				with := simulateSharing(scenario, 1)
+				t.Logf("%d hosts, pauses for %v of them, load %v: without sharing %v; with %v", hosts, hostShare, load, without, with)
 				if served := float64(without.served) / float64(without.requests); hostShare < 1 && served < minServedInPartialPauses {
 					t.Errorf("%d hosts, load %v: %.3f of the requests were served, want %v", hosts, load, served, minServedInPartialPauses)
 				}
--- a/internal/core/schedule/process.go
+++ b/internal/core/schedule/process.go
@@ -26,9 +26,9 @@
 // processState holds what a process of a target has said of itself in its responses.
 type processState struct {
 	process Process
-	// heard is set once the process has made a statement that must outlast the removal of
+	// hasStatement is set once the process has made a statement that must outlast the removal of
 	// its target from the configuration.
-	heard bool
+	hasStatement bool
 	// configured is set while the configuration contains the process.
 	configured bool
 	// pausedUntil is the end of the latest pause that the process asked for, pausedSince its
@@ -81,14 +81,14 @@
 	if st.configured {
 		st.configured, st.formerSince = false, now
 	}
-	if st.heard && st.process.StartUnixMilli != 0 && now.Sub(st.formerSince) < formerProcessLifetime {
+	if st.hasStatement && st.process.StartUnixMilli != 0 && now.Sub(st.formerSince) < formerProcessLifetime {
 		m.states[st.process] = st
 	}
 }
 
-// hear returns the state of a process that makes a statement. A process that has been
+// recordStatement returns the state of a process that makes a statement. A process that has been
 // removed from the configuration can still answer earlier requests.
-func (m *processMemory) hear(now time.Time, p Process) *processState {
+func (m *processMemory) recordStatement(now time.Time, p Process) *processState {
 	st := m.states[p]
 	if st == nil {
 		st = &processState{process: p, formerSince: now}
@@ -99,7 +99,7 @@
 		m.states[p] = st
 		m.boundFormer()
 	}
-	st.heard = true
+	st.hasStatement = true
 	return st
 }
 
--- a/internal/core/schedule/process_test.go
+++ b/internal/core/schedule/process_test.go
@@ -15,12 +15,12 @@
 	p := Process{Target: "t1", StartUnixMilli: 7}
 	m := newProcessMemory()
 	m.configure(now, []Process{p})
-	st := m.hear(now, p)
+	st := m.recordStatement(now, p)
 	m.configure(now, nil)
 	if got := m.configure(now.Add(time.Minute), []Process{p}); got[0] != st {
 		t.Error("the statements of a process are forgotten while its registration lapses")
 	}
-	if got := m.configure(now, []Process{{Target: "t1", StartUnixMilli: 8}}); got[0] == st || got[0].heard {
+	if got := m.configure(now, []Process{{Target: "t1", StartUnixMilli: 8}}); got[0] == st || got[0].hasStatement {
 		t.Error("a new process under the same ID inherits the statements of an earlier one")
 	}
 	if got := m.configure(now, []Process{p}); got[0] != st {
@@ -36,7 +36,7 @@
 	m := newProcessMemory()
 	m.configure(now, []Process{p})
 	m.configure(now, nil)
-	st := m.hear(now, p)
+	st := m.recordStatement(now, p)
 	if got := m.configure(now, []Process{p}); got[0] != st {
 		t.Error("a statement that arrived after the removal is forgotten")
 	}
@@ -48,12 +48,12 @@
 	p := Process{Target: "t1"}
 	m := newProcessMemory()
 	m.configure(now, []Process{p})
-	m.hear(now, p)
-	if got := m.configure(now, []Process{p}); !got[0].heard {
+	m.recordStatement(now, p)
+	if got := m.configure(now, []Process{p}); !got[0].hasStatement {
 		t.Error("the statements of a configured process are forgotten")
 	}
 	m.configure(now, nil)
-	if got := m.configure(now, []Process{p}); got[0].heard {
+	if got := m.configure(now, []Process{p}); got[0].hasStatement {
 		t.Error("a process of unknown start inherits the statements of a removed one")
 	}
 }
@@ -66,7 +66,7 @@
 	for i := range maxFormerProcesses + 10 {
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		m.configure(now, []Process{process(i)})
-		m.hear(now, process(i))
+		m.recordStatement(now, process(i))
 		m.configure(now, nil)
 	}
 	if len(m.states) != maxFormerProcesses {
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -49,13 +49,13 @@
 	order   []*target
 	// processes holds what the processes of targets said of themselves.
 	processes processMemory
-	// anyLeaving is set once a target has been leaving. leavingNews are the processes
+	// anyLeaving is set once a target has been leaving. leavingToReport are the processes
 	// whose statement should be sent to the other hosts.
-	anyLeaving  bool
-	leavingNews []*processState
-	classes     map[ident.ClassName]*class
-	budget      *retry.SharedBudget
-	model       *gray.Model
+	anyLeaving      bool
+	leavingToReport []*processState
+	classes         map[ident.ClassName]*class
+	budget          *retry.SharedBudget
+	model           *gray.Model
 
 	requests map[ident.RequestID]*request
 	attempts map[ident.AttemptID]*runningAttempt
