app: the answers in the test of leaving targets name their problem

TestFleetLeavesTargets failed beside builds and tests of other packages (load average 40 to 60): 1 to 54 requests of a case got 503 while three targets were not leaving. Its callers did not read what kind of 503 that was.

--- a/internal/app/gateway_leaving_test.go
+++ b/internal/app/gateway_leaving_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -94,7 +93,7 @@
 	answer, leaving := fleetAnswer{}, false
 	if err == nil {
 		answer.status, leaving = res.StatusCode, res.Header.Get("X-Leaving") != ""
-		_, _ = io.Copy(io.Discard, res.Body)
+		answer.problem = problemType(res.Body)
 		_ = res.Body.Close()
 	}
 	now := time.Now()
--- a/internal/app/gateway_rate_limit_test.go
+++ b/internal/app/gateway_rate_limit_test.go
@@ -155,12 +155,18 @@
 	if err != nil {
 		return fleetAnswer{problem: err.Error()}, ""
 	}
+	problem := problemType(res.Body)
+	_ = res.Body.Close()
+	return fleetAnswer{status: res.StatusCode, problem: problem}, res.Header.Get("Retry-After")
+}
+
+// problemType reads a body and returns the type of the problem that it describes, or "".
+func problemType(body io.Reader) string {
 	var problem ingress.Problem
-	if body, err := io.ReadAll(res.Body); err == nil && len(body) > 0 {
-		_ = json.Unmarshal(body, &problem)
+	if content, err := io.ReadAll(body); err == nil && len(content) > 0 {
+		_ = json.Unmarshal(content, &problem)
 	}
-	_ = res.Body.Close()
-	return fleetAnswer{status: res.StatusCode, problem: problem.Type}, res.Header.Get("Retry-After")
+	return problem.Type
 }
 
 // statusRates returns the rates of targets in a host's status.
