--- a/internal/app/gateway_leaving_test.go
+++ b/internal/app/gateway_leaving_test.go
@@ -280,7 +280,8 @@
 			}
 		}
 	}
-	if rejected := caller.answers[fleetAnswer{status: http.StatusServiceUnavailable}]; rejected == 0 || len(caller.answers) != 2 {
+	rejection := fleetAnswer{status: http.StatusServiceUnavailable, problem: "urn:sapphirehaven:problem:no_target"}
+	if caller.answers[rejection] == 0 || len(caller.answers) != 2 {
 		t.Errorf("answers: %v", caller.answers)
 	}
 	if caller.slowestRejection > time.Second {
