--- a/review/platform/host.go
+++ b/review/platform/host.go
@@ -46,9 +46,12 @@
 }
 
 func newDeployment(root, dir string, rec *recorder, zones map[string]string) *deployment {
-	return &deployment{dir: dir, root: root, store: startStore(), rec: rec, zones: zones}
+	return &deployment{dir: dir, root: root, store: startStore(historyKept), rec: rec, zones: zones}
 }
 
+// historyKept is the history of the platform's store ("20 s of history").
+const historyKept = 20 * time.Second
+
 // freePorts returns n free loopback addresses with different ports.
 func freePorts(n int) []string {
 	var ls []net.Listener
@@ -108,7 +111,7 @@
 	text += fmt.Sprintf("[listen]\nfront = %q\nready = %q\ncontrol = %q\ndirectory = %q\n", h.front, h.ready, h.control, h.directory)
 	text += fmt.Sprintf("[limits]\ncpuShare = 0.32\ncores = 1\nmemoryMb = %d\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n", h.memoryMb)
 	text += "[faultTolerance]\nmachines = 2\nzones = 0\nregions = 0\n"
-	text += fmt.Sprintf("[platform]\naddress = %q\nform = \"log\"\nwritesPerS = 400\nreadsPerS = 2000\nparts = 12\nappend = \"2ms\"\npartitionMbS = 20.0\nreadMbS = 80.0\nrecordBytes = 262144\ncallBytes = 2097152\nkeep = \"300s\"\npartitionMb = 200\nminTtl = \"1000ms\"\n", d.store.address)
+	text += fmt.Sprintf("[platform]\naddress = %q\nform = \"log\"\nwritesPerS = 400\nreadsPerS = 2000\nparts = 12\nappend = \"2ms\"\npartitionMbS = 20.0\nreadMbS = 80.0\nrecordBytes = 262144\ncallBytes = 2097152\nkeep = \"20s\"\npartitionMb = 200\nminTtl = \"1000ms\"\n", d.store.address)
 	if err := os.WriteFile(h.settingsPath, []byte(text), 0o644); err != nil {
 		cannotRun("settings: %v", err)
 	}
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -67,7 +67,7 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	cases := map[string]func(root, dir string, trouble bool) int{
 		"endless-length": endlessLength,
-		"endless-memory": endlessMemory,
+		"lost-drain":     lostDrain,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
--- a/review/platform/store.go
+++ b/review/platform/store.go
@@ -19,15 +19,18 @@
 	topics   map[string][]record
 	appended chan struct{}
 	address  string
+	// keep is the time after which records expire, except the newest one of each key; 0: never.
+	keep time.Duration
 }
 
 type record struct {
 	key   string
 	value []byte
+	at    time.Time
 }
 
-func startStore() *store {
-	s := &store{topics: map[string][]record{}, appended: make(chan struct{})}
+func startStore(keep time.Duration) *store {
+	s := &store{keep: keep, topics: map[string][]record{}, appended: make(chan struct{})}
 	l := listen()
 	s.address = l.Addr().String()
 	go func() { _ = http.Serve(l, s) }()
@@ -48,13 +51,16 @@
 	if value != nil {
 		data, _ = json.Marshal(value)
 	}
-	s.append(topic, []record{{key, data}})
+	s.append(topic, []record{{key: key, value: data}})
 }
 
 func (s *store) append(topic string, records []record) (offset, end int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	offset = len(s.topics[topic])
+	for i := range records {
+		records[i].at = time.Now()
+	}
 	s.topics[topic] = append(s.topics[topic], records...)
 	close(s.appended)
 	s.appended = make(chan struct{})
@@ -91,7 +97,7 @@
 			http.Error(w, "malformed record", http.StatusBadRequest)
 			return
 		}
-		records = append(records, record{string(data[5 : 5+k]), append([]byte(nil), data[5+k:4+n]...)})
+		records = append(records, record{key: string(data[5 : 5+k]), value: append([]byte(nil), data[5+k:4+n]...)})
 		data = data[4+n:]
 	}
 	offset, end := s.append(topic, records)
@@ -110,9 +116,15 @@
 		s.mu.Lock()
 		records, appended := s.topics[topic], s.appended
 		s.mu.Unlock()
+		first := s.first(records)
+		if from < first {
+			w.WriteHeader(http.StatusGone)
+			writeJSON(w, map[string]int{"first": first})
+			return
+		}
 		if from < len(records) || expired || waitMs == 0 {
 			out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-			out = binary.BigEndian.AppendUint64(out, 0)
+			out = binary.BigEndian.AppendUint64(out, uint64(first))
 			for _, rec := range records[min(from, len(records)):] {
 				out = binary.BigEndian.AppendUint32(out, uint32(1+len(rec.key)+len(rec.value)))
 				out = append(append(append(out, byte(len(rec.key))), rec.key...), rec.value...)
@@ -130,6 +142,15 @@
 	}
 }
 
+// first returns the offset of the first record that has not expired.
+func (s *store) first(records []record) int {
+	if s.keep <= 0 {
+		return 0
+	}
+	oldest := time.Now().Add(-s.keep)
+	return sort.Search(len(records), func(i int) bool { return records[i].at.After(oldest) })
+}
+
 // newestPage is the number of records in one page of the newest records.
 const newestPage = 500
 
--- a/review/platform/upstream.go
+++ b/review/platform/upstream.go
@@ -33,13 +33,17 @@
 	sequence         int
 	state            string
 	served           int
-	rng              *rand.Rand
+	// leaving is set when the upstream leaves: it says so in all its answers and ends soon.
+	leaving, ended bool
+	listener       net.Listener
+	conns          map[net.Conn]bool
+	rng            *rand.Rand
 }
 
 func startUpstream(s *store, rec *recorder, id, service, zone string, slots int, work time.Duration, seed int64) *upstream {
 	l := listen()
 	u := &upstream{id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, queue: 4 * slots, work: work,
-		store: s, rec: rec, born: time.Now(), freed: make(chan struct{}, 1), state: "ready", rng: rand.New(rand.NewSource(seed))}
+		store: s, rec: rec, born: time.Now(), freed: make(chan struct{}, 1), state: "ready", listener: l, conns: map[net.Conn]bool{}, rng: rand.New(rand.NewSource(seed))}
 	u.beat()
 	go func() {
 		for range time.Tick(1500 * time.Millisecond) {
@@ -60,6 +64,10 @@
 
 func (u *upstream) beat() {
 	u.mu.Lock()
+	if u.ended {
+		u.mu.Unlock()
+		return
+	}
 	u.sequence++
 	value := map[string]any{"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": u.slots,
 		"state": u.state, "warmupLeft": "0ms", "sequence": u.sequence, "born": u.born.UnixMilli()}
@@ -85,6 +93,14 @@
 
 func (u *upstream) serve(c net.Conn) {
 	defer c.Close()
+	u.mu.Lock()
+	u.conns[c] = true
+	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		delete(u.conns, c)
+	}()
 	br := bufio.NewReader(c)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(idleClose))
@@ -164,6 +180,9 @@
 func (u *upstream) write(c net.Conn, status int, id, header string, body []byte) error {
 	u.mu.Lock()
 	load := fmt.Sprintf("%d,%d,%d", u.running, u.waiting, u.slots)
+	if u.leaving {
+		header += "Server-Leaving: 1\r\nConnection: close\r\n"
+	}
 	u.mu.Unlock()
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nServer-Load: %s\r\nKeep-Alive: timeout=%d\r\nContent-Length: %d\r\n%s\r\n",
 		status, http.StatusText(status), id, load, int(idleClose.Seconds()), len(body), header)
@@ -207,6 +226,37 @@
 	u.running--
 }
 
+// drain reports that the upstream leaves, and returns when the store has accepted that.
+func (u *upstream) drain() {
+	u.mu.Lock()
+	u.leaving, u.state = true, "draining"
+	u.mu.Unlock()
+	u.beat()
+}
+
+// remove deletes the upstream's entry; it leaves without having reported "draining".
+func (u *upstream) remove() {
+	u.mu.Lock()
+	removed := u.ended
+	u.leaving, u.ended = true, true
+	u.mu.Unlock()
+	if removed {
+		return
+	}
+	u.store.put("keyed.servers", u.id, nil)
+}
+
+// exit ends the upstream and removes its entry.
+func (u *upstream) exit() {
+	u.remove()
+	u.listener.Close()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for c := range u.conns {
+		c.Close()
+	}
+}
+
 // requests returns the number of requests that have run here.
 func (u *upstream) requests() int {
 	u.mu.Lock()
