--- a/review/platform/host.go
+++ b/review/platform/host.go
@@ -62,26 +62,27 @@
 	portCount  = 200
 )
 
-// freePorts returns n free loopback addresses with different ports.
+// nextPort is the next port to try, counted from the start of the range.
+var nextPort = rand.Intn(portCount)
+
+// freePorts returns n free loopback addresses with different ports. It returns each address once.
 func freePorts(n int) []string {
-	var ls []net.Listener
 	var list []string
-	for tries := 0; len(list) < n; tries++ {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%portRanges*portCount+rand.Intn(portCount))
+	for range portCount {
+		if len(list) == n {
+			return list
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%portRanges*portCount+nextPort%portCount)
+		nextPort++
 		l, err := net.Listen("tcp", address)
 		if err != nil {
-			if tries > 1000 {
-				cannotRun("no free ports: %v", err)
-			}
 			continue
 		}
-		ls = append(ls, l)
-		list = append(list, address)
-	}
-	for _, l := range ls {
 		l.Close()
+		list = append(list, address)
 	}
-	return list
+	cannotRun("no free ports")
+	return nil
 }
 
 // addHosts creates machines with the settings of a small deployment, and starts their processes.
