--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p ../target
-CGO_ENABLED=0 GOFLAGS=-mod=mod GOWORK=off go build -o ../target/review-stand-ins ./platform
+CGO_ENABLED=0 GOFLAGS=-mod=mod GOWORK=off go build -buildvcs=false -o ../target/review-stand-ins ./platform
