ingress: a declared length of any size does not make the handler panic

Cause: readUpTo sized its buffer with ContentLength+1. The sum overflows to a negative number, which min() passes on to make(), and make() panics.

Fix: the length only chooses between bounded buffer sizes and is never added to before it is compared. A declared length of 1 TiB or more is a malformed response: it cannot arrive before any deadline, so the caller gets its 502, or the retry of an idempotent request, at once instead of bytes until the deadline.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -180,13 +180,7 @@
 // readUpTo reads at most limit bytes of the body. It returns a nil error at the
 // end of the body and at the limit.
 func readUpTo(response *target.Response, limit int64) ([]byte, error) {
-	size := int64(512)
-	if response.ContentLength >= 0 {
-		// With one spare byte, the last read returns io.EOF without growing the
-		// buffer.
-		size = response.ContentLength + 1
-	}
-	body := make([]byte, 0, min(size, limit, maxInitialBuffer))
+	body := make([]byte, 0, min(initialBuffer(response.ContentLength), limit))
 	for {
 		n, err := response.Body.Read(body[len(body):min(int64(cap(body)), limit)])
 		body = body[:len(body)+n]
@@ -201,9 +195,26 @@
 	}
 }
 
-// maxInitialBuffer limits the allocation made for a declared length before any
-// byte of the body has arrived.
-const maxInitialBuffer = 64 << 10
+const (
+	// minInitialBuffer is the size of the buffer for a body of unknown length.
+	minInitialBuffer = 512
+	// maxInitialBuffer limits the allocation made for a declared length before any
+	// byte of the body has arrived.
+	maxInitialBuffer = 64 << 10
+)
+
+// initialBuffer returns the size of the buffer for a body whose declared length is -1 if
+// unknown. The length is any number that the target sent.
+func initialBuffer(declared int64) int64 {
+	switch {
+	case declared < 0:
+		return minInitialBuffer
+	case declared >= maxInitialBuffer:
+		return maxInitialBuffer
+	}
+	// With one spare byte, the last read returns io.EOF without growing the buffer.
+	return declared + 1
+}
 
 // streamResponse forwards a large response while it arrives, starting with the
 // bytes that were already buffered. If the response is truncated, the caller's
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -25,6 +25,9 @@
 	// before the expected one, and maxLateBodyBytes the body of each.
 	maxLateResponses = 2
 	maxLateBodyBytes = 1 << 20
+	// maxDeclaredBytes bounds the declared length of a body: no longer one arrives within
+	// the longest deadline of a request, one hour, at 2 Gbit/s.
+	maxDeclaredBytes = 1 << 40
 )
 
 // receive reads response heads up to that of the final response.
@@ -162,6 +165,9 @@
 		// this is not a response to the request.
 		return nil, ErrPeerClosed
 	}
+	if head.ContentLength >= maxDeclaredBytes && head.Body != http.NoBody {
+		return nil, fmt.Errorf("%w: the declared length is %d bytes", ErrBadResponse, head.ContentLength)
+	}
 	r := &Response{
 		Status: head.StatusCode, Header: head.Header, ContentLength: head.ContentLength,
 		Draining:     d.Draining != "" && strings.EqualFold(head.Header.Get(d.Draining), "true"),
