ingress: a panic during an attempt releases its slot and answers the caller

What callers saw: after a panic in the handler the connection was closed without an answer. The host counted the request as running at the target until the next restart, so that after as many panics as slots it never sent to that target again. A panic in the goroutine that writes a streamed body ended the process with all requests on it.

Cause: nothing between the start of an attempt and net/http ran Response.Finish, Engine.Finish and Call.Cancel when the stack was unwound; the transport kept the connection and its place in the pool.

Fix: the request, the exchange and the dial each release in a deferred function what they hold, whatever ends them. The request is canceled before its attempt is finished, so that no further attempt starts. The panic is logged with the request's ID and stack and counted; a caller whose response has not begun gets a 502 with an unknown outcome, otherwise the response is broken off. A panic of the body's writer ends only its attempt.

--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -30,6 +30,7 @@
 func (q *request) attempt(ctx context.Context, start dispatch.Start) bool {
 	attemptStart := time.Now()
 	q.attemptStart = attemptStart
+	q.current = start.Attempt
 	defer func() { q.attemptTime += time.Since(attemptStart) }()
 	if end := attemptStart.Add(start.Timeout); end.Before(q.deadline) {
 		var cancel context.CancelFunc
@@ -43,6 +44,7 @@
 		return false
 	}
 	response, result := q.server.cfg.Transport.Do(ctx, q.newAttempt(start, endpoint, &trace))
+	q.response = response
 	q.reportLeaving(start, &trace)
 	if response == nil {
 		q.finishAttempt(start, &trace, result)
--- a/internal/adapter/ingress/caller.go
+++ b/internal/adapter/ingress/caller.go
@@ -36,7 +36,9 @@
 	latestDeadline time.Time
 	// currentDeadline is the write deadline set on the connection.
 	currentDeadline time.Time
-	body            callerBody
+	// started is set once the status has been written.
+	started bool
+	body    callerBody
 }
 
 // deadlineSetter is implemented by the http.ResponseWriter of http.Server.
@@ -76,6 +78,7 @@
 // the target.
 func (w *callerWriter) WriteHeader(status int) {
 	w.renewDeadline()
+	w.started = true
 	if !w.body.complete.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/target"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/dispatch"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/document"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
@@ -52,6 +53,10 @@
 	ticketChecked bool
 	// mayHaveRun is set if an attempt ended without proof that it did not run.
 	mayHaveRun bool
+	// current is the latest attempt, and response its response, nil before the head has
+	// arrived.
+	current  ident.AttemptID
+	response *target.Response
 	// buffered is the last complete response that has not been sent yet.
 	buffered *bufferedResponse
 	// aborted is set if the response to the caller was aborted.
@@ -79,10 +84,17 @@
 		return s.markOutcomeUnknown(problem, r)
 	}
 	defer func() {
+		cause := recover()
+		if cause != nil {
+			problem = q.recoverPanic(cause)
+		}
 		if problem != nil && !q.ticketChecked {
 			problem = s.markOutcomeUnknown(problem, r)
 		}
 		q.recordMetrics(problem)
+		if cause != nil && problem == nil {
+			panic(http.ErrAbortHandler)
+		}
 	}()
 	return q.serve()
 }
@@ -283,8 +295,8 @@
 	return notRunProblem(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body is larger than max_request_bytes of class %q: %d", q.class.Name, q.class.MaxRequestBytes))
 }
 
-// run executes the dispatcher's actions until the request has ended. Waiting for
-// an action ends with ctx; attempts run under attemptCtx.
+// run submits the request to the dispatcher and executes its actions. Waiting for an
+// action ends with ctx; attempts run under attemptCtx.
 func (q *request) run(ctx, attemptCtx context.Context) *Problem {
 	if !q.admitted() {
 		return q.stoppingProblem()
@@ -296,8 +308,21 @@
 		BodyBytes:     q.r.ContentLength,
 		NonIdempotent: !q.class.Idempotent,
 	})
-	served := false
-	defer func() { q.reportToSplit(served) }()
+	served, ended := false, false
+	defer func() {
+		if !ended {
+			q.abandon()
+		}
+		q.reportToSplit(served)
+	}()
+	problem := q.runActions(ctx, attemptCtx, &served)
+	ended = true
+	return problem
+}
+
+// runActions executes the dispatcher's actions until the request has ended. It sets served
+// if the caller was sent a target's response.
+func (q *request) runActions(ctx, attemptCtx context.Context, served *bool) *Problem {
 	for {
 		action, err := q.next(ctx)
 		if errors.Is(err, errStopping) {
@@ -313,13 +338,13 @@
 				return q.stop()
 			}
 			if q.attempt(attemptCtx, a) {
-				served = true
+				*served = true
 				return nil
 			}
 		case dispatch.Refuse:
 			return q.refusalProblem(a)
 		case dispatch.Complete:
-			served = true
+			*served = true
 			return q.sendBuffered(a.Attempt)
 		case dispatch.Fail:
 			return q.failureProblem(a)
--- a/internal/adapter/target/pool.go
+++ b/internal/adapter/target/pool.go
@@ -129,7 +129,16 @@
 func (p *pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
+	dialed := false
+	defer func() {
+		if !dialed {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.releaseOpen(address)
+		}
+	}()
 	nc, err := p.dialer()(ctx, address)
+	dialed = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil && p.closed {
--- a/internal/adapter/target/send.go
+++ b/internal/adapter/target/send.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/outcome"
+	"github.com/sapphirehaven/sapphirehaven/internal/recovery"
 )
 
 // Sizes of the buffer for streamed bodies. The space before and after the data
@@ -175,7 +176,8 @@
 // streamBody runs in the writer goroutine and writes a streamed body.
 func (x *exchange) streamBody() {
 	defer close(x.writerDone)
-	err := x.copyBody()
+	err := errPanic
+	recovery.CallWithHandler(func() { err = x.copyBody() }, func(cause any, _ []byte) { x.abort(fmt.Errorf("%w in the writer of the body: %v", errPanic, cause)) })
 	x.mu.Lock()
 	writerStopping := x.writerStopping
 	x.mu.Unlock()
--- a/internal/adapter/target/transport.go
+++ b/internal/adapter/target/transport.go
@@ -47,6 +47,22 @@
 		a.Body = nil
 	}
 	x := &exchange{t: t, a: &a, ctx: ctx, start: time.Now()}
+	returning := false
+	defer func() {
+		if !returning && x.c != nil {
+			x.fail(errPanic)
+		}
+	}()
+	response, result := x.do()
+	returning = true
+	return response, result
+}
+
+// errPanic ends an attempt whose goroutine panics.
+var errPanic = errors.New("target: panic")
+
+// do implements Transport.Do.
+func (x *exchange) do() (*Response, attempt.Result) {
 	if err := x.acquireConn(); err != nil {
 		return nil, x.failAcquire(err)
 	}
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -28,7 +28,7 @@
 func CallWithHandler(work func(), report func(cause any, stack []byte)) (ok bool) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			panics.Inc()
+			Count()
 			report(cause, debug.Stack())
 			ok = false
 		}
@@ -37,6 +37,9 @@
 	return true
 }
 
+// Count counts a panic that its caller has recovered.
+func Count() { panics.Inc() }
+
 // Loop runs loop until it returns without a panic or ctx ends. After a panic it is
 // restarted.
 func Loop(ctx context.Context, log logrus.FieldLogger, name string, loop func(context.Context)) {
