target, peer: numbers in messages do not overflow when they are summed or scaled

What callers saw: nothing was reported. A target that says "Server-Load: N,N,6" with N near the largest integer counts as the least loaded one, as the sum is negative. A Keep-Alive timeout near it closes every connection after a millisecond. An age in a message between hosts can turn into 0, so that a copy that the store never confirmed counts as confirmed now. A reported rate that is no number makes every comparison with the load of its zone false.

Fix: each number is bounded where it is decoded, before any arithmetic. Retry-After, Server-Limit, permits and counts of retries had such bounds already.

--- a/internal/adapter/peer/convert_fleet.go
+++ b/internal/adapter/peer/convert_fleet.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -31,7 +32,7 @@
 		ConfigVersion:  pb.GetConfigVersion(),
 		TargetsChanged: pb.GetTargetsChanged(),
 		HostsHash:      pb.GetHostsHash(),
-		Age:            max(0, time.Duration(pb.GetAgeMs())*time.Millisecond),
+		Age:            age(pb.GetAgeMs()),
 	}
 }
 
@@ -63,11 +64,22 @@
 		Host:        fromRegisteredHost(pb.GetHost()),
 		Leaving:     pb.GetLeaving(),
 		Ready:       pb.GetReady(),
-		Rate:        pb.GetRate(),
+		Rate:        reportedRate(pb.GetRate()),
 		Coordinator: ident.HostID(pb.GetCoordinator()),
 	}
 }
 
+// maxReportedRate bounds the request rate that a host reports, in requests per second.
+const maxReportedRate = 1e9
+
+// reportedRate returns a rate that can be summed and compared: 0 for one that is no number.
+func reportedRate(rate float64) float64 {
+	if math.IsNaN(rate) {
+		return 0
+	}
+	return min(max(rate, 0), maxReportedRate)
+}
+
 func fromWelcome(pb *peerpb.Welcome) roster.Welcome {
 	w := roster.Welcome{Coordinator: ident.HostID(pb.GetCoordinator())}
 	for _, h := range pb.GetHosts() {
--- a/internal/adapter/peer/convert_permits.go
+++ b/internal/adapter/peer/convert_permits.go
@@ -40,9 +40,10 @@
 	return e
 }
 
-// maxAge bounds the age of a limit in a message.
+// maxAge bounds the ages in messages.
 const maxAge = 24 * time.Hour
 
+// age returns an age in a message, which may be any number, as a duration from 0 to maxAge.
 func age(milliseconds int64) time.Duration {
 	return time.Duration(min(max(0, milliseconds), maxAge.Milliseconds())) * time.Millisecond
 }
--- a/internal/adapter/peer/datagram.go
+++ b/internal/adapter/peer/datagram.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -98,9 +97,8 @@
 		From:           fromInfo(pb.GetFrom()),
 		Subject:        ident.HostID(pb.GetSubject()),
 		SubjectAddress: pb.GetSubjectAddress(),
-		Digest:         member.Digest{AsOf: pb.GetAsOf(), Revision: pb.GetRevision(), LogAge: time.Duration(pb.GetLogAgeMs()) * time.Millisecond},
+		Digest:         member.Digest{AsOf: pb.GetAsOf(), Revision: pb.GetRevision(), LogAge: min(age(pb.GetLogAgeMs()), member.MaxLogAge)},
 	}
-	m.Digest.LogAge = min(max(m.Digest.LogAge, 0), member.MaxLogAge)
 	if m.From.ID == "" || m.Kind < member.Ping || m.Kind > member.PingRequest {
 		return m, false
 	}
--- a/internal/adapter/target/conn.go
+++ b/internal/adapter/target/conn.go
@@ -52,13 +52,18 @@
 // is closed, so that no request is sent while the target closes it.
 const keepAliveReserve = time.Second
 
+// maxKeepAlive bounds the idle timeout that a target can announce. It exceeds
+// Config.IdleTimeout, so a longer one has no other effect.
+const maxKeepAlive = time.Hour
+
 // parseKeepAlive stores the idle timeout announced in a Keep-Alive header.
 func (c *conn) parseKeepAlive(h http.Header) {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		seconds, err := strconv.Atoi(value)
 		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
-			c.keepAlive = max(time.Millisecond, time.Duration(seconds)*time.Second-keepAliveReserve)
+			timeout := time.Duration(min(seconds, int(maxKeepAlive/time.Second))) * time.Second
+			c.keepAlive = max(time.Millisecond, timeout-keepAliveReserve)
 		}
 	}
 }
--- a/internal/adapter/target/probe.go
+++ b/internal/adapter/target/probe.go
@@ -82,6 +82,9 @@
 	return resp, body, resp.Finish()
 }
 
+// maxLoad bounds the numbers of a load, so that their sums do not overflow.
+const maxLoad = 1 << 20
+
 // parseLoadHeader parses a load of the form "running,waiting,slots". It returns nil
 // if the value is empty or malformed.
 func parseLoadHeader(value string) *Load {
@@ -95,7 +98,7 @@
 		if err != nil || n < 0 {
 			return nil
 		}
-		numbers[i] = n
+		numbers[i] = min(n, maxLoad)
 	}
 	return &Load{InFlight: numbers[0] + numbers[1], Slots: numbers[2]}
 }
@@ -110,5 +113,6 @@
 	if l.InFlight < 0 || l.Slots < 0 {
 		return Load{}, errors.New("target: load report: in_flight and slots must not be negative")
 	}
+	l.InFlight, l.Slots = min(l.InFlight, maxLoad), min(l.Slots, maxLoad)
 	return l, nil
 }
