engine, discovery, app: a panic in a background call ends only that call

The paths related to a panic during an attempt: goroutines that hold a slot or a flag while they call a target or another host.

What callers would see: nothing was reported. A panic in a probe, in a pull of the registry or in a call to another host ends the process with all requests on it.

Fix: these calls run under recovery.Call, which logs and counts the panic, and give back the slot of a probe and the flag of a running pull whatever ends them. A probe that panicked counts as not sent, since it shows nothing about the target.

--- a/internal/app/dissemination.go
+++ b/internal/app/dissemination.go
@@ -18,6 +18,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/serving"
 	"github.com/sapphirehaven/sapphirehaven/internal/logcodec"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
+	"github.com/sapphirehaven/sapphirehaven/internal/recovery"
 )
 
 // Parameters of the dissemination of log records among hosts.
@@ -140,7 +141,7 @@
 	var missing *configlog.MissingRecordsError
 	if err := s.follower.ApplyFromPeer(records); errors.As(err, &missing) {
 		if n, ok := s.membership.node(from.Host); ok {
-			go s.pull(portHost(&n))
+			s.startPull(portHost(&n))
 		}
 	}
 	return s.follower.Status().AsOf
@@ -150,10 +151,15 @@
 func (s *disseminator) handleDigest(h port.Host, d member.Digest) {
 	s.recordLogContact(d.LogAge)
 	if d.AsOf > s.follower.Status().AsOf {
-		go s.pull(h)
+		s.startPull(h)
 	}
 }
 
+// startPull pulls from a host on another goroutine. A panic ends only the pull.
+func (s *disseminator) startPull(h port.Host) {
+	go recovery.Call(s.log, "pull of log records", func() { s.pull(h) })
+}
+
 // recordLogContact records that the log service responded to a host the given time ago.
 func (s *disseminator) recordLogContact(age time.Duration) {
 	s.mu.Lock()
--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/health"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
+	"github.com/sapphirehaven/sapphirehaven/internal/recovery"
 )
 
 // exchangeInterval is the time between two exchanges of health evidence with the other serving
@@ -70,17 +71,22 @@
 		calls.Add(1)
 		go func() {
 			defer calls.Done()
-			replies, err := e.peers.Exchange(ctx, p.PeerAddress, reports)
-			if err != nil {
-				e.log.WithError(err).Debug("exchange of health evidence with a peer failed")
-				return
-			}
-			e.merge(replies)
+			recovery.Call(e.log, "exchange of evidence", func() { e.exchange(ctx, p, reports) })
 		}()
 	}
 	calls.Wait()
 }
 
+// exchange sends reports to a peer and merges its replies.
+func (e *evidenceExchanger) exchange(ctx context.Context, p servingPeer, reports []port.ServiceEvidence) {
+	replies, err := e.peers.Exchange(ctx, p.PeerAddress, reports)
+	if err != nil {
+		e.log.WithError(err).Debug("exchange of health evidence with a peer failed")
+		return
+	}
+	e.merge(replies)
+}
+
 // reportsFor returns the reports to send to a peer in this interval. It returns none if the peer is
 // not called.
 func (e *evidenceExchanger) reportsFor(to servingPeer, reports []port.ServiceEvidence) []port.ServiceEvidence {
--- a/internal/app/load.go
+++ b/internal/app/load.go
@@ -47,8 +47,8 @@
 			reads.Add(1)
 			go func() {
 				defer reads.Done()
+				defer func() { <-slots }()
 				s.readLoad(ctx, backend, id, endpoint)
-				<-slots
 			}()
 		}
 	}
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -54,6 +54,7 @@
 	RequestRefused            Kind = "request_refused"
 	OutcomeUnknown            Kind = "outcome_unknown"
 	TimerFailed               Kind = "timer_failed"
+	ProbeFailed               Kind = "probe_failed"
 	TicketsHandedOver         Kind = "tickets_handed_over"
 )
 
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -7,6 +7,7 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
+	"github.com/sapphirehaven/sapphirehaven/internal/recovery"
 )
 
 const (
@@ -62,7 +63,7 @@
 		return
 	}
 	go func() {
-		r.pull(ctx, address, have)
+		recovery.Call(r.log, "registry pull", func() { r.pull(ctx, address, have) })
 		done()
 	}()
 }
@@ -117,10 +118,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	c, err := r.fleet.Pull(ctx, address, have)
-	r.mu.Lock()
-	r.pulling = false
-	r.mu.Unlock()
+	c, err := r.fetch(ctx, address, have)
 	if err != nil {
 		r.log.WithError(err).WithField("peer", address).Debug("registry pull failed")
 		return
@@ -128,6 +126,17 @@
 	r.merge(have, c)
 }
 
+// fetch fetches what the host at an address has beyond the state have. A further pull can
+// start when it has returned, whatever ends it.
+func (r *Replica) fetch(ctx context.Context, address string, have roster.State) (port.RegistryDelta, error) {
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.pulling = false
+	}()
+	return r.fleet.Pull(ctx, address, have)
+}
+
 // merge merges what another host has beyond the state have.
 func (r *Replica) merge(have roster.State, c port.RegistryDelta) {
 	r.mu.Lock()
--- a/internal/discovery/replica_test.go
+++ b/internal/discovery/replica_test.go
@@ -410,6 +410,34 @@
 	})
 }
 
+// panickingFleet panics in its first pull.
+type panickingFleet struct {
+	*fakeFleet
+	pulled atomic.Bool
+}
+
+func (f *panickingFleet) Pull(ctx context.Context, address string, have roster.State) (port.RegistryDelta, error) {
+	if !f.pulled.Swap(true) {
+		panic("unexpected")
+	}
+	return f.fakeFleet.Pull(ctx, address, have)
+}
+
+// TestPanicInPull guards against a panic in a pull that ends the process, or after which
+// the host never pulls again.
+func TestPanicInPull(t *testing.T) {
+	runPair(t, func(p *pair) {
+		r := newReplica(newFakeStore(), &panickingFleet{fakeFleet: p.fleet}, &fakeRole{rank: 2})
+		for range 2 {
+			r.HandleBeacon(context.Background(), "rank0", p.coordinator.State(), func() {})
+			synctest.Wait()
+		}
+		if got := targetIDs(r); len(got) != 1 {
+			t.Errorf("targets %v after a pull that panicked and another one", got)
+		}
+	})
+}
+
 // TestIncompleteListNotAdopted guards against a follower that adopts a list of targets
 // in which a change is missing, because the store's pages are not a consistent
 // snapshot, and so never learns that a target drains. It also guards against the
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -478,9 +478,20 @@
 		return
 	}
 	go func() {
-		ok, latency := s.prober.Probe(context.Background(), s.name, target)
+		var ok bool
+		var latency time.Duration
+		completed := recovery.CallWithHandler(
+			func() { ok, latency = s.prober.Probe(context.Background(), s.name, target) },
+			func(cause any, _ []byte) {
+				s.recorder.Record(event.ProbeFailed, event.F("service", s.name), event.F("target", target), event.F("panic", cause))
+			})
 		<-s.probeSlots
 		s.handleEvent(func(now time.Time, _ Decider) []dispatch.Action {
+			if !completed {
+				// A panic shows nothing about the target.
+				s.dispatcher.ProbeSkipped(target)
+				return nil
+			}
 			return s.dispatcher.ProbeResult(now, target, ok, latency)
 		})
 	}()
