registry: a full list counts its last record as its last change

Cause: a copy claimed a last change that it did not hold all changes up to. When a coordinator's position is too old for the store, it reads the list of newest records, which ends at an offset E. Targets.Replace recorded the removals that the list shows at E, which is the offset of the next record. When that record changed a target, the last change stayed E: the beacon showed the other hosts nothing new, and Since(E) left the record out.

Two more ways to the same wrong claim, found by the invariant that Targets now states: a list reported the highest offset among the targets that it shows, although a removal, which it does not show, may be later, so that two different copies could report the same last change; and an entry of a later page of the list counted although changes before it may be missing.

TestChangeAfterFullList and TestLastChangeOfFullList fail with Replace as it was: both copies report 31, the list without x reports 1 as the copy with x does, and a list that ends at 3 reports 9.

Fix: the list ends with the record E-1, which becomes the offset of the removals and the last change, and no last change reaches the position. A host that merges a copy takes over its last change, which may be higher than the offset of any entry, so that both report the same.

--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -126,10 +126,10 @@
 				if rng.IntN(4) == 0 {
 					have = -1
 				}
-				follower.Merge(epoch, reader.Since(epoch, have), reader.Position())
+				follower.Merge(epoch, reader.Since(epoch, have), reader.Position(), reader.LastChange())
 			}
 		}
-		follower.Merge(epoch, reader.Since(epoch, follower.LastChange()), reader.Position())
+		follower.Merge(epoch, reader.Since(epoch, follower.LastChange()), reader.Position(), reader.LastChange())
 		if a, b := registeredEntries(reader), registeredEntries(follower); !reflect.DeepEqual(a, b) || reader.LastChange() != follower.LastChange() {
 			t.Fatalf("round %d: the reader has %s (%d), the follower %s (%d)", round, describe(a), reader.LastChange(), describe(b), follower.LastChange())
 		}
@@ -183,7 +183,7 @@
 		l := NewTargets()
 		apply := func(r TargetRecord) {
 			if merge {
-				l.Merge(epoch, []TargetRecord{r}, r.Offset+1)
+				l.Merge(epoch, []TargetRecord{r}, r.Offset+1, r.Offset)
 				return
 			}
 			l.Apply(epoch, []TargetRecord{r}, r.Offset+1)
@@ -205,3 +205,45 @@
 		}
 	}
 }
+
+// TestChangeAfterFullList guards against a change that other hosts never learn of because
+// it has the offset at which the full list ended: the removals that the list shows were
+// recorded under that offset as well.
+func TestChangeAfterFullList(t *testing.T) {
+	reader, follower := NewTargets(), NewTargets()
+	first := []TargetRecord{ready("x", 0), ready("y", 1)}
+	reader.Apply(epoch, first, 2)
+	follower.Merge(epoch, reader.Since(epoch, -1), reader.Position(), reader.LastChange())
+	// The records from 2 on are gone. The list lacks x, which was removed at 30.
+	reader.Replace(epoch, []TargetRecord{ready("y", 29)}, 31)
+	follower.Merge(epoch, reader.Since(epoch, follower.LastChange()), reader.Position(), reader.LastChange())
+	reader.Apply(epoch, []TargetRecord{draining("y", 31)}, 32)
+	if reader.LastChange() <= follower.LastChange() {
+		t.Fatalf("after the draining of y the reader reports the last change %d, the follower %d", reader.LastChange(), follower.LastChange())
+	}
+	follower.Merge(epoch, reader.Since(epoch, follower.LastChange()), reader.Position(), reader.LastChange())
+	if list := follower.Usable(); len(list) == 0 || !slices.ContainsFunc(list, func(e Entry) bool { return e.ID == "y" && e.Draining }) {
+		t.Errorf("the follower has %s", describe(list))
+	}
+	if a, b := registeredEntries(reader), registeredEntries(follower); !reflect.DeepEqual(a, b) {
+		t.Errorf("the reader has %s, the follower %s", describe(a), describe(b))
+	}
+}
+
+// TestLastChangeOfFullList guards against a full list that reports the last change of the
+// targets that it shows: a removal, which it does not show, may be later.
+func TestLastChangeOfFullList(t *testing.T) {
+	reader, starting := NewTargets(), NewTargets()
+	log := []TargetRecord{ready("x", 0), ready("y", 1), removed("x", 2)}
+	reader.Apply(epoch, log[:2], 2)
+	starting.Replace(epoch, log[1:2], 3)
+	if starting.LastChange() <= reader.LastChange() {
+		t.Errorf("a list that lacks x reports the last change %d, a copy that has x %d", starting.LastChange(), reader.LastChange())
+	}
+	// An entry of a later page does not count: other changes up to it may be missing.
+	paged := NewTargets()
+	paged.Replace(epoch, []TargetRecord{ready("y", 9)}, 3)
+	if got := paged.LastChange(); got != 2 {
+		t.Errorf("a list that ends at 3 reports the last change %d", got)
+	}
+}
--- a/internal/core/registry/targets.go
+++ b/internal/core/registry/targets.go
@@ -35,12 +35,16 @@
 }
 
 // Targets is the set of known targets. It is not safe for concurrent use.
+//
+// A set holds the effect of every record before its position. LastChange is lower than the
+// position, and no record between the two changed a target. Other hosts rely on both: equal
+// last changes mean equal sets, and a set that has a last change holds all changes up to it.
 type Targets struct {
 	entries map[ident.TargetID]*Entry
 	// position is the store offset of the next record to read.
 	position int64
 	// changed is the highest offset of a record that changed an entry, noOffset before
-	// the first one.
+	// the first one. It may exceed position, see LastChange.
 	changed int64
 	// outageUntil is the time until which a removal may be the expiry of an entry
 	// during an outage of the store.
@@ -59,8 +63,9 @@
 func (t *Targets) Position() int64 { return t.position }
 
 // LastChange returns the offset of the last record that changed an entry. Sets with the
-// same value are equal.
-func (t *Targets) LastChange() int64 { return t.changed }
+// same value are equal. An entry of a full list may be newer than the position of the set;
+// it does not count, because other changes before it may be missing.
+func (t *Targets) LastChange() int64 { return min(t.changed, t.position-1) }
 
 // MarkStoreUnavailable records that the store was unavailable at a time.
 func (t *Targets) MarkStoreUnavailable(now time.Time) { t.outageUntil = now.Add(outageHold) }
@@ -82,6 +87,9 @@
 // Replace replaces the set by the newest record of every target, read from the store at
 // the offset end. Targets without a record are removed. An end before the current
 // position is ignored.
+//
+// The list does not show which record changed it last, as it lacks removals. Any record
+// before end may have, so the last one counts as the last change.
 func (t *Targets) Replace(now time.Time, records []TargetRecord, end int64) bool {
 	if end < t.position {
 		return false
@@ -94,26 +102,28 @@
 	}
 	for id, e := range t.entries {
 		if !present[id] && e.RemovedAt.IsZero() {
-			changed = t.apply(now, TargetRecord{ID: id, Offset: end}) || changed
+			changed = t.apply(now, TargetRecord{ID: id, Offset: end - 1}) || changed
 		}
 	}
 	t.position = max(t.position, end)
+	t.changed = max(t.changed, end-1)
 	return changed
 }
 
-// Merge applies records of another host's set. Records with a higher store offset win.
-func (t *Targets) Merge(now time.Time, records []TargetRecord, position int64) bool {
+// Merge applies records of another host's set, given its position and its last change.
+// Records with a higher store offset win.
+func (t *Targets) Merge(now time.Time, records []TargetRecord, position, lastChange int64) bool {
 	changed := false
 	for _, r := range records {
 		changed = t.apply(now, r) || changed
 		// The record changed the other host's entry, even if the net result is equal to
 		// the entry here.
-		t.changed = max(t.changed, r.Offset)
 		if e := t.entries[r.ID]; e != nil {
 			e.Offset = max(e.Offset, r.Offset)
 		}
 	}
 	t.position = max(t.position, position)
+	t.changed = max(t.changed, lastChange)
 	return changed
 }
 
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -177,7 +177,7 @@
 		r.targets = registry.NewTargets()
 		r.targetsIncomplete = false
 	}
-	changed := r.targets.Merge(now, c.Targets, position) || !r.hasTargets
+	changed := r.targets.Merge(now, c.Targets, position, c.State.TargetsChanged) || !r.hasTargets
 	r.hasTargets = true
 	r.markConfirmed(now.Add(-c.State.Age))
 	if changed {
