registry, peer: a host that may lack removals hands out its whole list of targets

What callers saw: while many hosts were killed, a target's entry was removed.

Cause: a host that starts again may coordinate before a survivor takes over. It reads the list of newest records, which does not show removals, and its last change is higher than that of the survivors. They asked it for the changes since theirs and took the answer, which lacked the removal, for all of them: their position and last change moved behind a removal that neither side had. Nothing told them later.

TestRemovalBeforeFullList fails without the new field: the survivor keeps x, and a third host that pulls from the survivor keeps it too.

Fix: a set knows the offset from which it holds every removal. For a host whose last change lies before it, Since returns all targets and says so, and Merge takes that list as the store's: a target without a record was removed. A list older than the receiver's position changes nothing but the last change, which both then share. The message between hosts has a new field for it; without it, from hosts of an earlier version, a list is a delta as before.

--- a/internal/adapter/peer/convert_fleet.go
+++ b/internal/adapter/peer/convert_fleet.go
@@ -141,7 +141,8 @@
 func toRegistry(c port.RegistryDelta, cache *configurationCache) (*peerpb.Registry, error) {
 	pb := &peerpb.Registry{
 		State:                 toState(c.State),
-		TargetsPosition:       c.TargetsPosition,
+		TargetsPosition:       c.Targets.Position,
+		TargetsFull:           c.Targets.Full,
 		ConfigurationPosition: c.ConfigurationPosition,
 	}
 	if c.Configuration != nil {
@@ -151,7 +152,7 @@
 		}
 		pb.Configuration = data
 	}
-	for _, r := range c.Targets {
+	for _, r := range c.Targets.Records {
 		pb.Targets = append(pb.Targets, toRegisteredTarget(r))
 	}
 	for _, h := range c.Hosts {
@@ -163,8 +164,12 @@
 func fromRegistry(pb *peerpb.Registry) (port.RegistryDelta, error) {
 	c := port.RegistryDelta{
 		State:                 fromState(pb.GetState()),
-		TargetsPosition:       pb.GetTargetsPosition(),
 		ConfigurationPosition: pb.GetConfigurationPosition(),
+		Targets: registry.Changes{
+			Full:       pb.GetTargetsFull(),
+			Position:   pb.GetTargetsPosition(),
+			LastChange: pb.GetState().GetTargetsChanged(),
+		},
 	}
 	if len(pb.GetConfiguration()) > 0 {
 		configuration, err := decodeConfiguration(pb.GetConfiguration())
@@ -174,7 +179,7 @@
 		c.Configuration = configuration
 	}
 	for _, t := range pb.GetTargets() {
-		c.Targets = append(c.Targets, fromRegisteredTarget(t))
+		c.Targets.Records = append(c.Targets.Records, fromRegisteredTarget(t))
 	}
 	for _, h := range pb.GetHosts() {
 		c.Hosts = append(c.Hosts, fromRegisteredHost(h))
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -126,10 +126,10 @@
 				if rng.IntN(4) == 0 {
 					have = -1
 				}
-				follower.Merge(epoch, reader.Since(epoch, have), reader.Position(), reader.LastChange())
+				follower.Merge(epoch, reader.Since(epoch, have))
 			}
 		}
-		follower.Merge(epoch, reader.Since(epoch, follower.LastChange()), reader.Position(), reader.LastChange())
+		follower.Merge(epoch, reader.Since(epoch, follower.LastChange()))
 		if a, b := registeredEntries(reader), registeredEntries(follower); !reflect.DeepEqual(a, b) || reader.LastChange() != follower.LastChange() {
 			t.Fatalf("round %d: the reader has %s (%d), the follower %s (%d)", round, describe(a), reader.LastChange(), describe(b), follower.LastChange())
 		}
@@ -183,7 +183,7 @@
 		l := NewTargets()
 		apply := func(r TargetRecord) {
 			if merge {
-				l.Merge(epoch, []TargetRecord{r}, r.Offset+1, r.Offset)
+				l.Merge(epoch, Changes{Records: []TargetRecord{r}, Position: r.Offset + 1, LastChange: r.Offset})
 				return
 			}
 			l.Apply(epoch, []TargetRecord{r}, r.Offset+1)
@@ -213,15 +213,15 @@
 	reader, follower := NewTargets(), NewTargets()
 	first := []TargetRecord{ready("x", 0), ready("y", 1)}
 	reader.Apply(epoch, first, 2)
-	follower.Merge(epoch, reader.Since(epoch, -1), reader.Position(), reader.LastChange())
+	follower.Merge(epoch, reader.Since(epoch, -1))
 	// The records from 2 on are gone. The list lacks x, which was removed at 30.
 	reader.Replace(epoch, []TargetRecord{ready("y", 29)}, 31)
-	follower.Merge(epoch, reader.Since(epoch, follower.LastChange()), reader.Position(), reader.LastChange())
+	follower.Merge(epoch, reader.Since(epoch, follower.LastChange()))
 	reader.Apply(epoch, []TargetRecord{draining("y", 31)}, 32)
 	if reader.LastChange() <= follower.LastChange() {
 		t.Fatalf("after the draining of y the reader reports the last change %d, the follower %d", reader.LastChange(), follower.LastChange())
 	}
-	follower.Merge(epoch, reader.Since(epoch, follower.LastChange()), reader.Position(), reader.LastChange())
+	follower.Merge(epoch, reader.Since(epoch, follower.LastChange()))
 	if list := follower.Usable(); len(list) == 0 || !slices.ContainsFunc(list, func(e Entry) bool { return e.ID == "y" && e.Draining }) {
 		t.Errorf("the follower has %s", describe(list))
 	}
@@ -247,3 +247,49 @@
 		t.Errorf("a list that ends at 3 reports the last change %d", got)
 	}
 }
+
+// merge merges what one set has beyond the other, as hosts do.
+func merge(to, from *Targets) bool {
+	return to.Merge(epoch, from.Since(epoch, to.LastChange()))
+}
+
+// TestRemovalBeforeFullList guards against a removed target that a host keeps for ever
+// because it takes over the copy of a host that has just started. The list from which that
+// copy was made lacks the removal, and its last change is higher.
+func TestRemovalBeforeFullList(t *testing.T) {
+	survivor, starting := NewTargets(), NewTargets()
+	survivor.Apply(epoch, []TargetRecord{ready("x", 0), ready("y", 1)}, 2)
+	starting.Replace(epoch, []TargetRecord{ready("y", 9)}, 10)
+	merge(survivor, starting)
+	if got := ids(registeredEntries(survivor)); !reflect.DeepEqual(got, []ident.TargetID{"y"}) {
+		t.Errorf("the survivor has %v", got)
+	}
+	if a, b := survivor.LastChange(), starting.LastChange(); a != b || survivor.Position() != starting.Position() {
+		t.Errorf("last changes %d and %d, positions %d and %d", a, b, survivor.Position(), starting.Position())
+	}
+	// A third host pulls from the survivor, which never saw the removal either.
+	third := NewTargets()
+	third.Apply(epoch, []TargetRecord{ready("x", 0), ready("y", 1), ready("z", 2)}, 3)
+	merge(third, survivor)
+	if got := ids(registeredEntries(third)); !reflect.DeepEqual(got, []ident.TargetID{"y"}) {
+		t.Errorf("the third host has %v", got)
+	}
+}
+
+// TestListOlderThanCopy guards against a host that reverts its copy, or that never agrees
+// with the other host, because that host's list is older.
+func TestListOlderThanCopy(t *testing.T) {
+	reader, starting := NewTargets(), NewTargets()
+	starting.Replace(epoch, []TargetRecord{ready("x", 8)}, 10)
+	reader.Apply(epoch, []TargetRecord{ready("x", 0), ready("x", 8), ready("x", 10)}, 12)
+	merge(reader, starting)
+	if got := ids(registeredEntries(reader)); len(got) != 1 || reader.Position() != 12 || reader.LastChange() != starting.LastChange() {
+		t.Errorf("the reader has %v, position %d, last change %d and not %d", got, reader.Position(), reader.LastChange(), starting.LastChange())
+	}
+	reader.Apply(epoch, []TargetRecord{ready("y", 12)}, 13)
+	merge(reader, starting)
+	merge(starting, reader)
+	if got := ids(registeredEntries(starting)); len(got) != 2 || starting.LastChange() != 12 {
+		t.Errorf("the starting host has %v, last change %d", got, starting.LastChange())
+	}
+}
--- a/internal/core/registry/targets.go
+++ b/internal/core/registry/targets.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -46,6 +47,9 @@
 	// changed is the highest offset of a record that changed an entry, noOffset before
 	// the first one. It may exceed position, see LastChange.
 	changed int64
+	// removalsSince is the offset from which the set holds every removal. A target that was
+	// removed before may be missing without a trace.
+	removalsSince int64
 	// outageUntil is the time until which a removal may be the expiry of an entry
 	// during an outage of the store.
 	outageUntil time.Time
@@ -91,30 +95,50 @@
 // The list does not show which record changed it last, as it lacks removals. Any record
 // before end may have, so the last one counts as the last change.
 func (t *Targets) Replace(now time.Time, records []TargetRecord, end int64) bool {
-	if end < t.position {
+	return t.replace(now, Changes{Records: records, Full: true, Position: end, LastChange: end - 1})
+}
+
+// replace applies a full list.
+func (t *Targets) replace(now time.Time, list Changes) bool {
+	if list.Position < t.position {
+		// This set holds all records before its position and so all that the list shows.
+		t.changed = max(t.changed, list.LastChange)
 		return false
 	}
 	present := map[ident.TargetID]bool{}
 	changed := false
-	for _, r := range records {
+	for _, r := range list.Records {
 		present[r.ID] = true
 		changed = t.apply(now, r) || changed
 	}
 	for id, e := range t.entries {
 		if !present[id] && e.RemovedAt.IsZero() {
-			changed = t.apply(now, TargetRecord{ID: id, Offset: end - 1}) || changed
+			changed = t.apply(now, TargetRecord{ID: id, Offset: list.LastChange}) || changed
 		}
 	}
-	t.position = max(t.position, end)
-	t.changed = max(t.changed, end-1)
+	t.position = list.Position
+	t.changed = max(t.changed, list.LastChange)
+	t.removalsSince = list.LastChange + 1
 	return changed
 }
 
-// Merge applies records of another host's set, given its position and its last change.
-// Records with a higher store offset win.
-func (t *Targets) Merge(now time.Time, records []TargetRecord, position, lastChange int64) bool {
+// Changes is what a set holds beyond the last change of another one.
+type Changes struct {
+	Records []TargetRecord
+	// Full is set if Records lists all targets: one without a record was removed.
+	Full bool
+	// Position and LastChange are those of the set that Records was taken from.
+	Position, LastChange int64
+}
+
+// Merge applies the changes that another host's set holds beyond this one. Records with a
+// higher store offset win.
+func (t *Targets) Merge(now time.Time, c Changes) bool {
+	if c.Full {
+		return t.replace(now, c)
+	}
 	changed := false
-	for _, r := range records {
+	for _, r := range c.Records {
 		changed = t.apply(now, r) || changed
 		// The record changed the other host's entry, even if the net result is equal to
 		// the entry here.
@@ -122,8 +146,8 @@
 			e.Offset = max(e.Offset, r.Offset)
 		}
 	}
-	t.position = max(t.position, position)
-	t.changed = max(t.changed, lastChange)
+	t.position = max(t.position, c.Position)
+	t.changed = max(t.changed, c.LastChange)
 	return changed
 }
 
@@ -205,12 +229,13 @@
 	return list
 }
 
-// Since returns, for another host, the records of all entries that changed after an
-// offset. The remaining warm-up time is relative to now.
-func (t *Targets) Since(now time.Time, offset int64) []TargetRecord {
-	var records []TargetRecord
+// Since returns, for another host, what this set holds beyond a last change of that host: the
+// records of all entries that changed later, or of all entries if the set may lack removals
+// since then. The remaining warm-up time is relative to now.
+func (t *Targets) Since(now time.Time, lastChange int64) Changes {
+	c := Changes{Full: lastChange < t.removalsSince-1, Position: t.position, LastChange: t.LastChange()}
 	for id, e := range t.entries {
-		if e.Offset <= offset {
+		if e.Offset <= lastChange && !c.Full {
 			continue
 		}
 		r := TargetRecord{ID: id, Offset: e.Offset, Drained: !e.RemovedAt.IsZero() && e.Draining}
@@ -219,10 +244,10 @@
 			target.WarmUpLeft = max(0, e.WarmUntil.Sub(now))
 			r.Target = &target
 		}
-		records = append(records, r)
+		c.Records = append(c.Records, r)
 	}
-	slices.SortFunc(records, func(a, b TargetRecord) int { return int(a.Offset - b.Offset) })
-	return records
+	slices.SortFunc(c.Records, func(a, b TargetRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	return c
 }
 
 func sortEntries(list []Entry) {
--- a/internal/core/roster/order.go
+++ b/internal/core/roster/order.go
@@ -109,9 +109,8 @@
 }
 
 // startWait returns how long a starting host waits before it coordinates. If other
-// hosts have a copy of the registry, one of them must take over instead: a list of
-// targets that is read from scratch lacks the removals since their copy, so the other
-// hosts would never learn of them.
+// hosts have a copy of the registry, one of them takes over instead: a starting host reads
+// its targets from scratch, so that every other host would have to transfer the whole list.
 func (r *Roster) startWait(now time.Time) time.Duration {
 	switch {
 	case r.hasReadyPeer(now):
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -25,7 +25,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	c := port.RegistryDelta{State: r.state(now), TargetsPosition: r.targets.Position(), ConfigurationPosition: r.configPosition}
+	c := port.RegistryDelta{State: r.state(now), ConfigurationPosition: r.configPosition}
 	if r.configuration != nil && r.configuration.Version > have.ConfigVersion {
 		c.Configuration = r.configuration
 	}
@@ -167,17 +167,17 @@
 	if c.State.Age >= unknownAge || (incomplete && r.hasTargets) {
 		return false
 	}
-	position := c.TargetsPosition
+	targets := c.Targets
 	switch {
 	case incomplete:
-		position = 0
+		targets.Position = 0
 		r.targetsIncomplete = true
 	case have.TargetsChanged == incompleteTargets:
 		// The other host's list is complete, this one's may not be.
 		r.targets = registry.NewTargets()
 		r.targetsIncomplete = false
 	}
-	changed := r.targets.Merge(now, c.Targets, position, c.State.TargetsChanged) || !r.hasTargets
+	changed := r.targets.Merge(now, targets) || !r.hasTargets
 	r.hasTargets = true
 	r.markConfirmed(now.Add(-c.State.Age))
 	if changed {
--- a/internal/port/fleet.go
+++ b/internal/port/fleet.go
@@ -100,8 +100,7 @@
 	// Configuration is nil if it is not newer than the other host's.
 	Configuration         *registry.Configuration
 	ConfigurationPosition int64
-	Targets               []registry.TargetRecord
-	TargetsPosition       int64
+	Targets               registry.Changes
 	Hosts                 []registry.Host
 }
 
