registry, discovery: late changes and forgotten removals keep the claim of a copy true

What callers would see: requests to targets that drain or were removed, at hosts that no later change corrects.

Cause: a copy claimed changes that it did not hold in five more ways. - An answer to an earlier pull that arrives after the copy has moved on restored targets that were removed since. - While a starting host reads the changes since its list, it can take over a copy with a lower position. The records that it read were applied all the same, and those between were lost. - A pull that was sent while the list was incomplete replaced a copy that was complete by the time of the answer. - A removal is kept for five minutes. A host that was cut off for longer got the changes since its own without it. - A target of a full list that looks unchanged kept the offset of its last known change, although it may have been removed and added again meanwhile.

Evidence: TestCopiesHoldWhatTheyClaim runs reads, pulls, restarts, deletions of records and waits in random orders, each overtaken by others.

Fix: Merge skips records before the position. Apply gets the offset at which the read started and refuses a gap, and the read is repeated. Only a copy that is still incomplete is replaced. A deleted removal moves the offset from which all removals are held. The newest record of a target counts as its last change.

--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -27,6 +27,15 @@
 	return TargetRecord{ID: id, Offset: offset}
 }
 
+// read applies the records that a set reads from the store at its position.
+func read(l *Targets, now time.Time, records []TargetRecord, end int64) bool {
+	changed, err := l.Apply(now, l.Position(), records, end)
+	if err != nil {
+		panic(err)
+	}
+	return changed
+}
+
 func ids(list []Entry) []ident.TargetID {
 	var out []ident.TargetID
 	for _, e := range list {
@@ -39,13 +48,13 @@
 // causes work and messages in every host.
 func TestHeartbeatIsNoChange(t *testing.T) {
 	l := NewTargets()
-	if !l.Apply(epoch, []TargetRecord{ready("a", 0)}, 1) {
+	if !read(l, epoch, []TargetRecord{ready("a", 0)}, 1) {
 		t.Error("a new target was not reported as a change")
 	}
-	if l.Apply(epoch, []TargetRecord{ready("a", 1), ready("a", 2)}, 3) || l.LastChange() != 0 || l.Position() != 3 {
+	if read(l, epoch, []TargetRecord{ready("a", 1), ready("a", 2)}, 3) || l.LastChange() != 0 || l.Position() != 3 {
 		t.Errorf("changed %d, position %d after two heartbeats", l.LastChange(), l.Position())
 	}
-	if !l.Apply(epoch, []TargetRecord{draining("a", 3)}, 4) || !l.Usable()[0].Draining {
+	if !read(l, epoch, []TargetRecord{draining("a", 3)}, 4) || !l.Usable()[0].Draining {
 		t.Error("draining was not reported as a change")
 	}
 }
@@ -55,15 +64,15 @@
 // usable.
 func TestEntriesExpiredDuringOutage(t *testing.T) {
 	l := NewTargets()
-	l.Apply(epoch, []TargetRecord{ready("back", 0), ready("gone", 1)}, 2)
+	read(l, epoch, []TargetRecord{ready("back", 0), ready("gone", 1)}, 2)
 	l.MarkStoreUnavailable(epoch)
-	l.Apply(epoch, []TargetRecord{removed("back", 2), removed("gone", 3)}, 4)
+	read(l, epoch, []TargetRecord{removed("back", 2), removed("gone", 3)}, 4)
 	now := epoch.Add(1900 * time.Millisecond)
 	l.Tick(now)
 	if list := l.Usable(); len(list) != 2 || list[0].RemovedAt.IsZero() {
 		t.Fatalf("1.9 s after the end of the outage: %+v", list)
 	}
-	l.Apply(now, []TargetRecord{ready("back", 4)}, 5)
+	read(l, now, []TargetRecord{ready("back", 4)}, 5)
 	l.Tick(epoch.Add(2300 * time.Millisecond))
 	if list := l.Usable(); len(list) != 1 || list[0].ID != "back" || !list[0].RemovedAt.IsZero() {
 		t.Errorf("2.3 s after the end of the outage: %+v", list)
@@ -74,8 +83,8 @@
 // after its entry was removed.
 func TestRemovedWhileStoreAvailable(t *testing.T) {
 	l := NewTargets()
-	l.Apply(epoch, []TargetRecord{ready("a", 0)}, 1)
-	l.Apply(epoch, []TargetRecord{removed("a", 1)}, 2)
+	read(l, epoch, []TargetRecord{ready("a", 0)}, 1)
+	read(l, epoch, []TargetRecord{removed("a", 1)}, 2)
 	l.Tick(epoch.Add(time.Second))
 	if list := l.Usable(); len(list) != 0 {
 		t.Errorf("a second after its removal: %+v", list)
@@ -86,7 +95,7 @@
 // against a delayed full read that reverts newer records.
 func TestReplace(t *testing.T) {
 	l := NewTargets()
-	l.Apply(epoch, []TargetRecord{ready("a", 0), ready("b", 1)}, 2)
+	read(l, epoch, []TargetRecord{ready("a", 0), ready("b", 1)}, 2)
 	if !l.Replace(epoch, []TargetRecord{ready("a", 5)}, 9) {
 		t.Error("a missing target was not reported as a change")
 	}
@@ -119,7 +128,7 @@
 		reader, follower := NewTargets(), NewTargets()
 		for at := 0; at < len(log); {
 			end := min(len(log), at+1+rng.IntN(6))
-			reader.Apply(epoch, log[at:end], int64(end))
+			read(reader, epoch, log[at:end], int64(end))
 			at = end
 			if rng.IntN(3) == 0 {
 				have := follower.LastChange()
@@ -186,7 +195,7 @@
 				l.Merge(epoch, Changes{Records: []TargetRecord{r}, Position: r.Offset + 1, LastChange: r.Offset})
 				return
 			}
-			l.Apply(epoch, []TargetRecord{r}, r.Offset+1)
+			read(l, epoch, []TargetRecord{r}, r.Offset+1)
 		}
 		apply(withStart(ready("a", 0), 7, 1))
 		apply(withStart(draining("a", 1), 7, 3))
@@ -212,12 +221,12 @@
 func TestChangeAfterFullList(t *testing.T) {
 	reader, follower := NewTargets(), NewTargets()
 	first := []TargetRecord{ready("x", 0), ready("y", 1)}
-	reader.Apply(epoch, first, 2)
+	read(reader, epoch, first, 2)
 	follower.Merge(epoch, reader.Since(epoch, -1))
 	// The records from 2 on are gone. The list lacks x, which was removed at 30.
 	reader.Replace(epoch, []TargetRecord{ready("y", 29)}, 31)
 	follower.Merge(epoch, reader.Since(epoch, follower.LastChange()))
-	reader.Apply(epoch, []TargetRecord{draining("y", 31)}, 32)
+	read(reader, epoch, []TargetRecord{draining("y", 31)}, 32)
 	if reader.LastChange() <= follower.LastChange() {
 		t.Fatalf("after the draining of y the reader reports the last change %d, the follower %d", reader.LastChange(), follower.LastChange())
 	}
@@ -235,7 +244,7 @@
 func TestLastChangeOfFullList(t *testing.T) {
 	reader, starting := NewTargets(), NewTargets()
 	log := []TargetRecord{ready("x", 0), ready("y", 1), removed("x", 2)}
-	reader.Apply(epoch, log[:2], 2)
+	read(reader, epoch, log[:2], 2)
 	starting.Replace(epoch, log[1:2], 3)
 	if starting.LastChange() <= reader.LastChange() {
 		t.Errorf("a list that lacks x reports the last change %d, a copy that has x %d", starting.LastChange(), reader.LastChange())
@@ -258,7 +267,7 @@
 // copy was made lacks the removal, and its last change is higher.
 func TestRemovalBeforeFullList(t *testing.T) {
 	survivor, starting := NewTargets(), NewTargets()
-	survivor.Apply(epoch, []TargetRecord{ready("x", 0), ready("y", 1)}, 2)
+	read(survivor, epoch, []TargetRecord{ready("x", 0), ready("y", 1)}, 2)
 	starting.Replace(epoch, []TargetRecord{ready("y", 9)}, 10)
 	merge(survivor, starting)
 	if got := ids(registeredEntries(survivor)); !reflect.DeepEqual(got, []ident.TargetID{"y"}) {
@@ -269,7 +278,7 @@
 	}
 	// A third host pulls from the survivor, which never saw the removal either.
 	third := NewTargets()
-	third.Apply(epoch, []TargetRecord{ready("x", 0), ready("y", 1), ready("z", 2)}, 3)
+	read(third, epoch, []TargetRecord{ready("x", 0), ready("y", 1), ready("z", 2)}, 3)
 	merge(third, survivor)
 	if got := ids(registeredEntries(third)); !reflect.DeepEqual(got, []ident.TargetID{"y"}) {
 		t.Errorf("the third host has %v", got)
@@ -281,15 +290,47 @@
 func TestListOlderThanCopy(t *testing.T) {
 	reader, starting := NewTargets(), NewTargets()
 	starting.Replace(epoch, []TargetRecord{ready("x", 8)}, 10)
-	reader.Apply(epoch, []TargetRecord{ready("x", 0), ready("x", 8), ready("x", 10)}, 12)
+	read(reader, epoch, []TargetRecord{ready("x", 0), ready("x", 8), ready("x", 10)}, 12)
 	merge(reader, starting)
 	if got := ids(registeredEntries(reader)); len(got) != 1 || reader.Position() != 12 || reader.LastChange() != starting.LastChange() {
 		t.Errorf("the reader has %v, position %d, last change %d and not %d", got, reader.Position(), reader.LastChange(), starting.LastChange())
 	}
-	reader.Apply(epoch, []TargetRecord{ready("y", 12)}, 13)
+	read(reader, epoch, []TargetRecord{ready("y", 12)}, 13)
 	merge(reader, starting)
 	merge(starting, reader)
 	if got := ids(registeredEntries(starting)); len(got) != 2 || starting.LastChange() != 12 {
 		t.Errorf("the starting host has %v, last change %d", got, starting.LastChange())
 	}
 }
+
+// TestLateChanges guards against changes that arrive after the set has moved on: an answer
+// to an earlier pull must not restore a target that was removed since, and a read of the
+// store must not skip the records between the set's position and its start.
+func TestLateChanges(t *testing.T) {
+	sender, receiver := NewTargets(), NewTargets()
+	read(sender, epoch, []TargetRecord{ready("a", 0), ready("x", 1)}, 2)
+	late := sender.Since(epoch, 0)
+	receiver.Replace(epoch, []TargetRecord{ready("a", 0)}, 3)
+	receiver.Merge(epoch, late)
+	if got := ids(registeredEntries(receiver)); !reflect.DeepEqual(got, []ident.TargetID{"a"}) {
+		t.Errorf("after a late answer the set has %v", got)
+	}
+	if changed, err := receiver.Apply(epoch, 5, []TargetRecord{ready("b", 5)}, 6); changed || err == nil || receiver.Position() != 3 {
+		t.Errorf("a read that starts at 5 was applied at position %d: %v", receiver.Position(), err)
+	}
+}
+
+// TestForgottenRemovals guards against a host that was cut off for longer than removals are
+// kept, and that keeps a target because the changes since its last one lack the removal.
+func TestForgottenRemovals(t *testing.T) {
+	reader, isolated := NewTargets(), NewTargets()
+	read(reader, epoch, []TargetRecord{ready("x", 0), ready("y", 1)}, 2)
+	merge(isolated, reader)
+	read(reader, epoch, []TargetRecord{removed("x", 2)}, 3)
+	reader.Tick(epoch.Add(tombstoneTTL))
+	read(reader, epoch, []TargetRecord{draining("y", 3)}, 4)
+	merge(isolated, reader)
+	if got := ids(registeredEntries(isolated)); !reflect.DeepEqual(got, []ident.TargetID{"y"}) {
+		t.Errorf("the host that was cut off has %v", got)
+	}
+}
--- a/internal/core/registry/targets.go
+++ b/internal/core/registry/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -74,10 +75,13 @@
 // MarkStoreUnavailable records that the store was unavailable at a time.
 func (t *Targets) MarkStoreUnavailable(now time.Time) { t.outageUntil = now.Add(outageHold) }
 
-// Apply applies store records in order, up to the offset end, and reports whether
-// anything changed.
-func (t *Targets) Apply(now time.Time, records []TargetRecord, end int64) bool {
-	changed := false
+// Apply applies the store records from the offset start up to the offset end, and reports
+// whether anything changed. It returns an error and applies nothing if records between the
+// position and start are missing.
+func (t *Targets) Apply(now time.Time, start int64, records []TargetRecord, end int64) (changed bool, err error) {
+	if start > t.position {
+		return false, &MissingRecordsError{Position: t.position, Start: start}
+	}
 	for _, r := range records {
 		if r.Offset < t.position {
 			continue
@@ -85,7 +89,18 @@
 		changed = t.apply(now, r) || changed
 	}
 	t.position = max(t.position, end)
-	return changed
+	return changed, nil
+}
+
+// MissingRecordsError is returned by Targets.Apply if records are missing.
+type MissingRecordsError struct {
+	// Position is the position of the set, and Start the offset of the first record.
+	Position, Start int64
+}
+
+// Error implements error.
+func (e *MissingRecordsError) Error() string {
+	return fmt.Sprintf("registry: the records from %d to %d are missing", e.Position, e.Start)
 }
 
 // Replace replaces the set by the newest record of every target, read from the store at
@@ -108,8 +123,9 @@
 	present := map[ident.TargetID]bool{}
 	changed := false
 	for _, r := range list.Records {
-		present[r.ID] = true
-		changed = t.apply(now, r) || changed
+		// A removal in the list of another host may be older than the entry here.
+		present[r.ID] = r.Target != nil
+		changed = t.applyNewest(now, r) || changed
 	}
 	for id, e := range t.entries {
 		if !present[id] && e.RemovedAt.IsZero() {
@@ -118,7 +134,7 @@
 	}
 	t.position = list.Position
 	t.changed = max(t.changed, list.LastChange)
-	t.removalsSince = list.LastChange + 1
+	t.removalsSince = max(t.removalsSince, list.LastChange+1)
 	return changed
 }
 
@@ -132,25 +148,36 @@
 }
 
 // Merge applies the changes that another host's set holds beyond this one. Records with a
-// higher store offset win.
+// higher store offset win. Those before the position are skipped: this set holds their
+// effect, and a target that it lacks was removed since.
 func (t *Targets) Merge(now time.Time, c Changes) bool {
 	if c.Full {
 		return t.replace(now, c)
 	}
 	changed := false
 	for _, r := range c.Records {
-		changed = t.apply(now, r) || changed
-		// The record changed the other host's entry, even if the net result is equal to
-		// the entry here.
-		if e := t.entries[r.ID]; e != nil {
-			e.Offset = max(e.Offset, r.Offset)
+		if r.Offset < t.position {
+			continue
 		}
+		changed = t.applyNewest(now, r) || changed
 	}
 	t.position = max(t.position, c.Position)
 	t.changed = max(t.changed, c.LastChange)
 	return changed
 }
 
+// applyNewest applies the newest record of a target, whose earlier ones this set may not have
+// seen. The target may have changed between them even if the net result is equal to the entry
+// here, so the entry counts as changed by the record.
+func (t *Targets) applyNewest(now time.Time, r TargetRecord) bool {
+	changed := t.apply(now, r)
+	if e := t.entries[r.ID]; e != nil {
+		e.Offset = max(e.Offset, r.Offset)
+		t.changed = max(t.changed, e.Offset)
+	}
+	return changed
+}
+
 // apply applies one record and reports whether the result of Usable changed.
 func (t *Targets) apply(now time.Time, r TargetRecord) bool {
 	e := t.entries[r.ID]
@@ -211,6 +238,7 @@
 		}
 		if now.Sub(e.RemovedAt) >= tombstoneTTL {
 			delete(t.entries, id)
+			t.removalsSince = max(t.removalsSince, e.Offset+1)
 		}
 	}
 	return released
--- /dev/null
+++ b/internal/discovery/copies_test.go
@@ -0,0 +1,327 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/port"
+)
+
+// The invariant of copies of the list of targets:
+//
+//  1. A complete copy with position P holds the effect of every record below P: each of its
+//     targets is as the log has it at P, or as at the later record that the copy names as
+//     the last change of that target.
+//  2. Two complete copies that report the same last change hold the same targets.
+//  3. Once the store is quiet and the coordinator has read it, one round of pulls brings
+//     every copy to the state of the log and to the coordinator's last change.
+
+// copiesModel runs the reads, pulls and restarts of several hosts in a random order. What is
+// in flight is overtaken by other events.
+type copiesModel struct {
+	t     *testing.T
+	rng   *rand.Rand
+	store *interruptedStore
+	hosts []*Replica
+	// pulling marks the hosts with a pull in progress.
+	pulling map[*Replica]bool
+	depth   int
+	// quiet is set while nothing interrupts an event.
+	quiet bool
+	steps []string
+}
+
+// interruptedStore runs interrupt while a response is on its way, and between the pages of
+// a list.
+type interruptedStore struct {
+	*fakeStore
+	interrupt func()
+}
+
+func (s *interruptedStore) TargetsSince(ctx context.Context, position int64) ([]registry.TargetRecord, int64, error) {
+	records, end, err := s.fakeStore.TargetsSince(ctx, position)
+	s.interrupt()
+	return records, end, err
+}
+
+// Targets returns the list in two pages, with the end of the log at the time of the first.
+func (s *interruptedStore) Targets(context.Context) ([]registry.TargetRecord, int64, error) {
+	end := s.end()
+	page := s.page(func(id ident.TargetID) bool { return id < "c" })
+	s.interrupt()
+	page = append(page, s.page(func(id ident.TargetID) bool { return id >= "c" })...)
+	s.interrupt()
+	return page, end, nil
+}
+
+func (s *interruptedStore) end() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.targets))
+}
+
+// page returns the newest records of the registered targets that are selected.
+func (s *interruptedStore) page(selected func(ident.TargetID) bool) []registry.TargetRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := map[ident.TargetID]registry.TargetRecord{}
+	for _, r := range s.targets {
+		newest[r.ID] = r
+	}
+	var list []registry.TargetRecord
+	for _, id := range slices.Sorted(maps.Keys(newest)) {
+		if r := newest[id]; r.Target != nil && selected(id) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// stateAt returns the registered targets as of an offset.
+func (s *interruptedStore) stateAt(position int64) map[ident.TargetID]registry.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := map[ident.TargetID]registry.Target{}
+	for _, r := range s.targets[:min(position, int64(len(s.targets)))] {
+		if r.Target == nil {
+			delete(state, r.ID)
+			continue
+		}
+		state[r.ID] = *r.Target
+	}
+	return state
+}
+
+func newCopiesModel(t *testing.T, seed uint64) *copiesModel {
+	m := &copiesModel{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: &interruptedStore{fakeStore: newFakeStore()}, pulling: map[*Replica]bool{}}
+	m.store.interrupt = m.interrupt
+	m.store.setConfig(1)
+	for range 4 {
+		m.hosts = append(m.hosts, nil)
+		m.restart(len(m.hosts) - 1)
+	}
+	return m
+}
+
+func (m *copiesModel) restart(i int) {
+	m.hosts[i] = newReplica(m.store, &fakeFleet{}, &fakeRole{rank: i})
+}
+
+// interrupt runs up to two events while another one is in progress.
+func (m *copiesModel) interrupt() {
+	if m.quiet || m.depth >= 3 {
+		return
+	}
+	for range m.rng.IntN(3) {
+		m.step()
+	}
+}
+
+func (m *copiesModel) log(format string, args ...any) {
+	m.steps = append(m.steps, strings.Repeat("  ", m.depth)+fmt.Sprintf(format, args...))
+}
+
+// step runs one random event and checks the invariant.
+func (m *copiesModel) step() {
+	m.depth++
+	defer func() { m.depth-- }()
+	i := m.rng.IntN(len(m.hosts))
+	switch n := m.rng.IntN(20); {
+	case n < 7:
+		m.write()
+	case n < 12:
+		m.read(i)
+	case n < 17:
+		m.pull(i, m.rng.IntN(len(m.hosts)))
+	case n < 18:
+		m.log("restart %d", i)
+		m.restart(i)
+	case n < 19:
+		m.compact()
+	default:
+		m.wait()
+	}
+	m.check()
+}
+
+// write appends a heartbeat, a change or a removal of a random target.
+func (m *copiesModel) write() {
+	id := ident.TargetID(rune('a' + m.rng.IntN(5)))
+	m.store.mu.Lock()
+	defer m.store.mu.Unlock()
+	r := registry.TargetRecord{ID: id, Offset: int64(len(m.store.targets))}
+	switch m.rng.IntN(4) {
+	case 0:
+		m.log("%d: %s is removed", r.Offset, id)
+	case 1:
+		r.Target = &registry.Target{ID: id, Service: "s", Slots: 1, Draining: true}
+		m.log("%d: %s drains", r.Offset, id)
+	default:
+		r.Target = &registry.Target{ID: id, Service: "s", Slots: 1}
+		m.log("%d: %s is ready", r.Offset, id)
+	}
+	m.store.targets = append(m.store.targets, r)
+}
+
+// compact deletes records before a random offset, as after the time for which the store
+// keeps them.
+func (m *copiesModel) compact() {
+	m.store.mu.Lock()
+	defer m.store.mu.Unlock()
+	first := m.store.firstRetained
+	m.store.firstRetained = first + m.rng.Int64N(int64(len(m.store.targets))+1-first)
+	m.log("records before %d are deleted", m.store.firstRetained)
+}
+
+// wait lets time pass, in part more than that for which removals are kept.
+func (m *copiesModel) wait() {
+	time.Sleep(time.Duration(m.rng.IntN(400)) * time.Second)
+	m.log("time passes")
+	for _, r := range m.hosts {
+		r.mu.Lock()
+		r.targets.Tick(time.Now())
+		r.mu.Unlock()
+	}
+}
+
+func (m *copiesModel) read(i int) {
+	r := m.hosts[i]
+	m.log("%d reads from %d", i, r.targets.Position())
+	if err := r.refreshConfiguration(m.t.Context(), 0); err != nil {
+		m.fail("the read failed: %v", err)
+	}
+	// The copy may have been replaced by an older one during the read, which is then repeated.
+	var missing *registry.MissingRecordsError
+	if err := r.refreshTargets(m.t.Context()); err != nil && (m.quiet || !errors.As(err, &missing)) {
+		m.fail("the read failed: %v", err)
+	}
+	m.log("%d has read up to %d, last change %d", i, r.targets.Position(), r.State().TargetsChanged)
+}
+
+// pull runs a pull of one host from another, if its beacon would start one.
+func (m *copiesModel) pull(i, j int) {
+	to, from := m.hosts[i], m.hosts[j]
+	if i == j || m.pulling[to] {
+		return
+	}
+	remote := from.State()
+	m.interrupt()
+	have, wanted := to.preparePull(remote)
+	if !wanted {
+		return
+	}
+	m.pulling[to] = true
+	m.log("%d pulls from %d, has %d", i, j, have.TargetsChanged)
+	m.interrupt()
+	delta := from.ChangesSince(have)
+	m.interrupt()
+	to.merge(have, delta)
+	to.mu.Lock()
+	to.pulling = false
+	to.mu.Unlock()
+	delete(m.pulling, to)
+	m.log("%d has pulled from %d, last change %d", i, j, to.State().TargetsChanged)
+}
+
+// registered returns the targets of a copy, and the offset of the last change of each.
+func registered(r *Replica) (targets map[ident.TargetID]registry.Target, changed map[ident.TargetID]int64) {
+	targets, changed = map[ident.TargetID]registry.Target{}, map[ident.TargetID]int64{}
+	for _, e := range r.Snapshot().Targets {
+		if e.RemovedAt.IsZero() {
+			targets[e.ID], changed[e.ID] = e.Target, e.Offset
+		}
+	}
+	return targets, changed
+}
+
+func (m *copiesModel) check() {
+	m.t.Helper()
+	lists := map[int64]string{}
+	for i, r := range m.hosts {
+		if r.targetsIncomplete || !r.hasTargets {
+			continue
+		}
+		position := r.targets.Position()
+		want := m.store.stateAt(position)
+		got, changed := registered(r)
+		for _, id := range []ident.TargetID{"a", "b", "c", "d", "e"} {
+			expected, at := want[id], position
+			if last, ok := changed[id]; ok && last >= position {
+				at = last + 1
+				expected = m.store.stateAt(at)[id]
+			}
+			if got[id] != expected {
+				m.fail("host %d at position %d has %s as %+v, the log at %d as %+v", i, position, id, got[id], at, expected)
+			}
+		}
+		last := r.State().TargetsChanged
+		text := fmt.Sprint(got)
+		if other, ok := lists[last]; ok && other != text {
+			m.fail("two copies with the last change %d differ: %s and %s", last, other, text)
+		}
+		lists[last] = text
+	}
+}
+
+// settle lets the store and the hosts become quiet, and checks that all copies are equal.
+func (m *copiesModel) settle() {
+	m.t.Helper()
+	m.quiet = true
+	m.log("the store is quiet")
+	m.read(0)
+	for range 2 {
+		for i := range m.hosts {
+			m.pull(i, 0)
+			m.pull(0, i)
+		}
+	}
+	for i, r := range m.hosts {
+		got, _ := registered(r)
+		if want := m.store.stateAt(m.store.end()); !maps.Equal(got, want) {
+			m.fail("host %d has %+v, the log has %+v", i, got, want)
+		}
+		if last, want := r.State().TargetsChanged, m.hosts[0].State().TargetsChanged; last != want {
+			m.fail("host %d reports the last change %d, the coordinator %d", i, last, want)
+		}
+	}
+}
+
+func (m *copiesModel) fail(format string, args ...any) {
+	m.t.Helper()
+	m.t.Fatalf("%s\n%s", fmt.Sprintf(format, args...), strings.Join(m.steps, "\n"))
+}
+
+var copiesSeeds = flag.Int("copies-seeds", 400, "seeds of TestCopiesHoldWhatTheyClaim")
+
+// TestCopiesHoldWhatTheyClaim guards against a copy that claims an offset up to which it
+// does not hold all changes: other hosts take it as confirmed and send requests to targets
+// that drain or were removed.
+func TestCopiesHoldWhatTheyClaim(t *testing.T) {
+	for seed := range *copiesSeeds {
+		ok := t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newCopiesModel(t, uint64(seed))
+				for range 5 + m.rng.IntN(60) {
+					m.step()
+				}
+				m.settle()
+			})
+		})
+		if !ok {
+			return
+		}
+	}
+}
+
+var _ port.Registry = (*interruptedStore)(nil)
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -172,8 +172,8 @@
 	case incomplete:
 		targets.Position = 0
 		r.targetsIncomplete = true
-	case have.TargetsChanged == incompleteTargets:
-		// The other host's list is complete, this one's may not be.
+	case have.TargetsChanged == incompleteTargets && r.targetsIncomplete:
+		// The other host's list is complete, this one's may still not be.
 		r.targets = registry.NewTargets()
 		r.targetsIncomplete = false
 	}
--- a/internal/discovery/read.go
+++ b/internal/discovery/read.go
@@ -157,14 +157,19 @@
 	}
 	r.mu.Lock()
 	now := time.Now()
-	changed := !known
+	var changed bool
 	if full {
-		changed = r.targets.Replace(now, records, end) || changed
-		r.targetsIncomplete = true
+		// A list that ends before the position is ignored, so that the copy stays as it is.
+		r.targetsIncomplete = r.targetsIncomplete || end >= r.targets.Position()
+		changed = r.targets.Replace(now, records, end)
+	} else if changed, err = r.targets.Apply(now, position, records, end); err != nil {
+		// The copy was replaced by an older one during the read.
+		r.mu.Unlock()
+		return err
 	} else {
-		changed = r.targets.Apply(now, records, end) || changed
 		r.targetsIncomplete = false
 	}
+	changed = changed || !r.hasTargets
 	r.hasTargets = true
 	r.targetsConfirmedAt = latest(r.targetsConfirmedAt, requestedAt)
 	if changed {
@@ -193,8 +198,8 @@
 		return
 	}
 	r.mu.Lock()
-	changed := r.targets.Apply(time.Now(), records, end)
-	r.targetsIncomplete = false
+	changed, err := r.targets.Apply(time.Now(), position, records, end)
+	r.targetsIncomplete = r.targetsIncomplete && err != nil
 	if changed {
 		r.generation++
 	}
--- a/internal/discovery/replica_test.go
+++ b/internal/discovery/replica_test.go
@@ -399,7 +399,7 @@
 		seed.configuration = &registry.Configuration{Version: 7, Document: &document.Document{}}
 		seed.hasTargets = true
 		seed.targetsConfirmedAt, seed.configConfirmedAt = time.Now(), time.Now()
-		seed.targets.Apply(time.Now(), []registry.TargetRecord{{ID: "a", Offset: 0, Target: &registry.Target{ID: "a"}}}, 1)
+		_, _ = seed.targets.Apply(time.Now(), 0, []registry.TargetRecord{{ID: "a", Offset: 0, Target: &registry.Target{ID: "a"}}}, 1)
 		seed.mu.Unlock()
 		time.Sleep(5 * time.Second)
 		if s := starting.Snapshot(); !s.Complete || s.Configuration.Version != 7 || len(s.Targets) != 1 {
