ingress: all responses that are kept together share a bounded memory

A report of another operator: a faulty upstream sent bytes without end, in a head or a body, until the caller closed. The machine that had called it kept them all and ran out of memory.

What callers would see here: a head was bounded already (64 KiB), and so was a body (4 MiB on the platform, after which it is forwarded while it arrives), but not their sum. 48 responses that stall after 3 MiB took 194 MiB, more than the 184 MB of the smallest hosts, so that the platform would have killed the process with the requests of all callers.

Evidence: TestMemoryOfEndlessBodies fails without the bound with 198,730 KiB, want at most 14,336.

Fix: Config.ResponseBufferBytes, an eighth of the process's memory on the platform, bounds what all requests keep together beyond 16 KiB each. A response that finds no room is forwarded while it arrives, as one that exceeds the limit of its class; a rejection or a response without a verifiable end is a bad answer then. TestResponsesWithinBudget guards sound responses and small rejections while endless ones hold the whole budget.

--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -34,6 +34,10 @@
 // limit.
 const memoryLimitFraction = 0.75
 
+// responseBufferShare is the part of the process's memory that may hold responses until they
+// are complete, as a divisor. Most memory is for connections and the work on requests.
+const responseBufferShare = 8
+
 // runOnPlatform runs a host that takes configuration and targets from the
 // platform's store.
 func runOnPlatform(settings app.Settings, signals *signals) error {
@@ -92,6 +96,8 @@
 		RetryWindow:    s.Bounds.RetryWindow,
 		DrainTime:      s.Bounds.DrainTime,
 		Dialect:        platform.Dialect(),
+
+		ResponseBufferBytes: s.MemoryBytes / responseBufferShare,
 	}
 }
 
--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -1,11 +1,9 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -21,7 +19,7 @@
 	attempt ident.AttemptID
 	status  int
 	header  http.Header
-	body    []byte
+	buffer  *responseBuffer
 }
 
 // attempt executes one attempt and reports its result to the dispatcher. It
@@ -158,11 +156,11 @@
 // never streamed: its status may tell the caller that the request did not run, which is
 // known only once the rejection is complete.
 func (q *request) handleResponse(start dispatch.Start, trace *target.Trace, response *target.Response) bool {
-	limit := int64(q.class.MaxBufferedAnswerBytes)
-	body, err := readUpTo(response, limit+1)
-	tooLarge := err == nil && int64(len(body)) > limit
+	q.replaceBuffer()
+	ended, err := q.buffer.readUpTo(response, int64(q.class.MaxBufferedAnswerBytes)+1)
+	tooLarge := err == nil && !ended
 	if tooLarge && !response.Unverifiable && !response.Rejection() {
-		q.streamResponse(start, trace, response, body)
+		q.streamResponse(start, trace, response)
 		return true
 	}
 	result := response.Finish()
@@ -173,55 +171,17 @@
 		result.Kind, result.NotRun = attempt.BadAnswer, false
 	}
 	if result.Kind == attempt.Answered || result.Kind == attempt.ServerError || result.NotRun || result.Kind == attempt.Shed {
-		q.buffered = &bufferedResponse{attempt: start.Attempt, status: response.Status, header: response.Header, body: body}
+		q.releaseBuffered()
+		q.buffered = &bufferedResponse{attempt: start.Attempt, status: response.Status, header: response.Header, buffer: q.buffer}
 	}
 	q.finishAttempt(start, trace, result)
 	return false
 }
 
-// readUpTo reads at most limit bytes of the body. It returns a nil error at the
-// end of the body and at the limit.
-func readUpTo(response *target.Response, limit int64) ([]byte, error) {
-	body := make([]byte, 0, min(initialBuffer(response.ContentLength), limit))
-	for {
-		n, err := response.Body.Read(body[len(body):min(int64(cap(body)), limit)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF:
-			return body, nil
-		case err != nil || int64(len(body)) == limit:
-			return body, err
-		case len(body) == cap(body):
-			body = slices.Grow(body, len(body))
-		}
-	}
-}
-
-const (
-	// minInitialBuffer is the size of the buffer for a body of unknown length.
-	minInitialBuffer = 512
-	// maxInitialBuffer limits the allocation made for a declared length before any
-	// byte of the body has arrived.
-	maxInitialBuffer = 64 << 10
-)
-
-// initialBuffer returns the size of the buffer for a body whose declared length is -1 if
-// unknown. The length is any number that the target sent.
-func initialBuffer(declared int64) int64 {
-	switch {
-	case declared < 0:
-		return minInitialBuffer
-	case declared >= maxInitialBuffer:
-		return maxInitialBuffer
-	}
-	// With one spare byte, the last read returns io.EOF without growing the buffer.
-	return declared + 1
-}
-
 // streamResponse forwards a large response while it arrives, starting with the
 // bytes that were already buffered. If the response is truncated, the caller's
 // connection is aborted.
-func (q *request) streamResponse(start dispatch.Start, trace *target.Trace, response *target.Response, buffered []byte) {
+func (q *request) streamResponse(start dispatch.Start, trace *target.Trace, response *target.Response) {
 	q.backend.Engine.Commit(start.Attempt)
 	if q.caller != nil {
 		// The attempt occupies its slot until the response is forwarded, so the
@@ -230,7 +190,11 @@
 	}
 	q.copyHeader(response.Header)
 	q.w.WriteHeader(response.Status)
-	_, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(buffered), response.Body))
+	_, err := q.w.Write(q.buffer.body)
+	q.buffer.release()
+	if err == nil {
+		_, err = io.Copy(q.w, response.Body)
+	}
 	q.reportResult(start, trace, response.Finish())
 	if err != nil {
 		q.aborted = true
@@ -245,7 +209,7 @@
 	}
 	q.copyHeader(q.buffered.header)
 	q.w.WriteHeader(q.buffered.status)
-	_, _ = q.w.Write(q.buffered.body)
+	_, _ = q.w.Write(q.buffered.buffer.body)
 	return nil
 }
 
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -57,6 +57,8 @@
 	// arrived.
 	current  ident.AttemptID
 	response *target.Response
+	// buffer holds the body of the latest response.
+	buffer *responseBuffer
 	// buffered is the last complete response that has not been sent yet.
 	buffered *bufferedResponse
 	// aborted is set if the response to the caller was aborted.
@@ -85,6 +87,8 @@
 	}
 	defer func() {
 		cause := recover()
+		q.buffer.release()
+		q.releaseBuffered()
 		if cause != nil {
 			problem = q.recoverPanic(cause)
 		}
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -55,6 +55,10 @@
 	// AwaitSignals, if set, waits until the process has handled the signals that arrived before now, such as
 	// that to stop. It is called before a request is passed on.
 	AwaitSignals func()
+	// ResponseBufferBytes bounds the memory for responses that are kept until they are
+	// complete, of all requests together; default 32 MiB. A response that finds no room is
+	// forwarded while it arrives.
+	ResponseBufferBytes int64
 	// WriteTimeout is the time within which a caller must accept 64 KiB of its
 	// response; default 30 s.
 	WriteTimeout time.Duration
@@ -76,6 +80,7 @@
 	requestCount  atomic.Uint64
 	lastID        atomic.Uint64
 	metrics       *serverMetrics
+	buffers       *bufferBudget
 	splitRouter   *splitRouter
 	// via is the Via header of requests to targets; idPrefix is the prefix of
 	// generated request IDs.
@@ -88,10 +93,13 @@
 	if cfg.WriteTimeout <= 0 {
 		cfg.WriteTimeout = defaultWriteTimeout
 	}
+	if cfg.ResponseBufferBytes <= 0 {
+		cfg.ResponseBufferBytes = defaultResponseBufferBytes
+	}
 	if cfg.Dialect == (dialect.Dialect{}) {
 		cfg.Dialect = dialect.Native()
 	}
-	s := &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder), metrics: newServerMetrics(), splitRouter: newSplitRouter(cfg.Host), activated: make(chan struct{}), drain: newDrain()}
+	s := &Server{cfg: cfg, events: newProblemEvents(cfg.Recorder), metrics: newServerMetrics(), buffers: &bufferBudget{size: cfg.ResponseBufferBytes}, splitRouter: newSplitRouter(cfg.Host), activated: make(chan struct{}), drain: newDrain()}
 	if cfg.Dialect.Via {
 		s.via = "1.1 " + string(cfg.Host)
 	}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -57,7 +57,10 @@
 	// DrainTime is the time for which a target keeps serving after it has stated that it is leaving.
 	// Within it, hosts must stop sending to the target.
 	DrainTime time.Duration
-	Dialect   dialect.Dialect
+	// ResponseBufferBytes bounds the memory for responses that are kept until they are complete; 0
+	// for the default of ingress.Config.
+	ResponseBufferBytes int64
+	Dialect             dialect.Dialect
 }
 
 // Gateway is a running host that takes its configuration and targets from the platform's registry. Host
@@ -131,6 +134,8 @@
 		InitialConfigWait: initialConfigWait,
 		Log:               g.requests,
 		AwaitSignals:      g.signals.await,
+
+		ResponseBufferBytes: settings.ResponseBufferBytes,
 	})
 	metrics.RegisterSet(g.ingress.Metrics())
 	g.admin = admin.New(g, &platformDocuments{g}, "")
