--- a/internal/adapter/ingress/buffer.go
+++ b/internal/adapter/ingress/buffer.go
@@ -25,6 +25,8 @@
 type bufferBudget struct {
 	size int64
 	used atomic.Int64
+	// refused counts the responses that found no room.
+	refused atomic.Uint64
 }
 
 // take reserves n bytes and reports whether there was room for them.
@@ -33,6 +35,7 @@
 		return true
 	}
 	b.used.Add(-n)
+	b.refused.Add(1)
 	return false
 }
 
--- a/internal/adapter/ingress/metrics.go
+++ b/internal/adapter/ingress/metrics.go
@@ -210,6 +210,8 @@
 func (s *Server) writeMetrics(w io.Writer) {
 	metrics.WriteGaugeUint64(w, "sapphirehaven_requests_in_flight", uint64(max(0, s.InFlight())))
 	metrics.WriteGaugeUint64(w, "sapphirehaven_caller_connections", uint64(max(0, s.metrics.connections.Load())))
+	metrics.WriteGaugeUint64(w, "sapphirehaven_response_buffer_bytes", uint64(max(0, s.buffers.used.Load())))
+	metrics.WriteCounterUint64(w, "sapphirehaven_response_buffer_full_total", s.buffers.refused.Load())
 	if active := s.active.Load(); active != nil {
 		for name, b := range active.Backends {
 			status, _ := b.Engine.Status()
--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -22,8 +22,8 @@
 mkdir -p "$output"
 
 # Site, days of a hunt, and days that are played at once.
-sites="large/errata-desk-large:8:1 grown/errata-desk-grown:8:2 grown/awea-gateway-grown:8:2
-further/lfca-gateway:40:3 further-grown/lfca-gateway-grown:8:2"
+sites="sites/errata-desk:40:4 sites/awea-gateway:40:4 grown/errata-desk-grown:8:4 grown/awea-gateway-grown:8:4
+large/errata-desk-large:8:1"
 
 failed=0
 for entry in $sites; do
