registry: changes after an offset that a copy no longer holds are refused

A starting host can run two pulls at once, its own and that for a beacon. When the answer to one puts an older copy in place of an incomplete one, the answer to the other lists changes after an offset that the copy does not reach any more; merging them moved the position behind the changes between.

Evidence: TestLateChanges asks Merge for the changes after 3 at the last change 2, which it applied.

Fix: Changes name the offset after which they list all, and Merge refuses a gap as Apply does.

--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -135,10 +135,12 @@
 				if rng.IntN(4) == 0 {
 					have = -1
 				}
-				follower.Merge(epoch, reader.Since(epoch, have))
+				if _, err := follower.Merge(epoch, reader.Since(epoch, have)); err != nil {
+					t.Fatal(err)
+				}
 			}
 		}
-		follower.Merge(epoch, reader.Since(epoch, follower.LastChange()))
+		merge(follower, reader)
 		if a, b := registeredEntries(reader), registeredEntries(follower); !reflect.DeepEqual(a, b) || reader.LastChange() != follower.LastChange() {
 			t.Fatalf("round %d: the reader has %s (%d), the follower %s (%d)", round, describe(a), reader.LastChange(), describe(b), follower.LastChange())
 		}
@@ -192,7 +194,9 @@
 		l := NewTargets()
 		apply := func(r TargetRecord) {
 			if merge {
-				l.Merge(epoch, Changes{Records: []TargetRecord{r}, Position: r.Offset + 1, LastChange: r.Offset})
+				if _, err := l.Merge(epoch, Changes{Records: []TargetRecord{r}, After: l.LastChange(), Position: r.Offset + 1, LastChange: r.Offset}); err != nil {
+					t.Error(err)
+				}
 				return
 			}
 			read(l, epoch, []TargetRecord{r}, r.Offset+1)
@@ -222,15 +226,15 @@
 	reader, follower := NewTargets(), NewTargets()
 	first := []TargetRecord{ready("x", 0), ready("y", 1)}
 	read(reader, epoch, first, 2)
-	follower.Merge(epoch, reader.Since(epoch, -1))
+	merge(follower, reader)
 	// The records from 2 on are gone. The list lacks x, which was removed at 30.
 	reader.Replace(epoch, []TargetRecord{ready("y", 29)}, 31)
-	follower.Merge(epoch, reader.Since(epoch, follower.LastChange()))
+	merge(follower, reader)
 	read(reader, epoch, []TargetRecord{draining("y", 31)}, 32)
 	if reader.LastChange() <= follower.LastChange() {
 		t.Fatalf("after the draining of y the reader reports the last change %d, the follower %d", reader.LastChange(), follower.LastChange())
 	}
-	follower.Merge(epoch, reader.Since(epoch, follower.LastChange()))
+	merge(follower, reader)
 	if list := follower.Usable(); len(list) == 0 || !slices.ContainsFunc(list, func(e Entry) bool { return e.ID == "y" && e.Draining }) {
 		t.Errorf("the follower has %s", describe(list))
 	}
@@ -258,8 +262,10 @@
 }
 
 // merge merges what one set has beyond the other, as hosts do.
-func merge(to, from *Targets) bool {
-	return to.Merge(epoch, from.Since(epoch, to.LastChange()))
+func merge(to, from *Targets) {
+	if _, err := to.Merge(epoch, from.Since(epoch, to.LastChange())); err != nil {
+		panic(err)
+	}
 }
 
 // TestRemovalBeforeFullList guards against a removed target that a host keeps for ever
@@ -305,19 +311,25 @@
 
 // TestLateChanges guards against changes that arrive after the set has moved on: an answer
 // to an earlier pull must not restore a target that was removed since, and a read of the
-// store must not skip the records between the set's position and its start.
+// store or a pull must not skip the records between what the set holds and its start.
 func TestLateChanges(t *testing.T) {
 	sender, receiver := NewTargets(), NewTargets()
 	read(sender, epoch, []TargetRecord{ready("a", 0), ready("x", 1)}, 2)
 	late := sender.Since(epoch, 0)
 	receiver.Replace(epoch, []TargetRecord{ready("a", 0)}, 3)
-	receiver.Merge(epoch, late)
+	if _, err := receiver.Merge(epoch, late); err != nil {
+		t.Error(err)
+	}
 	if got := ids(registeredEntries(receiver)); !reflect.DeepEqual(got, []ident.TargetID{"a"}) {
 		t.Errorf("after a late answer the set has %v", got)
 	}
 	if changed, err := receiver.Apply(epoch, 5, []TargetRecord{ready("b", 5)}, 6); changed || err == nil || receiver.Position() != 3 {
 		t.Errorf("a read that starts at 5 was applied at position %d: %v", receiver.Position(), err)
 	}
+	sender.Apply(epoch, 2, []TargetRecord{ready("b", 2), ready("c", 3), ready("d", 4)}, 5)
+	if changed, err := receiver.Merge(epoch, sender.Since(epoch, 3)); changed || err == nil || receiver.Position() != 3 {
+		t.Errorf("the changes after 3 were merged at the last change %d: %v", receiver.LastChange(), err)
+	}
 }
 
 // TestForgottenRemovals guards against a host that was cut off for longer than removals are
--- a/internal/core/registry/targets.go
+++ b/internal/core/registry/targets.go
@@ -92,9 +92,10 @@
 	return changed, nil
 }
 
-// MissingRecordsError is returned by Targets.Apply if records are missing.
+// MissingRecordsError is returned by Targets.Apply and Targets.Merge if records are missing.
 type MissingRecordsError struct {
-	// Position is the position of the set, and Start the offset of the first record.
+	// Position is the offset of the first record that the set may lack, and Start that of the
+	// first record to apply.
 	Position, Start int64
 }
 
@@ -141,20 +142,25 @@
 // Changes is what a set holds beyond the last change of another one.
 type Changes struct {
 	Records []TargetRecord
-	// Full is set if Records lists all targets: one without a record was removed.
-	Full bool
+	// Full is set if Records lists all targets: one without a record was removed. Otherwise
+	// it lists those that changed after the offset After.
+	Full  bool
+	After int64
 	// Position and LastChange are those of the set that Records was taken from.
 	Position, LastChange int64
 }
 
 // Merge applies the changes that another host's set holds beyond this one. Records with a
 // higher store offset win. Those before the position are skipped: this set holds their
-// effect, and a target that it lacks was removed since.
-func (t *Targets) Merge(now time.Time, c Changes) bool {
+// effect, and a target that it lacks was removed since. It returns an error and applies
+// nothing if changes between the last one of this set and the first one of c are missing.
+func (t *Targets) Merge(now time.Time, c Changes) (changed bool, err error) {
 	if c.Full {
-		return t.replace(now, c)
+		return t.replace(now, c), nil
+	}
+	if last := t.LastChange(); c.After > last {
+		return false, &MissingRecordsError{Position: last + 1, Start: c.After + 1}
 	}
-	changed := false
 	for _, r := range c.Records {
 		if r.Offset < t.position {
 			continue
@@ -163,7 +169,7 @@
 	}
 	t.position = max(t.position, c.Position)
 	t.changed = max(t.changed, c.LastChange)
-	return changed
+	return changed, nil
 }
 
 // applyNewest applies the newest record of a target, whose earlier ones this set may not have
@@ -261,7 +267,7 @@
 // records of all entries that changed later, or of all entries if the set may lack removals
 // since then. The remaining warm-up time is relative to now.
 func (t *Targets) Since(now time.Time, lastChange int64) Changes {
-	c := Changes{Full: lastChange < t.removalsSince-1, Position: t.position, LastChange: t.LastChange()}
+	c := Changes{Full: lastChange < t.removalsSince-1, After: lastChange, Position: t.position, LastChange: t.LastChange()}
 	for id, e := range t.entries {
 		if e.Offset <= lastChange && !c.Full {
 			continue
--- a/internal/discovery/copies_test.go
+++ b/internal/discovery/copies_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/registry"
+	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
 )
 
@@ -209,28 +210,34 @@
 	m.log("%d has read up to %d, last change %d", i, r.targets.Position(), r.State().TargetsChanged)
 }
 
-// pull runs a pull of one host from another, if its beacon would start one.
+// pull runs a pull of one host from another, if its beacon would start one, or if the host
+// is starting. A starting host may run both at once.
 func (m *copiesModel) pull(i, j int) {
 	to, from := m.hosts[i], m.hosts[j]
-	if i == j || m.pulling[to] {
-		return
-	}
-	remote := from.State()
-	m.interrupt()
-	have, wanted := to.preparePull(remote)
-	if !wanted {
-		return
+	switch {
+	case i == j:
+	case !to.hasTargets && m.rng.IntN(2) == 0:
+		m.transfer(i, j, to, from, to.State())
+	case !m.pulling[to]:
+		remote := from.State()
+		m.interrupt()
+		if have, wanted := to.preparePull(remote); wanted {
+			m.pulling[to] = true
+			m.transfer(i, j, to, from, have)
+			delete(m.pulling, to)
+			to.mu.Lock()
+			to.pulling = false
+			to.mu.Unlock()
+		}
 	}
-	m.pulling[to] = true
+}
+
+func (m *copiesModel) transfer(i, j int, to, from *Replica, have roster.State) {
 	m.log("%d pulls from %d, has %d", i, j, have.TargetsChanged)
 	m.interrupt()
 	delta := from.ChangesSince(have)
 	m.interrupt()
 	to.merge(have, delta)
-	to.mu.Lock()
-	to.pulling = false
-	to.mu.Unlock()
-	delete(m.pulling, to)
 	m.log("%d has pulled from %d, last change %d", i, j, to.State().TargetsChanged)
 }
 
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -168,6 +168,7 @@
 		return false
 	}
 	targets := c.Targets
+	targets.After = have.TargetsChanged
 	switch {
 	case incomplete:
 		targets.Position = 0
@@ -177,7 +178,13 @@
 		r.targets = registry.NewTargets()
 		r.targetsIncomplete = false
 	}
-	changed := r.targets.Merge(now, targets) || !r.hasTargets
+	changed, err := r.targets.Merge(now, targets)
+	if err != nil {
+		// The copy was replaced by an older one during the pull.
+		r.log.WithError(err).Debug("registry pull ignored")
+		return false
+	}
+	changed = changed || !r.hasTargets
 	r.hasTargets = true
 	r.markConfirmed(now.Add(-c.State.Age))
 	if changed {
