--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -28,7 +28,6 @@
 func (q *request) attempt(ctx context.Context, start dispatch.Start) bool {
 	attemptStart := time.Now()
 	q.attemptStart = attemptStart
-	q.current = start.Attempt
 	defer func() { q.attemptTime += time.Since(attemptStart) }()
 	if end := attemptStart.Add(start.Timeout); end.Before(q.deadline) {
 		var cancel context.CancelFunc
