peer: a panic in a call of another host ends only that call

Evidence: TestPanicInCall ends the test process without the handler that recovers.

Fix: one handler around all calls returns an error to the caller and logs the panic.

--- a/internal/adapter/peer/fleet.go
+++ b/internal/adapter/peer/fleet.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ratelimit"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/roster"
@@ -214,30 +213,20 @@
 // ServeFleet serves the fleet calls of other hosts until ctx is done.
 func ServeFleet(ctx context.Context, lis net.Listener, identity Identity, handler port.FleetServer, log logrus.FieldLogger) error {
 	mux := drpcmux.New()
-	if err := peerpb.DRPCRegisterFleet(mux, &fleetServer{identity: identity, handler: handler, log: log}); err != nil {
+	if err := peerpb.DRPCRegisterFleet(mux, &fleetServer{identity: identity, handler: handler}); err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	return errors.Wrap(drpcserver.New(mux).Serve(ctx, countingListener{lis}), "peer")
+	return serveCalls(ctx, lis, mux, log)
 }
 
 type fleetServer struct {
 	identity Identity
 	handler  port.FleetServer
 	cache    configurationCache
-	log      logrus.FieldLogger
 }
 
-// errHandlerPanicked is returned to the caller when the handler of a call panicked.
-var errHandlerPanicked = errors.New("peer: the call failed unexpectedly")
-
 // Pull implements peerpb.DRPCFleetServer.
 func (s *fleetServer) Pull(in *peerpb.PullRequest, stream peerpb.DRPCFleet_PullStream) error {
-	err := errHandlerPanicked
-	recovery.Call(s.log, "pull", func() { err = s.pull(in, stream) })
-	return err
-}
-
-func (s *fleetServer) pull(in *peerpb.PullRequest, stream peerpb.DRPCFleet_PullStream) error {
 	s.identity.Observe(stampOf(in.GetSender()))
 	pb, err := toRegistry(s.handler.ChangesSince(fromState(in.GetHave())), &s.cache)
 	if err != nil {
--- a/internal/adapter/peer/peer_test.go
+++ b/internal/adapter/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
@@ -47,11 +48,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	log, _ := logtest.NewNullLogger()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = Serve(ctx, lis, fakeIdentity{Host: "b", Incarnation: 7}, handler)
+		_ = Serve(ctx, lis, fakeIdentity{Host: "b", Incarnation: 7}, handler, log)
 	}()
 	client := NewClient(fakeIdentity{Host: "a", Incarnation: 1})
 	t.Cleanup(func() {
@@ -82,6 +84,18 @@
 	}
 }
 
+// TestPanicInCall guards against a call of another host that ends the process.
+func TestPanicInCall(t *testing.T) {
+	client, host := serve(t, &recordsHandler{})
+	// The handler of the test has no last record.
+	if _, err := client.Push(t.Context(), host.PeerAddress, nil); err == nil {
+		t.Error("a call whose handler panicked succeeded")
+	}
+	if complete, err := client.Handover(t.Context(), host, port.HandoverMessage{}); err != nil || !complete {
+		t.Errorf("the next call: complete %t, %v", complete, err)
+	}
+}
+
 // TestReplyFromOtherIncarnation guards against accepting a reply from an incarnation of
 // the host other than the called one.
 func TestReplyFromOtherIncarnation(t *testing.T) {
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -7,11 +7,14 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
+	"github.com/sapphirehaven/sapphirehaven/internal/recovery"
 )
 
 // snapshotChunkBytes is the size of the chunks of a snapshot. Chunks keep one large
@@ -21,13 +24,36 @@
 // maxRecords bounds the records in one response.
 const maxRecords = 256
 
-// Serve serves the peer calls of other hosts until ctx is done.
-func Serve(ctx context.Context, lis net.Listener, identity Identity, handler port.PeerHandler) error {
+// Serve serves the peer calls of other hosts until ctx is done. A call whose handler panics
+// fails.
+func Serve(ctx context.Context, lis net.Listener, identity Identity, handler port.PeerHandler, log logrus.FieldLogger) error {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, &server{identity, handler}); err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	return errors.Wrap(drpcserver.New(mux).Serve(ctx, countingListener{lis}), "peer")
+	return serveCalls(ctx, lis, mux, log)
+}
+
+// serveCalls serves the calls that a handler knows until ctx is done.
+func serveCalls(ctx context.Context, lis net.Listener, handler drpc.Handler, log logrus.FieldLogger) error {
+	server := drpcserver.New(recoveringHandler{handler, log})
+	return errors.Wrap(server.Serve(ctx, countingListener{lis}), "peer")
+}
+
+// recoveringHandler returns an error for a call that panics.
+type recoveringHandler struct {
+	drpc.Handler
+	log logrus.FieldLogger
+}
+
+// errHandlerPanicked is returned to the caller when the handler of a call panicked.
+var errHandlerPanicked = errors.New("peer: the call failed unexpectedly")
+
+// HandleRPC implements drpc.Handler.
+func (h recoveringHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	err := errHandlerPanicked
+	recovery.Call(h.log, rpc, func() { err = h.Handler.HandleRPC(stream, rpc) })
+	return err
 }
 
 // server adapts a port.PeerHandler to the drpc peer service.
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -77,7 +77,7 @@
 
 // servePeers serves calls from other hosts until ctx ends.
 func (l *listeners) servePeers(ctx context.Context) {
-	if err := peer.Serve(ctx, l.peerListener, l.host.identity, &peerHandler{l.host}); err != nil && ctx.Err() == nil {
+	if err := peer.Serve(ctx, l.peerListener, l.host.identity, &peerHandler{l.host}, l.host.log); err != nil && ctx.Err() == nil {
 		l.host.log.WithError(err).Error("peer server stopped; calls from other hosts are no longer served")
 	}
 }
--- a/internal/capacity/loopback.go
+++ b/internal/capacity/loopback.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/peer"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
@@ -81,7 +83,9 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &peerPair{listener: &countingListener{Listener: lis}, client: peer.NewClient(loopbackIdentity{}), stop: stop, done: make(chan error, 1)}
-	go func() { p.done <- peer.Serve(ctx, p.listener, loopbackIdentity{}, echoHandler{}) }()
+	go func() {
+		p.done <- peer.Serve(ctx, p.listener, loopbackIdentity{}, echoHandler{}, logrus.StandardLogger())
+	}()
 	return p, nil
 }
 
