discovery: the steps of a read of the targets are functions of their own

Cause: refreshTargets chose between list and changes, applied either and noted the result in one chain of conditions, and three places repeated how a change is told.

--- a/internal/discovery/read.go
+++ b/internal/discovery/read.go
@@ -155,30 +155,14 @@
 	if err != nil {
 		return err
 	}
-	r.mu.Lock()
-	now := time.Now()
-	var changed bool
 	if full {
-		// A list that ends before the position is ignored, so that the copy stays as it is.
-		r.targetsIncomplete = r.targetsIncomplete || end >= r.targets.Position()
-		changed = r.targets.Replace(now, records, end)
-	} else if changed, err = r.targets.Apply(now, position, records, end); err != nil {
-		// The copy was replaced by an older one during the read.
-		r.mu.Unlock()
+		r.replaceTargets(records, end)
+	} else if err := r.applyTargets(position, records, end); err != nil {
 		return err
-	} else {
-		r.targetsIncomplete = false
 	}
-	changed = changed || !r.hasTargets
-	r.hasTargets = true
+	r.mu.Lock()
 	r.targetsConfirmedAt = latest(r.targetsConfirmedAt, requestedAt)
-	if changed {
-		r.generation++
-	}
 	r.mu.Unlock()
-	if changed {
-		r.notify()
-	}
 	if full {
 		r.readTargetChanges(ctx)
 	}
@@ -193,13 +177,36 @@
 	position := r.targets.Position()
 	r.mu.Unlock()
 	records, end, err := r.store.TargetsSince(ctx, position)
+	if err == nil {
+		err = r.applyTargets(position, records, end)
+	}
 	if err != nil {
 		r.log.WithError(err).Debug("failed to read the target changes since the full list")
-		return
 	}
+}
+
+// replaceTargets applies a full list of targets that was read from the store.
+func (r *Replica) replaceTargets(records []registry.TargetRecord, end int64) {
+	r.mu.Lock()
+	// A list that ends before the position is ignored, so that the copy stays as it is.
+	r.targetsIncomplete = r.targetsIncomplete || end >= r.targets.Position()
+	changed := r.targets.Replace(time.Now(), records, end) || !r.hasTargets
+	r.hasTargets = true
+	r.unlockAndNotify(changed)
+}
+
+// applyTargets applies the records of targets that were read from a position. It returns an
+// error if the copy was replaced by an older one during the read.
+func (r *Replica) applyTargets(position int64, records []registry.TargetRecord, end int64) error {
 	r.mu.Lock()
 	changed, err := r.targets.Apply(time.Now(), position, records, end)
 	r.targetsIncomplete = r.targetsIncomplete && err != nil
+	r.unlockAndNotify(changed)
+	return err
+}
+
+// unlockAndNotify releases the lock and, if the targets have changed, tells of it.
+func (r *Replica) unlockAndNotify(changed bool) {
 	if changed {
 		r.generation++
 	}
--- a/internal/discovery/replica.go
+++ b/internal/discovery/replica.go
@@ -266,14 +266,7 @@
 func (r *Replica) expireTargets(ctx context.Context) {
 	for sleep(ctx, 2*r.cfg.Tick) {
 		r.mu.Lock()
-		changed := r.targets.Tick(time.Now())
-		if changed {
-			r.generation++
-		}
-		r.mu.Unlock()
-		if changed {
-			r.notify()
-		}
+		r.unlockAndNotify(r.targets.Tick(time.Now()))
 	}
 }
 
