--- a/internal/discovery/copies_test.go
+++ b/internal/discovery/copies_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -76,17 +75,7 @@
 func (s *interruptedStore) page(selected func(ident.TargetID) bool) []registry.TargetRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	newest := map[ident.TargetID]registry.TargetRecord{}
-	for _, r := range s.targets {
-		newest[r.ID] = r
-	}
-	var list []registry.TargetRecord
-	for _, id := range slices.Sorted(maps.Keys(newest)) {
-		if r := newest[id]; r.Target != nil && selected(id) {
-			list = append(list, r)
-		}
-	}
-	return list
+	return s.newest(selected)
 }
 
 // stateAt returns the registered targets as of an offset.
--- a/internal/discovery/replica_test.go
+++ b/internal/discovery/replica_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -111,17 +113,23 @@
 func (f *fakeStore) Targets(context.Context) ([]registry.TargetRecord, int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.newest(func(ident.TargetID) bool { return true }), int64(len(f.targets)), f.call()
+}
+
+// newest returns the newest records of the registered targets that are selected, ordered by
+// ID. The caller holds the lock.
+func (f *fakeStore) newest(selected func(ident.TargetID) bool) []registry.TargetRecord {
 	newest := map[ident.TargetID]registry.TargetRecord{}
 	for _, r := range f.targets {
 		newest[r.ID] = r
 	}
 	var list []registry.TargetRecord
-	for _, r := range newest {
-		if r.Target != nil {
+	for _, id := range slices.Sorted(maps.Keys(newest)) {
+		if r := newest[id]; r.Target != nil && selected(id) {
 			list = append(list, r)
 		}
 	}
-	return list, int64(len(f.targets)), f.call()
+	return list
 }
 
 func (f *fakeStore) TargetsSince(_ context.Context, position int64) ([]registry.TargetRecord, int64, error) {
