ingress: lines about requests name the route, and late responses have one

Change: attempts and problems have route, service, class and revision; a request that ends 100 ms or more after its deadline has a line late_response. Nothing about requests changes.

--- a/internal/adapter/ingress/log.go
+++ b/internal/adapter/ingress/log.go
@@ -29,6 +29,7 @@
 	}
 	selection := start.Selection
 	fields := logrus.Fields{
+		"route":         q.route,
 		"service":       q.backend.Service.Name,
 		"class":         q.class.Name,
 		"revision":      q.active.Revision,
@@ -84,14 +85,41 @@
 	if s.cfg.Log == nil {
 		return
 	}
-	s.cfg.Log.Write(requestlog.Line{
-		Event:   "problem",
-		Request: id,
+	fields := logrus.Fields{
+		"problem":        p.Type,
+		"outcome":        p.Outcome,
+		"detail":         p.Detail,
+		"retry_after_ms": p.RetryAfter.Milliseconds(),
+	}
+	if m := p.matched; m.route != "" {
+		fields["route"], fields["service"], fields["class"], fields["revision"] = m.route, m.service, m.class, m.revision
+	}
+	if active := s.active.Load(); p.Type == problemNoRoute && active != nil {
+		fields["revision"] = active.Revision
+	}
+	s.cfg.Log.Write(requestlog.Line{Event: "problem", Request: id, Fields: fields})
+}
+
+// lateResponse is the time after the deadline of a request from which its response is logged
+// as late. Timers fire a few milliseconds late.
+const lateResponse = 100 * time.Millisecond
+
+// logLate logs a request whose response is later than its deadline.
+func (q *request) logLate() {
+	late := time.Since(q.deadline)
+	if q.server.cfg.Log == nil || q.deadline.IsZero() || late < lateResponse {
+		return
+	}
+	q.server.cfg.Log.Write(requestlog.Line{
+		Event:   "late_response",
+		Request: q.wireID,
 		Fields: logrus.Fields{
-			"problem":        p.Type,
-			"outcome":        p.Outcome,
-			"detail":         p.Detail,
-			"retry_after_ms": p.RetryAfter.Milliseconds(),
+			"route":    q.route,
+			"service":  q.backend.Service.Name,
+			"class":    q.class.Name,
+			"revision": q.active.Revision,
+			"late_ms":  late.Milliseconds(),
+			"attempts": q.attemptCount,
 		},
 	})
 }
--- a/internal/adapter/ingress/problem.go
+++ b/internal/adapter/ingress/problem.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/core/ident"
 	"github.com/sapphirehaven/sapphirehaven/internal/dialect"
 )
 
@@ -34,6 +35,18 @@
 	// RetryAfter is the value of the Retry-After header, which is sent with status
 	// 503 only.
 	RetryAfter time.Duration `json:"-"`
+
+	// matched tells how the request was routed. It is for the log only.
+	matched match
+}
+
+// match is the result of the routing of a request. The zero value means that no route
+// matched it.
+type match struct {
+	route    string
+	service  ident.ServiceName
+	class    ident.ClassName
+	revision uint64
 }
 
 // problemTypePrefix turns a problem type into a URI, as RFC 9457 requires.
--- a/internal/adapter/ingress/request.go
+++ b/internal/adapter/ingress/request.go
@@ -18,6 +18,9 @@
 	"github.com/sapphirehaven/sapphirehaven/internal/engine"
 )
 
+// problemNoRoute is the type of the problem of a request that matches no route.
+const problemNoRoute = "no_route"
+
 // maxDeadline is the longest deadline that a caller may request.
 const maxDeadline = time.Hour
 
@@ -31,6 +34,8 @@
 	active  *ActiveConfig
 	backend *Backend
 	class   *document.Class
+	// route is the name of the route.
+	route string
 	// split holds the shares of a split route, including that of backend.
 	split []document.Share
 	id    ident.RequestID
@@ -92,7 +97,11 @@
 		if problem != nil && !q.ticketChecked {
 			problem = s.markOutcomeUnknown(problem, r)
 		}
+		if problem != nil {
+			problem.matched = match{route: q.route, service: q.backend.Service.Name, class: q.class.Name, revision: q.active.Revision}
+		}
 		q.recordMetrics(problem)
+		q.logLate()
 		if cause != nil && problem == nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -126,7 +135,7 @@
 	setHeader(w.Header(), s.cfg.Dialect.Revision, strconv.FormatUint(active.Revision, 10))
 	matched := active.Routes.Lookup(r.Host, r.Method, r.URL.Path)
 	if matched == nil {
-		return nil, notRunProblem(http.StatusNotFound, "no_route", fmt.Sprintf("no route matches %s %s of host %s", r.Method, r.URL.Path, r.Host))
+		return nil, notRunProblem(http.StatusNotFound, problemNoRoute, fmt.Sprintf("no route matches %s %s of host %s", r.Method, r.URL.Path, r.Host))
 	}
 	id := ident.RequestID(s.lastID.Add(1))
 	wireID, problem := s.wireID(r, id)
@@ -146,6 +155,7 @@
 		active:    active,
 		backend:   backend,
 		class:     backend.Classes[matched.Class],
+		route:     matched.Name,
 		split:     matched.Split,
 		id:        id,
 		wireID:    wireID,
