--- a/internal/discovery/fleet_model_test.go
+++ b/internal/discovery/fleet_model_test.go
@@ -33,6 +33,9 @@
 	*fakeStore
 	mu      sync.Mutex
 	refused bool
+	// pass, if set, is called with the context of a call and the time for which the store may
+	// wait for records. It returns when the call reaches the store, or with an error.
+	pass func(ctx context.Context, wait time.Duration) error
 }
 
 func (s *refusingStore) setRefused(refused bool) {
@@ -42,7 +45,12 @@
 }
 
 // checkRefused counts a refused call and returns its error.
-func (s *refusingStore) checkRefused() error {
+func (s *refusingStore) checkRefused(ctx context.Context, wait time.Duration) error {
+	if s.pass != nil {
+		if err := s.pass(ctx, wait); err != nil {
+			return err
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.refused {
@@ -55,42 +63,42 @@
 }
 
 func (s *refusingStore) Configuration(ctx context.Context) (*registry.Configuration, int64, error) {
-	if err := s.checkRefused(); err != nil {
+	if err := s.checkRefused(ctx, 0); err != nil {
 		return nil, 0, err
 	}
 	return s.fakeStore.Configuration(ctx)
 }
 
 func (s *refusingStore) ConfigurationSince(ctx context.Context, position int64, wait time.Duration) (*registry.Configuration, int64, error) {
-	if err := s.checkRefused(); err != nil {
+	if err := s.checkRefused(ctx, wait); err != nil {
 		return nil, 0, err
 	}
 	return s.fakeStore.ConfigurationSince(ctx, position, wait)
 }
 
 func (s *refusingStore) Targets(ctx context.Context) ([]registry.TargetRecord, int64, error) {
-	if err := s.checkRefused(); err != nil {
+	if err := s.checkRefused(ctx, 0); err != nil {
 		return nil, 0, err
 	}
 	return s.fakeStore.Targets(ctx)
 }
 
 func (s *refusingStore) TargetsSince(ctx context.Context, position int64) ([]registry.TargetRecord, int64, error) {
-	if err := s.checkRefused(); err != nil {
+	if err := s.checkRefused(ctx, 0); err != nil {
 		return nil, 0, err
 	}
 	return s.fakeStore.TargetsSince(ctx, position)
 }
 
 func (s *refusingStore) Hosts(ctx context.Context) ([]registry.HostRecord, error) {
-	if err := s.checkRefused(); err != nil {
+	if err := s.checkRefused(ctx, 0); err != nil {
 		return nil, err
 	}
 	return s.fakeStore.Hosts(ctx)
 }
 
 func (s *refusingStore) Publish(ctx context.Context, hosts []registry.Host) error {
-	if err := s.checkRefused(); err != nil {
+	if err := s.checkRefused(ctx, 0); err != nil {
 		return err
 	}
 	return s.fakeStore.Publish(ctx, hosts)
@@ -108,12 +116,17 @@
 	isolated map[string]bool
 	// refuses, if set, reports whether the store refuses a host that starts.
 	refuses func(i int) bool
+	// disturbance, if set, is the source of the faults of TestVersionsReachHosts.
+	disturbance *disturbance
 }
 
 const messageDelay = time.Millisecond
 
-func newTestFleet(ctx context.Context, size int) *testFleet {
-	f := &testFleet{store: newFakeStore(), members: map[string]*member{}, isolated: map[string]bool{}}
+func newTestFleet(ctx context.Context, size int) *testFleet { return newDisturbedFleet(ctx, size, nil) }
+
+// newDisturbedFleet starts a fleet with the faults of a disturbance.
+func newDisturbedFleet(ctx context.Context, size int, d *disturbance) *testFleet {
+	f := &testFleet{store: newFakeStore(), members: map[string]*member{}, isolated: map[string]bool{}, disturbance: d}
 	f.store.setConfig(1)
 	for i := range 20 {
 		f.store.add(ident.TargetID(fmt.Sprint("t", i)), true)
@@ -133,6 +146,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m := &member{fleet: f, store: &refusingStore{fakeStore: f.store}, cancel: cancel}
 	m.store.refused = f.refuses != nil && f.refuses(i)
+	if f.disturbance != nil {
+		m.store.pass = func(ctx context.Context, wait time.Duration) error { return f.disturbance.passCall(ctx, i, wait) }
+	}
 	m.self = registry.Host{ID: ident.HostID(address), PeerAddress: address, Millicores: 160, Incarnation: ident.Incarnation(time.Now().UnixMicro())}
 	if i%12 < 2 {
 		m.self.Millicores = 800
@@ -203,7 +219,14 @@
 
 // deliver passes a message to the host at an address after the message delay.
 func (f *testFleet) deliver(address string, message func(to *member)) {
-	time.AfterFunc(messageDelay, func() {
+	delay := messageDelay
+	if f.disturbance != nil {
+		var lost bool
+		if delay, lost = f.disturbance.datagram(address); lost {
+			return
+		}
+	}
+	time.AfterFunc(delay, func() {
 		if to := f.at(address); to != nil && !f.isIsolated(address) {
 			message(to)
 		}
@@ -213,6 +236,9 @@
 // run drives the roster as app.Gateway does.
 func (m *member) run(ctx context.Context) {
 	for sleep(ctx, 50*time.Millisecond) {
+		if d := m.fleet.disturbance; d != nil {
+			d.awaitThaw(m.self.PeerAddress)
+		}
 		m.step(func(now time.Time, r *roster.Roster) []roster.Action {
 			r.SetReady(m.replica.complete())
 			return r.Tick(now)
@@ -317,7 +343,12 @@
 	return nil
 }
 
-func (m *member) Pull(_ context.Context, address string, have roster.State) (port.RegistryDelta, error) {
+func (m *member) Pull(ctx context.Context, address string, have roster.State) (port.RegistryDelta, error) {
+	if d := m.fleet.disturbance; d != nil {
+		if err := d.passPull(ctx, m.self.PeerAddress, address); err != nil {
+			return port.RegistryDelta{}, err
+		}
+	}
 	time.Sleep(2 * messageDelay)
 	from := m.fleet.at(address)
 	if from == nil || m.fleet.isIsolated(address) || m.fleet.isIsolated(m.self.PeerAddress) {
