schedule: requests accepted before a change of the configuration keep their class

What callers saw: 503 (unknown_class) around changes of a timeout.

Cause: the class of a route has another name when its timeout or another parameter changes. The scheduler forgets the old class when it is configured, but requests that were matched with the configuration before reach it later: those whose body is being read, and those that arrive before the new configuration is active for callers. A state is removed while requests that were admitted with it still need it.

Change: a removed class admits requests for one more minute.

--- a/internal/core/schedule/request.go
+++ b/internal/core/schedule/request.go
@@ -43,7 +43,7 @@
 	if s.requests[in.ID] != nil {
 		return nil
 	}
-	c := s.classes[in.Class]
+	c := s.classOf(in.Class)
 	if c == nil {
 		return []dispatch.Action{dispatch.Refuse{Request: in.ID, Reason: dispatch.UnknownClass}}
 	}
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -54,8 +54,11 @@
 	anyLeaving      bool
 	leavingToReport []*processState
 	classes         map[ident.ClassName]*class
-	budget          *retry.SharedBudget
-	model           *gray.Model
+	// removedClasses holds the classes that are no longer configured, for requests that a
+	// host accepted under the configuration before.
+	removedClasses map[ident.ClassName]*class
+	budget         *retry.SharedBudget
+	model          *gray.Model
 
 	requests map[ident.RequestID]*request
 	attempts map[ident.AttemptID]*runningAttempt
@@ -93,8 +96,14 @@
 type class struct {
 	dispatch.Class
 	serviceTime limit.ServiceTime
+	// removedAt is the time at which the class was removed from the configuration.
+	removedAt time.Time
 }
 
+// removedClassTime is the time for which a removed class still admits requests. It is longer
+// than callers take to send the body of a request.
+const removedClassTime = time.Minute
+
 // target is a target with the state that this host keeps for it.
 type target struct {
 	dispatch.Target
@@ -194,10 +203,13 @@
 		targets:   map[ident.TargetID]*target{},
 		processes: newProcessMemory(),
 		classes:   map[ident.ClassName]*class{},
-		budget:    retry.NewSharedBudget(),
-		model:     gray.NewModel(),
-		requests:  map[ident.RequestID]*request{},
-		attempts:  map[ident.AttemptID]*runningAttempt{},
+
+		removedClasses: map[ident.ClassName]*class{},
+
+		budget:   retry.NewSharedBudget(),
+		model:    gray.NewModel(),
+		requests: map[ident.RequestID]*request{},
+		attempts: map[ident.AttemptID]*runningAttempt{},
 	}
 	s.Configure(now, cfg)
 	return s
@@ -217,7 +229,7 @@
 		FleetRatio:     cfg.FleetRetryRatio,
 		FleetAllowance: cfg.FleetRetryAllowance,
 	})
-	s.configureClasses()
+	s.configureClasses(now)
 	s.configureTargets(now)
 	for _, r := range slices.Clone(s.waiting) {
 		if c := s.classes[r.class.Name]; c != nil {
@@ -227,7 +239,7 @@
 	return s.flush(now)
 }
 
-func (s *Scheduler) configureClasses() {
+func (s *Scheduler) configureClasses(now time.Time) {
 	old := s.classes
 	s.classes = map[ident.ClassName]*class{}
 	for _, cc := range s.cfg.Classes {
@@ -245,6 +257,32 @@
 		}
 		s.classes[cc.Name] = c
 	}
+	s.retainRemovedClasses(now, old)
+}
+
+// retainRemovedClasses keeps the classes that are no longer configured for
+// removedClassTime.
+func (s *Scheduler) retainRemovedClasses(now time.Time, old map[ident.ClassName]*class) {
+	for name, c := range old {
+		if s.classes[name] == nil {
+			c.removedAt = now
+			s.removedClasses[name] = c
+		}
+	}
+	for name, c := range s.removedClasses {
+		if s.classes[name] != nil || now.Sub(c.removedAt) >= removedClassTime {
+			delete(s.removedClasses, name)
+		}
+	}
+}
+
+// classOf returns the class of a new request, or nil if it has never been configured or was
+// removed too long ago.
+func (s *Scheduler) classOf(name ident.ClassName) *class {
+	if c := s.classes[name]; c != nil {
+		return c
+	}
+	return s.removedClasses[name]
 }
 
 // similarServiceTime returns the response time estimate of a class with the same
