ingress: the start of the split sequence is independent of how names of hosts are alike

Cause: each host distributes the requests of a split route by a low-discrepancy sequence that starts at a hash of its name. FNV-1a maps names that differ in the last characters, as edge-cairo-maadi-1 to -9, to 0.388 to 0.423.

--- a/internal/adapter/ingress/split.go
+++ b/internal/adapter/ingress/split.go
@@ -1,7 +1,8 @@
 package ingress
 
 import (
-	"hash/fnv"
+	"crypto/sha256"
+	"encoding/binary"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -21,10 +22,14 @@
 	counts sync.Map
 }
 
-func newSplitRouter(host ident.HostID) *splitRouter {
-	h := fnv.New32a()
-	h.Write([]byte(host))
-	return &splitRouter{phase: float64(h.Sum32()) / math.MaxUint32}
+func newSplitRouter(host ident.HostID) *splitRouter { return &splitRouter{phase: splitPhase(host)} }
+
+// splitPhase returns a number from 0 to 1 that is evenly distributed over hosts. The names of
+// hosts often differ in their last characters only, which a hash such as FNV-1a maps to
+// similar values.
+func splitPhase(host ident.HostID) float64 {
+	sum := sha256.Sum256([]byte(host))
+	return float64(binary.BigEndian.Uint64(sum[:8])) / math.MaxUint64
 }
 
 // choose selects the service for the next request of a split route.
