--- a/internal/discovery/versions_test.go
+++ b/internal/discovery/versions_test.go
@@ -23,7 +23,7 @@
 )
 
 var (
-	disturbanceSeeds = flag.Int("disturbance-seeds", 3, "number of seeds of TestVersionsReachHosts")
+	disturbanceSeeds = flag.Int("disturbance-seeds", 4, "number of seeds of TestVersionsReachHosts")
 	disturbanceSeed  = flag.Uint64("disturbance-seed", 1, "first seed of TestVersionsReachHosts")
 )
 
@@ -46,8 +46,11 @@
 	versions []acknowledged
 	// seen holds the highest version of each process.
 	seen map[*member]uint64
-	// failures counts the hosts that missed the bound.
-	failures int
+	// kinds holds the faults of the seed.
+	kinds []int
+	// checks counts the comparisons of a host with the newest version, bounded those for
+	// which a bound applied, and failures those that missed it.
+	checks, bounded, failures int
 }
 
 // TestVersionsReachHosts guards against hosts that have an old configuration longer than
@@ -76,17 +79,25 @@
 func (f *disturbedFleet) run(t *testing.T) {
 	f.versions = []acknowledged{{1, time.Now()}}
 	f.check(t, 6*time.Second)
-	end := time.Now().Add(24 * time.Second)
+	// Few kinds of faults, so that bounds apply between them.
+	f.kinds = []int{f.random(faultKinds), f.random(faultKinds)}
+	end := time.Now().Add(30 * time.Second)
 	for time.Now().Before(end) {
-		for range 1 + f.random(2) {
-			f.disturb()
+		f.disturb(f.kinds[f.random(len(f.kinds))])
+		for range 1 + f.random(4) {
+			f.check(t, f.span(100*time.Millisecond, 2*time.Second))
+			f.change([]int{1, 1, 2, 25}[f.random(4)])
 		}
-		f.check(t, f.span(500*time.Millisecond, 5*time.Second))
+		f.check(t, f.span(500*time.Millisecond, 6*time.Second))
 	}
 	f.change(1)
 	f.note("power loss")
 	f.restart(f.pick(1), f.span(time.Second, 2*time.Second))
 	f.check(t, 12*time.Second)
+	t.Logf("a bound applied to %d of %d comparisons", f.bounded, f.checks)
+	if float64(f.bounded) < minBounded*float64(f.checks) {
+		t.Errorf("a bound applied to %d of %d comparisons only", f.bounded, f.checks)
+	}
 	if t.Failed() {
 		for _, line := range f.log {
 			t.Log(line)
@@ -165,38 +176,41 @@
 	}
 }
 
-// disturb applies a random fault or change.
-func (f *disturbedFleet) disturb() {
+// faultKinds is the number of kinds of faults of disturb.
+const faultKinds = 6
+
+// minBounded is the least share of the comparisons of a run for which a bound must apply, so
+// that the run shows something.
+const minBounded = 0.15
+
+// disturb applies a fault of a kind.
+func (f *disturbedFleet) disturb(kind int) {
 	d := f.disturbance
 	mode := storeMode(1 + f.random(2))
-	switch f.random(9) {
-	case 0, 1:
-		f.change(1 + f.random(2))
-	case 2:
-		f.change(25)
-	case 3:
-		span := f.span(2*time.Second, 9*time.Second)
+	switch kind {
+	case 0:
+		span := f.span(time.Second, 5*time.Second)
 		f.note("store away for %s, mode %d", span, mode)
 		d.disturbStore(mode, 0, span)
-	case 4:
+	case 1:
 		slow, span := f.span(200*time.Millisecond, 500*time.Millisecond), f.span(2*time.Second, 5*time.Second)
 		f.note("store slow for %s, %s", span, slow)
 		d.disturbStore(storeOK, slow, span)
-	case 5:
+	case 2:
 		hosts, span := f.pickFirst(0.35), f.span(4*time.Second, 9*time.Second)
 		f.note("store turns %d hosts away for %s, mode %d", len(hosts), span, mode)
 		d.turnAway(hosts, mode, span)
-	case 6:
+	case 3:
 		hosts, span := f.pickFirst(0.25), f.span(4*time.Second, 12*time.Second)
 		f.note("%d hosts cut off from the store for %s", len(hosts), span)
 		d.cutOff(hosts, span)
-	case 7:
+	case 4:
 		hosts, span := f.pickFirst(0.1), f.span(time.Second, 6*time.Second)
 		f.note("%d hosts frozen for %s", len(hosts), span)
 		for _, i := range hosts {
 			d.freeze(i, span)
 		}
-	case 8:
+	case 5:
 		hosts, after := f.pickFirst([]float64{0.01, 0.16, 0.55}[f.random(3)]), f.span(60*time.Millisecond, 2*time.Second)
 		f.note("%d hosts restarted after %s", len(hosts), after)
 		f.restart(hosts, after)
@@ -224,10 +238,12 @@
 		t.Errorf("%s returned from version %d to %d", m.self.ID, f.seen[m], version)
 	}
 	f.seen[m] = version
+	f.checks++
 	bound, ok := f.disturbance.bound(i, now)
 	if !ok {
 		return
 	}
+	f.bounded++
 	required := uint64(0)
 	for _, v := range f.versions {
 		if now.Sub(v.at) >= bound {
