--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -198,18 +198,16 @@
 // New returns a scheduler.
 func New(now time.Time, cfg dispatch.Config, self dispatch.Self) *Scheduler {
 	s := &Scheduler{
-		self:      self,
-		now:       now,
-		targets:   map[ident.TargetID]*target{},
-		processes: newProcessMemory(),
-		classes:   map[ident.ClassName]*class{},
-
+		self:           self,
+		now:            now,
+		targets:        map[ident.TargetID]*target{},
+		processes:      newProcessMemory(),
+		classes:        map[ident.ClassName]*class{},
 		removedClasses: map[ident.ClassName]*class{},
-
-		budget:   retry.NewSharedBudget(),
-		model:    gray.NewModel(),
-		requests: map[ident.RequestID]*request{},
-		attempts: map[ident.AttemptID]*runningAttempt{},
+		budget:         retry.NewSharedBudget(),
+		model:          gray.NewModel(),
+		requests:       map[ident.RequestID]*request{},
+		attempts:       map[ident.AttemptID]*runningAttempt{},
 	}
 	s.Configure(now, cfg)
 	return s
