--- a/review/rig2/cmd/path/main.go
+++ b/review/rig2/cmd/path/main.go
@@ -1,9 +1,12 @@
-// Command path sends lookups whose paths contain an encoded slash.
+// Command path sends notices whose paths contain an encoded slash, while an upstream fails a part of its
+// requests.
 package main
 
 import (
 	"fmt"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"reviewrig2/rig"
@@ -11,7 +14,11 @@
 
 const (
 	zone, region = "cairo-maadi", "cairo"
-	lookups      = 100
+	requesters   = 4
+	notices      = 400
+	// One of the upstreams fails a part of its requests, as srv_grey of the site does.
+	upstreams = 7
+	failing   = 0.4
 )
 
 func main() { os.Exit(run()) }
@@ -36,18 +43,19 @@
 	defer fleet.Close()
 	fleet.Limit()
 	store.PutConfiguration(3, []rig.Route{
-		{Name: "r-lookup", Prefix: "/lookup/", Kind: "safe", Service: "errata-index", Timeout: 6 * time.Second, Priority: 2},
-		{Name: "r-journal", Prefix: "/lookup/10.5555/", Kind: "safe", Service: "proof-vault", Timeout: 6 * time.Second, Priority: 2},
+		{Name: "r-notices", Prefix: "/notices/", Kind: "unsafe", Service: "notice-press", Timeout: 6 * time.Second, Priority: 1},
+		{Name: "r-journal", Prefix: "/notices/10.5555/", Kind: "safe", Service: "notice-press", Timeout: 6 * time.Second, Priority: 2},
 	})
-	targets := map[string][]*rig.Target{}
-	for _, service := range []string{"errata-index", "proof-vault"} {
-		for i := range 2 {
-			t := &rig.Target{ID: fmt.Sprintf("i-%s%d", service, i), Service: service, Zone: zone, Slots: 6, Work: 5 * time.Millisecond}
-			targets[service] = append(targets[service], t)
-			if err := rig.StartTarget(store, t, log); err != nil {
-				log.Say("target: %v", err)
-				return rig.NotRun
-			}
+	var targets []*rig.Target
+	for i := range upstreams {
+		t := &rig.Target{ID: fmt.Sprintf("i-press%d", i), Service: "notice-press", Zone: zone, Slots: 6, Work: 20 * time.Millisecond}
+		if i == 0 && rig.Trouble() {
+			t.Failing = failing
+		}
+		targets = append(targets, t)
+		if err := rig.StartTarget(store, t, log); err != nil {
+			log.Say("target: %v", err)
+			return rig.NotRun
 		}
 	}
 	var hosts []*rig.Host
@@ -67,46 +75,54 @@
 	return judge(hosts, targets, log)
 }
 
-// path returns the path of a lookup. It begins with the prefix of r-lookup, and not with that of r-journal.
-func path(n int) string {
-	if rig.Trouble() {
-		return fmt.Sprintf("/lookup/10.5555%%2F%d", n)
-	}
-	return fmt.Sprintf("/lookup/10.5555-%d", n)
-}
-
-// judge sends lookups and counts those that the other service ran.
-func judge(hosts []*rig.Host, targets map[string][]*rig.Target, log *rig.Recorder) int {
-	addresses := rig.Resolve(hosts[0], region, zone)
-	if len(addresses) == 0 {
-		return rig.NotRun
-	}
-	var c *rig.Conn
-	answered, foreign := 0, 0
-	for n := range lookups {
-		if !c.Usable() {
-			var err error
-			if c, err = rig.Dial(addresses[0]); err != nil {
-				log.Say("host: %v", err)
-				return rig.NotRun
+// judge lets requesters send notices and counts those that ran more than once.
+func judge(hosts []*rig.Host, targets []*rig.Target, log *rig.Recorder) int {
+	var answered, twice atomic.Int64
+	var sending sync.WaitGroup
+	for n := range requesters {
+		sending.Go(func() {
+			for i := range notices {
+				send(hosts, targets, n*notices+i, &answered, &twice, log)
 			}
-		}
-		r := rig.Request{ID: rig.NewID(), Method: "GET", Path: path(n), Deadline: 6 * time.Second}
-		a := c.Do(r)
-		log.Printf("lookup id=%s path=%s status=%d signature=%s err=%v", r.ID, r.Path, a.Status, a.Signature, a.Err)
-		if a.Status == 200 {
-			answered++
-		}
-		for _, t := range targets["proof-vault"] {
-			foreign += len(t.Runs(r.ID))
-		}
+		})
 	}
-	log.Say("%d of %d lookups answered with success, %d run by a service to which their route does not lead", answered, lookups, foreign)
+	sending.Wait()
+	log.Say("%d of %d notices answered with success, %d ran more than once", answered.Load(), requesters*notices, twice.Load())
 	switch {
-	case answered == 0:
+	case answered.Load() == 0:
 		return rig.NotRun
-	case foreign > 0:
+	case twice.Load() > 0:
 		return rig.Broken
 	}
 	return rig.Held
 }
+
+// send sends one notice on a new connection.
+func send(hosts []*rig.Host, targets []*rig.Target, n int, answered, twice *atomic.Int64, log *rig.Recorder) {
+	time.Sleep(20 * time.Millisecond)
+	addresses := rig.Resolve(hosts[n%len(hosts)], region, zone)
+	if len(addresses) == 0 {
+		return
+	}
+	c, err := rig.Dial(addresses[0])
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	// The path begins with the prefix of r-notices, and not with that of r-journal.
+	path := fmt.Sprintf("/notices/10.5555%%2F%d", n)
+	r := rig.Request{ID: rig.NewID(), Method: "POST", Path: path, Body: rig.Zeros(4000), BodyBytes: 4000, Deadline: 6 * time.Second}
+	a := c.Do(r)
+	runs := 0
+	for _, t := range targets {
+		runs += len(t.Runs(r.ID))
+	}
+	log.Printf("notice id=%s path=%s status=%d signature=%s runs=%d err=%v", r.ID, r.Path, a.Status, a.Signature, runs, a.Err)
+	if a.Status == 200 {
+		answered.Add(1)
+	}
+	if runs > 1 {
+		twice.Add(1)
+		log.Printf("twice: %s", r.ID)
+	}
+}
--- a/review/rig2/rig/target.go
+++ b/review/rig2/rig/target.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -26,11 +27,13 @@
 	ID, Service, Zone, Address string
 	Slots                      int
 	Work                       time.Duration
-	born                       time.Time
-	sequence                   atomic.Int64
-	running                    atomic.Int64
-	store                      *Store
-	log                        *Recorder
+	// Failing is the share of the requests that the target runs and answers with 500.
+	Failing  float64
+	born     time.Time
+	sequence atomic.Int64
+	running  atomic.Int64
+	store    *Store
+	log      *Recorder
 
 	mu   sync.Mutex
 	runs map[string][]Run
@@ -104,6 +107,9 @@
 		return
 	}
 	h.Set("Response-Signature", "sig."+t.Service+"."+id)
+	if rand.Float64() < t.Failing {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	fmt.Fprintf(w, "%s ran %s", t.ID, id)
 }
 
