--- a/review/rig2/cmd/foreign/main.go
+++ b/review/rig2/cmd/foreign/main.go
@@ -1,4 +1,4 @@
-// Command foreign writes entries of another writer, from which a field is missing, to the store's list of
+// Command foreign writes an entry of another writer, from which a field is missing, to the store's list of
 // upstreams.
 package main
 
@@ -16,13 +16,13 @@
 const (
 	zone, region = "cairo-maadi", "cairo"
 	requesters   = 6
-	entries      = 4
-	entryGap     = 3 * time.Second
+	// The requests are counted in periods after the foreign entry.
+	periods = 4
+	period  = 3 * time.Second
+	// missing is the field that the foreign entry lacks.
+	missing = "version"
 )
 
-// missing lists the fields that the foreign entries lack, in turn.
-var missing = []string{"version", "warmupLeft"}
-
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -80,19 +80,19 @@
 		sending.Go(func() { request(hosts, targets, i%2 == 0, stop, &answered, &foreign, log) })
 	}
 	time.Sleep(2 * time.Second)
-	for i := range entries {
-		field := missing[i%len(missing)]
-		if rig.Trouble() {
-			press := targets["notice-press"][0]
-			entry := maps.Clone(press.Record())
-			entry["service"] = "errata-index"
-			delete(entry, field)
-			store.Put(rig.TargetTopic, press.ID, entry)
-			log.Say("another writer writes servers/%s without %s: %v", press.ID, field, entry)
-		}
+	if rig.Trouble() {
+		press := targets["notice-press"][0]
+		entry := maps.Clone(press.Record())
+		entry["service"] = "errata-index"
+		entry["born"] = time.Now().UnixMilli()
+		delete(entry, missing)
+		store.Put(rig.TargetTopic, press.ID, entry)
+		log.Say("another writer writes servers/%s without %s: %v", press.ID, missing, entry)
+	}
+	for range periods {
 		before := foreign.Load()
-		time.Sleep(entryGap)
-		log.Say("requests run by a service that no configuration allows: %d more", foreign.Load()-before)
+		time.Sleep(period)
+		log.Say("requests run by a service that no configuration allows in %s: %d", period, foreign.Load()-before)
 	}
 	close(stop)
 	sending.Wait()
