--- a/review/rig2/cmd/path/main.go
+++ b/review/rig2/cmd/path/main.go
@@ -15,10 +15,11 @@
 const (
 	zone, region = "cairo-maadi", "cairo"
 	requesters   = 4
-	notices      = 400
-	// One of the upstreams fails a part of its requests, as srv_grey of the site does.
+	notices      = 1000
+	// One of the upstreams at a time fails a part of its requests for a time, as with srv_grey.
 	upstreams = 7
-	failing   = 0.4
+	failing   = 40
+	grayTime  = 5 * time.Second
 )
 
 func main() { os.Exit(run()) }
@@ -49,9 +50,6 @@
 	var targets []*rig.Target
 	for i := range upstreams {
 		t := &rig.Target{ID: fmt.Sprintf("i-press%d", i), Service: "notice-press", Zone: zone, Slots: 6, Work: 20 * time.Millisecond}
-		if i == 0 && rig.Trouble() {
-			t.Failing = failing
-		}
 		targets = append(targets, t)
 		if err := rig.StartTarget(store, t, log); err != nil {
 			log.Say("target: %v", err)
@@ -72,9 +70,23 @@
 		return rig.NotRun
 	}
 	time.Sleep(5 * time.Second)
+	if rig.Trouble() {
+		go failInTurn(targets, log)
+	}
 	return judge(hosts, targets, log)
 }
 
+// failInTurn makes one upstream after the other fail a part of its requests.
+func failInTurn(targets []*rig.Target, log *rig.Recorder) {
+	for i := 0; ; i++ {
+		t := targets[i%len(targets)]
+		log.Printf("%s fails %d%% of its requests", t.ID, failing)
+		t.SetFailing(failing)
+		time.Sleep(grayTime)
+		t.SetFailing(0)
+	}
+}
+
 // judge lets requesters send notices and counts those that ran more than once.
 func judge(hosts []*rig.Host, targets []*rig.Target, log *rig.Recorder) int {
 	var answered, twice atomic.Int64
--- a/review/rig2/rig/target.go
+++ b/review/rig2/rig/target.go
@@ -27,8 +27,8 @@
 	ID, Service, Zone, Address string
 	Slots                      int
 	Work                       time.Duration
-	// Failing is the share of the requests that the target runs and answers with 500.
-	Failing  float64
+	// failing is the percentage of the requests that the target runs and answers with 500.
+	failing  atomic.Int64
 	born     time.Time
 	sequence atomic.Int64
 	running  atomic.Int64
@@ -107,12 +107,15 @@
 		return
 	}
 	h.Set("Response-Signature", "sig."+t.Service+"."+id)
-	if rand.Float64() < t.Failing {
+	if rand.Int64N(100) < t.failing.Load() {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
 	fmt.Fprintf(w, "%s ran %s", t.ID, id)
 }
 
+// SetFailing sets the percentage of the requests that the target runs and answers with 500.
+func (t *Target) SetFailing(percent int64) { t.failing.Store(percent) }
+
 // Runs returns the runs of a request.
 func (t *Target) Runs(id string) []Run {
 	t.mu.Lock()
