--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 out=$(pwd)/target/review-2
-cd review/rig2
+cd review/rig2/platform
 GOFLAGS=-mod=mod GOWORK=off CGO_ENABLED=0 go build -o "$out/" ./cmd/...
