--- a/internal/systemtest/clients_kernel_test.go
+++ b/internal/systemtest/clients_kernel_test.go
@@ -122,8 +122,8 @@
 	c.check(t)
 	total, queued := result()
 	t.Logf("at most %d MB resident and in the kernel's buffers, at most %d MB in the latter", total>>20, queued>>20)
-	if total > clientsMemoryMb<<20 {
-		t.Errorf("the host had %d MB resident and in the kernel's buffers, want at most %d", total>>20, clientsMemoryMb)
+	if total > int64(c.memoryMb)<<20 {
+		t.Errorf("the host had %d MB resident and in the kernel's buffers, want at most %d", total>>20, c.memoryMb)
 	}
 }
 
--- a/internal/systemtest/clients_test.go
+++ b/internal/systemtest/clients_test.go
@@ -42,6 +42,8 @@
 // clientGroup is a host with lowered limits and the connections of the clients to it.
 type clientGroup struct {
 	host *platformHost
+	// memoryMb and maxFds are the limits of the host, and the bounds of the test.
+	memoryMb, maxFds int
 	// store is the store of the host, and target the target of the clients' requests.
 	store  *platformtest.Store
 	target *httptest.Server
@@ -58,26 +60,29 @@
 	conns []net.Conn
 }
 
-// newClientGroup starts a host with a target for ordinary requests and one for those of the clients. Only one
-// such test runs at a time on a machine, since they measure a process.
+// newClientGroup starts a host with the limits of most tests.
 func newClientGroup(t *testing.T) *clientGroup {
+	t.Helper()
+	return newLimitedGroup(t, clientsMemoryMb, clientsMaxFds)
+}
+
+// newLimitedGroup starts a host with a target for ordinary requests and one for those of the clients. Only one
+// such test runs at a time on a machine, since they measure a process.
+func newLimitedGroup(t *testing.T, memoryMb, maxFds int) *clientGroup {
 	t.Helper()
 	lockMachine(t)
 	held := make(chan struct{})
-	c := &clientGroup{release: sync.OnceFunc(func() { close(held) }), stop: make(chan struct{})}
+	c := &clientGroup{memoryMb: memoryMb, maxFds: maxFds, release: sync.OnceFunc(func() { close(held) }), stop: make(chan struct{})}
 	d := newDeployment(t, 0)
 	groupTarget := httptest.NewServer(&clientTarget{held: held})
 	t.Cleanup(groupTarget.Close)
 	t.Cleanup(c.release)
 	c.store, c.target = d.store, groupTarget
 	d.store.SetLimits(platformtest.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: clientsMaxBody, HeaderTimeout: 3 * time.Second})
-	d.store.PutConfiguration(2, 15*time.Second,
-		platformtest.Route{PathPrefix: "/lookup/", Kind: platformtest.Idempotent, Service: "index", Timeout: 5 * time.Second},
-		platformtest.Route{PathPrefix: "/crowd/", Kind: platformtest.NonIdempotent, Service: "crowd", Timeout: time.Minute},
-		platformtest.Route{PathPrefix: "/upload/", Kind: platformtest.Upload, Service: "crowd", Timeout: time.Minute})
+	d.store.PutConfiguration(2, 15*time.Second, groupRoutes(time.Minute)...)
 	d.store.PutTarget(platformtest.Target{ID: "t-2", Service: "crowd", Address: groupTarget.Listener.Addr().String(), Zone: platformZone, Slots: 400, Sequence: 1, Born: time.Now()})
 	c.host = &platformHost{Host: d.settings(t, "h-1"), settingsPath: filepath.Join(t.TempDir(), "local.toml")}
-	c.host.MemoryMb, c.host.MaxFds = clientsMemoryMb, clientsMaxFds
+	c.host.MemoryMb, c.host.MaxFds = memoryMb, maxFds
 	c.host.writeSettings(t)
 	c.host.process = start(t, "sapphirehaven", "-config", c.host.settingsPath)
 	c.host.waitReady(t)
@@ -87,6 +92,15 @@
 	return c
 }
 
+// groupRoutes returns the route of ordinary requests, and those of the clients with a timeout.
+func groupRoutes(timeout time.Duration) []platformtest.Route {
+	return []platformtest.Route{
+		{PathPrefix: "/lookup/", Kind: platformtest.Idempotent, Service: "index", Timeout: 5 * time.Second},
+		{PathPrefix: "/crowd/", Kind: platformtest.NonIdempotent, Service: "crowd", Timeout: timeout},
+		{PathPrefix: "/upload/", Kind: platformtest.Upload, Service: "crowd", Timeout: timeout},
+	}
+}
+
 // lockMachine waits until no other test with clients runs on the machine.
 func lockMachine(t *testing.T) {
 	t.Helper()
@@ -105,7 +119,9 @@
 type clientTarget struct{ held <-chan struct{} }
 
 // A host buffers responses of up to 4 MiB and forwards larger ones as they arrive.
+// mediumResponse fits into the kernel's buffer of a connection.
 const (
+	mediumResponse   = 64 << 10
 	largeResponse    = 3 << 20
 	streamedResponse = 16 << 20
 )
@@ -120,6 +136,8 @@
 		case <-c.held:
 		case <-r.Context().Done():
 		}
+	case strings.Contains(r.URL.Path, "medium"):
+		sendZeros(w, mediumResponse)
 	case strings.Contains(r.URL.Path, "large"):
 		sendZeros(w, largeResponse)
 	case strings.Contains(r.URL.Path, "streamed"):
@@ -170,22 +188,31 @@
 
 // client starts one client. It sends what write writes and then keeps its connection open, without
 // reading. Failures to connect or to send are no fault: the host may refuse a client.
-func (c *clientGroup) client(write func(io.Writer) error) {
+func (c *clientGroup) client(write func(io.Writer) error) { c.clientOf(c.host.Caller, write) }
+
+// clientOf is client for another address of the host.
+func (c *clientGroup) clientOf(address string, write func(io.Writer) error) {
 	c.running.Go(func() {
-		conn, err := net.DialTimeout("tcp", c.host.Caller, clientWriteTime)
-		if err != nil {
-			return
+		if conn, err := c.connect(address); err == nil {
+			_ = write(conn)
 		}
-		c.mu.Lock()
-		c.conns = append(c.conns, conn)
-		c.mu.Unlock()
-		// Otherwise the kernel takes megabytes of a response that the client does not read.
-		_ = conn.(*net.TCPConn).SetReadBuffer(clientReadBuffer)
-		_ = conn.SetDeadline(time.Now().Add(clientWriteTime))
-		_ = write(conn)
 	})
 }
 
+// connect opens a connection that stays open until the end of the test.
+func (c *clientGroup) connect(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, clientWriteTime)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.conns = append(c.conns, conn)
+	c.mu.Unlock()
+	// Otherwise the kernel takes megabytes of a response that the client does not read.
+	_ = conn.(*net.TCPConn).SetReadBuffer(clientReadBuffer)
+	return conn, conn.SetDeadline(time.Now().Add(clientWriteTime))
+}
+
 func (c *clientGroup) closeConns() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -207,11 +234,11 @@
 		t.Errorf("the host ended with %s: %v", c.host.cmd.ProcessState, c.host.out)
 	}
 	t.Logf("at most %d MB resident and %d open descriptors", c.maxResident.Load()>>20, c.maxOpen.Load())
-	if resident := c.maxResident.Load(); resident > clientsMemoryMb<<20 {
-		t.Errorf("the host had %d MB resident, want at most %d", resident>>20, clientsMemoryMb)
+	if resident := c.maxResident.Load(); resident > int64(c.memoryMb)<<20 {
+		t.Errorf("the host had %d MB resident, want at most %d", resident>>20, c.memoryMb)
 	}
-	if open := c.maxOpen.Load(); open > clientsMaxFds {
-		t.Errorf("the host had %d open descriptors, want at most %d", open, clientsMaxFds)
+	if open := c.maxOpen.Load(); open > int64(c.maxFds) {
+		t.Errorf("the host had %d open descriptors, want at most %d", open, c.maxFds)
 	}
 }
 
