httpserver: the last connections are for clients with less than an equal share

What callers saw: while one client holds connections with bodies that it sends byte by byte, and comes back when it is refused, every new connection of the others gets a 503.

Cause: connections are closed near their bound only while they wait for a request, read its head or wait for the peer to read; the bound itself made no difference between clients. A client whose requests are all being served holds what it has, and of those that wait for the next free connection the one with the most attempts gets it.

Change: in the last sixteenth of the bound, a new connection is only accepted from a client with fewer connections than if all clients and one more had the same number. With one client alone the bound is 15/16 of what it was. Counter, field in clients_limited, and a unit test that fails without the change (TestLastConnectionsAreForOthers: status 503).

--- a/internal/adapter/httpserver/limits.go
+++ b/internal/adapter/httpserver/limits.go
@@ -67,7 +67,8 @@
 // LimitStats counts what the limits of a server caused.
 type LimitStats struct {
 	// Refused connections got a 503 when they were opened or before the head of a request was complete.
-	Refused uint64
+	// RefusedForShare are those of them whose client had an equal share of the connections already.
+	Refused, RefusedForShare uint64
 	// EvictedWaiting, EvictedReading and EvictedWriting connections were closed under pressure while they
 	// waited for a request, read its head, or waited for the peer to read a response.
 	EvictedWaiting, EvictedReading, EvictedWriting uint64
@@ -78,7 +79,7 @@
 // LimitStats returns the counters.
 func (s *Server) LimitStats() LimitStats {
 	return LimitStats{
-		Refused: s.refused.Load(), HeadsTooLarge: s.headsTooLarge.Load(), HeadsTimedOut: s.headsTimedOut.Load(),
+		Refused: s.refused.Load(), RefusedForShare: s.refusedForShare.Load(), HeadsTooLarge: s.headsTooLarge.Load(), HeadsTimedOut: s.headsTimedOut.Load(),
 		EvictedWaiting: s.evictedWaiting.Load(), EvictedReading: s.evictedReading.Load(), EvictedWriting: s.evictedWriting.Load(),
 	}
 }
@@ -95,7 +96,7 @@
 	// writing is the number of connections with a Write that has not returned.
 	writing atomic.Int64
 
-	refused, evictedWaiting, evictedReading, evictedWriting, headsTooLarge, headsTimedOut atomic.Uint64
+	refused, refusedForShare, evictedWaiting, evictedReading, evictedWriting, headsTooLarge, headsTimedOut atomic.Uint64
 }
 
 // countAddress changes the number of open connections of a client. The caller holds the lock.
@@ -183,10 +184,16 @@
 	open := len(s.conns) + len(s.lingering)
 	if s.limits.MaxConnections > 0 && open+batch > s.limits.MaxConnections {
 		s.evict(batch, s.perAddress[c.address])
-		if open = len(s.conns) + len(s.lingering); open >= s.limits.MaxConnections {
+		open = len(s.conns) + len(s.lingering)
+		if open >= s.limits.MaxConnections {
 			s.refused.Add(1)
 			return false
 		}
+		if open+batch > s.limits.MaxConnections && !s.belowEqualShare(c.address) {
+			s.refused.Add(1)
+			s.refusedForShare.Add(1)
+			return false
+		}
 	}
 	if s.limits.Memory != nil && !s.limits.Memory.Take(membudget.Connections, connectionBytes) {
 		s.evict(batch, s.perAddress[c.address])
@@ -197,6 +204,17 @@
 	return true
 }
 
+// belowEqualShare reports whether a client has fewer connections than if all clients and a further one had the
+// same number. Only such clients get the last connections, so that one client cannot take them all. The caller
+// holds the lock.
+func (s *Server) belowEqualShare(address string) bool {
+	others := len(s.perAddress)
+	if s.perAddress[address] > 0 {
+		others--
+	}
+	return s.perAddress[address] < s.limits.MaxConnections/(others+2)
+}
+
 // evictable is a connection that can be closed under pressure.
 type evictable struct {
 	conn *conn
--- a/internal/adapter/httpserver/limits_test.go
+++ b/internal/adapter/httpserver/limits_test.go
@@ -144,6 +144,37 @@
 	expectBody(t, bufio.NewReader(c), "/1")
 }
 
+// TestLastConnectionsAreForOthers guards against a client that takes all connections with requests that cannot
+// be ended for others.
+func TestLastConnectionsAreForOthers(t *testing.T) {
+	const limit = 32
+	s, address := startServer(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		echoPath(w, r)
+	}), Limits: Limits{MaxConnections: limit}})
+	for range 2 * limit {
+		c, _ := dial(t, address)
+		_, _ = io.WriteString(c, "POST /held HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nshort")
+	}
+	for end := time.Now().Add(10 * time.Second); s.LimitStats().Refused < limit; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("counted %+v", s.LimitStats())
+		}
+	}
+	other := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	c, err := other.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	write(t, c, request)
+	expectBody(t, bufio.NewReader(c), "/1")
+	if stats := s.LimitStats(); stats.RefusedForShare == 0 {
+		t.Errorf("counted %+v", stats)
+	}
+}
+
 // TestUnreadResponsesYield guards against callers that do not read their responses and keep out others.
 func TestUnreadResponsesYield(t *testing.T) {
 	block := make([]byte, 64<<10)
--- a/internal/app/gateway_limits.go
+++ b/internal/app/gateway_limits.go
@@ -79,7 +79,7 @@
 	fields := logrus.Fields{
 		"event": "clients_limited", "budget": m.Size, "connections": open.New + open.Idle + open.Reading + open.Serving,
 		"max_connections": callers.MaxConnections(), "arriving_bodies": m.Arriving, "clients": m.Clients,
-		"refused_connections": c.Refused - last.connections.Refused, "evicted_waiting": c.EvictedWaiting - last.connections.EvictedWaiting,
+		"refused_connections": c.Refused - last.connections.Refused, "refused_for_share": c.RefusedForShare - last.connections.RefusedForShare, "evicted_waiting": c.EvictedWaiting - last.connections.EvictedWaiting,
 		"evicted_reading": c.EvictedReading - last.connections.EvictedReading, "evicted_writing": c.EvictedWriting - last.connections.EvictedWriting,
 		"heads_too_large": c.HeadsTooLarge - last.connections.HeadsTooLarge, "heads_timed_out": c.HeadsTimedOut - last.connections.HeadsTimedOut,
 		"refused_memory": refusedMemory, "evicted_stalled": m.EvictedStalled - last.memory.EvictedStalled,
@@ -105,6 +105,7 @@
 	c := g.callers.LimitStats()
 	metrics.WriteGaugeUint64(w, "sapphirehaven_caller_connections_max", uint64(g.callers.MaxConnections()))
 	metrics.WriteCounterUint64(w, "sapphirehaven_connections_refused_total", c.Refused)
+	metrics.WriteCounterUint64(w, "sapphirehaven_connections_refused_for_share_total", c.RefusedForShare)
 	for _, e := range []struct {
 		phase string
 		count uint64
