httpserver, cmd: the readiness and resolution addresses do not wait for bodies

What callers saw: with 100 clients that send a part of a body to these addresses and come back when they are refused, the readiness check got a 503 for 75 s and longer (TestClientsAtReadinessAddress). The platform takes such a host for not ready, and callers do not find it.

Cause: no handler of this server reads a body. net/http discards an unread body before it sends the response, without a time limit, so a body that stops short holds its connection forever. 5% of the sockets are for this server, 20 with the limits of the test.

Change: a request with its body takes 5 s at most, its response 10 s. Connections count when they are accepted, and a batch has four at least.

TestRequestTimeout fails without the change (no response in 10 s).

--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -16,15 +16,14 @@
 	"github.com/sapphirehaven/sapphirehaven/platform"
 )
 
-// headerTimeout limits the time for reading a request header on the readiness and
-// resolution addresses.
-const headerTimeout = 5 * time.Second
-
-// maxHeaderBytes and idleTimeout limit requests and connections to these addresses. Callers resolve the
-// addresses of hosts every few seconds.
+// Limits of requests and connections to the readiness and resolution addresses. Requests there have no body,
+// responses have a few kilobytes, and callers resolve the addresses of hosts every few seconds.
 const (
-	maxHeaderBytes = 16 << 10
-	idleTimeout    = time.Minute
+	maxHeaderBytes  = 16 << 10
+	headerTimeout   = 5 * time.Second
+	requestTimeout  = 5 * time.Second
+	responseTimeout = 10 * time.Second
+	idleTimeout     = time.Minute
 )
 
 // resolutionStopTimeout limits how long a stopped host waits for requests to the readiness
@@ -56,7 +55,8 @@
 	limits := app.NewClientLimits(platformSettings.MemoryBytes, platformSettings.MaxFiles)
 	server := httpserver.New(httpserver.Config{
 		Handler: platform.NewHandler(gateway), ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout, Limits: limits.Directory(),
+		MaxHeaderBytes: maxHeaderBytes, RequestTimeout: requestTimeout, ResponseTimeout: responseTimeout,
+		IdleTimeout: idleTimeout, Limits: limits.Directory(),
 	})
 	defer server.Stop(resolutionStopTimeout)
 	for _, address := range []string{platformSettings.ReadyAddress, platformSettings.ResolveAddress} {
--- a/internal/adapter/httpserver/limits.go
+++ b/internal/adapter/httpserver/limits.go
@@ -37,6 +37,9 @@
 	// evictionFraction is the part of MaxConnections that is closed at once under pressure, as a divisor.
 	// Choosing the connections looks at all of them.
 	evictionFraction = 16
+	// minBatch is the least number of these unless they are more than a quarter of MaxConnections: a client that
+	// opens a connection for each request has several that are being closed.
+	minBatch = 4
 	// minLingerTime is the time that a peer is given to close its connection even under pressure.
 	minLingerTime = 200 * time.Millisecond
 	// readStallTime and writeStallTime are the times after which a connection can be closed under pressure
@@ -172,24 +175,27 @@
 	}()
 }
 
-// batch is the number of connections that are closed at once under pressure.
-func (s *Server) batch() int { return max(1, s.limits.MaxConnections/evictionFraction) }
+// batch is the number of connections that are closed at once under pressure, and of the last ones that are for
+// clients with less than an equal share.
+func (s *Server) batch() int {
+	return max(1, s.limits.MaxConnections/evictionFraction, min(minBatch, s.limits.MaxConnections/4))
+}
 
-// reserve takes the memory of a connection and makes room for further ones. It reports whether there was
-// room.
+// reserve takes the memory of a connection, makes room for further ones and counts it as open. It reports whether
+// there was room.
 func (s *Server) reserve(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	batch := s.batch()
 	open := len(s.conns) + len(s.lingering)
-	if s.limits.MaxConnections > 0 && open+batch > s.limits.MaxConnections {
+	if s.limits.MaxConnections > 0 && open+batch >= s.limits.MaxConnections {
 		s.evict(batch, s.perAddress[c.address])
 		open = len(s.conns) + len(s.lingering)
 		if open >= s.limits.MaxConnections {
 			s.refused.Add(1)
 			return false
 		}
-		if open+batch > s.limits.MaxConnections && !s.belowEqualShare(c.address) {
+		if open+batch >= s.limits.MaxConnections && !s.belowEqualShare(c.address) {
 			s.refused.Add(1)
 			s.refusedForShare.Add(1)
 			return false
@@ -201,6 +207,8 @@
 		return false
 	}
 	c.memory = connectionBytes
+	s.conns[c] = struct{}{}
+	s.countAddress(c, 1)
 	return true
 }
 
--- a/internal/adapter/httpserver/limits_test.go
+++ b/internal/adapter/httpserver/limits_test.go
@@ -175,6 +175,23 @@
 	}
 }
 
+// TestRequestTimeout guards against connections that are held forever by a body that stops short of its end and
+// that the handler does not read, and against a timeout of requests that closes idle connections.
+func TestRequestTimeout(t *testing.T) {
+	s, address := startServer(t, Config{Handler: http.HandlerFunc(echoPath), RequestTimeout: 100 * time.Millisecond, IdleTimeout: time.Hour})
+	short, shortReader := dial(t, address)
+	write(t, short, "GET /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nshort")
+	expectBody(t, shortReader, "/1")
+	short.Close()
+	idle, idleReader := dial(t, address)
+	for range 2 {
+		write(t, idle, request)
+		expectBody(t, idleReader, "/1")
+		awaitConnections(t, s, Connections{Idle: 1})
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 // TestUnreadResponsesYield guards against callers that do not read their responses and keep out others.
 func TestUnreadResponsesYield(t *testing.T) {
 	block := make([]byte, 64<<10)
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -27,6 +27,11 @@
 	MaxHeaderBytes int
 	// IdleTimeout limits the wait for the next request on an open connection; 0: no limit.
 	IdleTimeout time.Duration
+	// RequestTimeout limits the time for reading a request with its body, and ResponseTimeout that for
+	// serving it and writing the response; 0: no limit but what the handler sets. A body that the handler
+	// does not read is discarded before the response is sent, so that without a limit a connection whose body
+	// stops short of its end is held forever. SetIdleTimeout cannot exceed IdleTimeout with them.
+	RequestTimeout, ResponseTimeout time.Duration
 	// Concurrent, if set, reports whether a request without a body may be started while an
 	// earlier one of its connection is served. The earlier one must have been accepted as well.
 	Concurrent func(*http.Request) bool
@@ -97,6 +102,8 @@
 			return context.WithValue(ctx, connKey{}, c)
 		},
 		ReadHeaderTimeout: cfg.ReadHeaderTimeout,
+		ReadTimeout:       cfg.RequestTimeout,
+		WriteTimeout:      cfg.ResponseTimeout,
 		MaxHeaderBytes:    cfg.MaxHeaderBytes,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if cfg.ConnState != nil {
@@ -105,6 +112,10 @@
 			s.track(c.(*conn), state)
 		},
 	}
+	if cfg.RequestTimeout > 0 {
+		// By default net/http waits no longer for the next request than for the rest of one.
+		s.http.IdleTimeout = cfg.IdleTimeout
+	}
 	return s
 }
 
@@ -233,8 +244,6 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		s.conns[c] = struct{}{}
-		s.countAddress(c, 1)
 		if s.closing {
 			c.endWait()
 		}
