app: connections, heads, bodies and times of the administration interface are bounded

What was seen: 700 clients of the administration address, some with heads of 900 KB in short fields, took 2,124 MB and 683 descriptors of a host with 128 MB and 600 (TestClientsAtAdminAddress). The platform ends such a process, with all requests of its callers.

Cause: the server had no bound but the default size of a head, 1 MiB, which takes about twenty times its size once it is parsed, and no limit for the time of a body.

Change: 1% of the sockets, 8 to 32 connections; heads of 16 KiB, 30 s for a request and 60 s for a response; on the platform, bodies of 64 KiB, since configurations are not sent there and validating a document of 1 MiB took 100 MB. Counters and a log line (server_limited) for this server and that of the readiness and resolution addresses, whose refusals were not counted.

--- a/cmd/sapphirehaven/platform.go
+++ b/cmd/sapphirehaven/platform.go
@@ -59,6 +59,7 @@
 		IdleTimeout: idleTimeout, Limits: limits.Directory(),
 	})
 	defer server.Stop(resolutionStopTimeout)
+	gateway.WatchServer("directory", server)
 	for _, address := range []string{platformSettings.ReadyAddress, platformSettings.ResolveAddress} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
--- a/internal/adapter/httpserver/limits.go
+++ b/internal/adapter/httpserver/limits.go
@@ -79,6 +79,9 @@
 	HeadsTooLarge, HeadsTimedOut uint64
 }
 
+// Evicted returns the number of connections that were closed under pressure.
+func (s LimitStats) Evicted() uint64 { return s.EvictedWaiting + s.EvictedReading + s.EvictedWriting }
+
 // LimitStats returns the counters.
 func (s *Server) LimitStats() LimitStats {
 	return LimitStats{
--- a/internal/app/client_limits.go
+++ b/internal/app/client_limits.go
@@ -15,9 +15,9 @@
 	// ResponseBufferBytes bounds the memory for responses that are kept until they are complete; 0 for the
 	// default of ingress.Config.
 	ResponseBufferBytes int64
-	// CallerConnections and DirectoryConnections bound the connections of callers, and those to the
-	// readiness and resolution addresses; 0: no bound.
-	CallerConnections, DirectoryConnections int
+	// CallerConnections, DirectoryConnections and AdminConnections bound the connections of callers, those to
+	// the readiness and resolution addresses, and those to the administration interface; 0: no bound.
+	CallerConnections, DirectoryConnections, AdminConnections int
 	// TargetConnections bounds the connections to targets that are kept open without a request; 0: no bound.
 	TargetConnections int
 	// ReceiveBuffer, BodyReceiveBuffer and SendBuffer are the sizes of the kernel's buffers of a caller's
@@ -50,6 +50,10 @@
 	callerPercent    = 42
 	directoryPercent = 5
 	targetPercent    = 45
+	// Some responses of the administration interface have megabytes, so its connections are few on a host of
+	// any size.
+	adminPercent                             = 1
+	minAdminConnections, maxAdminConnections = 8, 32
 	// receiveBuffer bounds what the kernel keeps of a connection that is not read, such as requests behind a
 	// response that is not read; without it, megabytes. The kernel doubles it, and the window is this size,
 	// so that most bodies arrive in one round trip. A large body gets bodyReceiveBuffer while it is read. Its
@@ -87,6 +91,7 @@
 		l.CallerConnections = max(1, sockets*callerPercent/100)
 		l.DirectoryConnections = max(1, sockets*directoryPercent/100)
 		l.TargetConnections = max(1, sockets*targetPercent/100)
+		l.AdminConnections = min(max(sockets*adminPercent/100, minAdminConnections), maxAdminConnections)
 	}
 	return l
 }
@@ -104,6 +109,11 @@
 	return httpserver.Limits{MaxConnections: l.DirectoryConnections, ReceiveBuffer: l.ReceiveBuffer, SendBuffer: l.SendBuffer}
 }
 
+// Admin returns the limits of the server of the administration interface.
+func (l *ClientLimits) Admin() httpserver.Limits {
+	return httpserver.Limits{MaxConnections: l.AdminConnections, ReceiveBuffer: l.ReceiveBuffer, SendBuffer: l.SendBuffer}
+}
+
 // callers returns the limits of the server for callers.
 func (l *ClientLimits) callers(memory *membudget.Budget) httpserver.Limits {
 	return httpserver.Limits{MaxConnections: l.CallerConnections, Memory: memory, ReceiveBuffer: l.ReceiveBuffer, BodyReceiveBuffer: l.BodyReceiveBuffer, SendBuffer: l.SendBuffer}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -84,18 +84,21 @@
 // Gateway is a running host that takes its configuration and targets from the platform's registry. Host
 // is its counterpart for deployments with a log service.
 type Gateway struct {
-	settings       GatewaySettings
-	log            logrus.FieldLogger
-	timeline       *timeline.Timeline
-	transport      *target.Transport
-	services       *services
-	identity       *identity
-	fleet          *peer.Fleet
-	replica        *discovery.Replica
-	ingress        *ingress.Server
-	requests       *requestlog.Log
-	admin          *admin.Server
-	callers        *httpserver.Server
+	settings  GatewaySettings
+	log       logrus.FieldLogger
+	timeline  *timeline.Timeline
+	transport *target.Transport
+	services  *services
+	identity  *identity
+	fleet     *peer.Fleet
+	replica   *discovery.Replica
+	ingress   *ingress.Server
+	requests  *requestlog.Log
+	admin     *admin.Server
+	callers   *httpserver.Server
+	// servers are the other servers whose limits are counted and logged, guarded by serversMu.
+	serversMu      sync.Mutex
+	servers        []*watchedServer
 	compiledRoutes compiledRoutes
 	rejections     rejections
 	// generation and retryAllowance are those of the active configuration.
@@ -269,8 +272,13 @@
 	adminServer                                 *httpserver.Server
 }
 
+// gatewayAdminBodyBytes limits the request bodies of the admin API. Configurations are not sent there, and
+// validating a document takes up to about 100 times its size in memory.
+const gatewayAdminBodyBytes = 64 << 10
+
 func (g *Gateway) listen() (*gatewayListeners, error) {
-	l := &gatewayListeners{gateway: g, adminServer: newAdminServer(g.admin)}
+	l := &gatewayListeners{gateway: g, adminServer: newAdminServer(http.MaxBytesHandler(g.admin, gatewayAdminBodyBytes), g.settings.Limits.Admin())}
+	g.WatchServer("admin", l.adminServer)
 	for _, open := range []struct {
 		name, address string
 		target        *net.Listener
--- a/internal/app/gateway_limits.go
+++ b/internal/app/gateway_limits.go
@@ -37,6 +37,50 @@
 	return limitCounts{connections: g.callers.LimitStats(), memory: g.ingress.Memory().Status()}
 }
 
+// watchedServer is a server beside that for callers, whose limits are counted and logged.
+type watchedServer struct {
+	name   string
+	server *httpserver.Server
+	// logged is what was counted at the last log line.
+	logged httpserver.LimitStats
+}
+
+// WatchServer adds a server to the metrics and the log of limits. It is called before Run.
+func (g *Gateway) WatchServer(name string, server *httpserver.Server) {
+	g.serversMu.Lock()
+	defer g.serversMu.Unlock()
+	g.servers = append(g.servers, &watchedServer{name: name, server: server})
+}
+
+// logServerLimits writes a line for each further server whose clients met a limit since the last one.
+func (g *Gateway) logServerLimits() {
+	g.serversMu.Lock()
+	defer g.serversMu.Unlock()
+	for _, w := range g.servers {
+		current := w.server.LimitStats()
+		if current == w.logged {
+			continue
+		}
+		g.log.WithFields(logrus.Fields{
+			"event": "server_limited", "server": w.name, "max_connections": w.server.MaxConnections(),
+			"refused_connections": current.Refused - w.logged.Refused, "refused_for_share": current.RefusedForShare - w.logged.RefusedForShare,
+			"evicted": current.Evicted() - w.logged.Evicted(),
+		}).Warn("clients of a server met a limit")
+		w.logged = current
+	}
+}
+
+// writeServerMetrics writes the metrics of the limits of further servers.
+func (g *Gateway) writeServerMetrics(w io.Writer) {
+	g.serversMu.Lock()
+	defer g.serversMu.Unlock()
+	for _, s := range g.servers {
+		stats := s.server.LimitStats()
+		metrics.WriteCounterUint64(w, fmt.Sprintf("sapphirehaven_server_connections_refused_total{server=%q}", s.name), stats.Refused)
+		metrics.WriteCounterUint64(w, fmt.Sprintf("sapphirehaven_server_connections_evicted_total{server=%q}", s.name), stats.Evicted())
+	}
+}
+
 // watchClientLimits keeps the memory within its limits until ctx ends, and logs what was refused or closed.
 func (g *Gateway) watchClientLimits(ctx context.Context) {
 	tick := time.NewTicker(limitsInterval)
@@ -60,6 +104,7 @@
 			logged = now
 			current := g.limitCounts()
 			logLimits(g.log, last, current, g.callers)
+			g.logServerLimits()
 			last = current
 		}
 	}
@@ -114,6 +159,7 @@
 	}
 	metrics.WriteCounterUint64(w, `sapphirehaven_heads_refused_total{reason="size"}`, c.HeadsTooLarge)
 	metrics.WriteCounterUint64(w, `sapphirehaven_heads_refused_total{reason="time"}`, c.HeadsTimedOut)
+	g.writeServerMetrics(w)
 }
 
 // limitsStatus returns the state of the limits for the administration interface.
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -17,6 +17,10 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
+	// adminRequestTimeout and adminResponseTimeout limit the time for a document that an operator sends, and
+	// for a response.
+	adminRequestTimeout  = 30 * time.Second
+	adminResponseTimeout = time.Minute
 	// adminStopTimeout limits how long a stopping host waits for requests to its admin API.
 	adminStopTimeout = 100 * time.Millisecond
 	// departurePropagationTime is the time until all hosts omit a departing host from their address
@@ -24,6 +28,9 @@
 	departurePropagationTime = 3 * time.Second
 )
 
+// adminHeaderBytes limits the request heads of the admin API. A head takes about twenty times its size in memory.
+const adminHeaderBytes = 16 << 10
+
 // listeners holds the listeners and HTTP servers of a host.
 type listeners struct {
 	caller, admin                 *httpserver.Server
@@ -36,7 +43,7 @@
 	l := &listeners{
 		host:   h,
 		caller: httpserver.New(httpserver.Config{Handler: h.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: h.settings.MaxHeaderBytes, ConnState: h.ingress.ConnState}),
-		admin:  newAdminServer(h.admin),
+		admin:  newAdminServer(h.admin, httpserver.Limits{}),
 	}
 	var err error
 	if l.callerListener, err = net.Listen("tcp", h.settings.CallerListen); err != nil {
@@ -55,8 +62,11 @@
 }
 
 // newAdminServer returns the server of the admin API.
-func newAdminServer(handler http.Handler) *httpserver.Server {
-	return httpserver.New(httpserver.Config{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})
+func newAdminServer(handler http.Handler, limits httpserver.Limits) *httpserver.Server {
+	return httpserver.New(httpserver.Config{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: adminHeaderBytes, IdleTimeout: idleTimeout,
+		RequestTimeout: adminRequestTimeout, ResponseTimeout: adminResponseTimeout, Limits: limits,
+	})
 }
 
 // serve starts the servers and returns a channel that receives their failures.
--- a/internal/systemtest/clients_addresses_test.go
+++ b/internal/systemtest/clients_addresses_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,3 +145,19 @@
 	}
 	c.check(t)
 }
+
+// TestClientsThatValidateDocuments guards against a host whose memory is exceeded by documents that clients have
+// its administration interface validate: parsing takes many times their size.
+func TestClientsThatValidateDocuments(t *testing.T) {
+	c := newClientGroup(t)
+	document := strings.Repeat("- {a: [b, c]}\n", 1<<20/14)
+	for range 40 {
+		c.clientOf(c.adminAddress(), func(w io.Writer) error {
+			return sendAll(w, fmt.Sprintf("POST /v1/document?validate=true HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(document), document))
+		})
+	}
+	c.running.Wait()
+	time.Sleep(2 * settleTime)
+	c.checkMetrics(t)
+	c.check(t)
+}
