peer, app: connections and messages of other hosts are bounded

What was seen: 700 connections to the address for other hosts, 70 of them with a message of 4 MiB that stops one byte short, took 393 MB and 719 descriptors of a host with 128 MB and 600 (TestClientsAtPeerAddress). A host without a free descriptor reaches neither targets nor the store.

Cause: the drpc server has no bound of connections, and takes messages of up to 4 MiB.

Change: 2% of the sockets, at least 16. At the bound the connection that has been silent for the longest time is closed, which costs its host a dial; so a fleet whose hosts all call one of them goes on to work with any bound.

Not bounded yet: lists that other hosts ask for and do not read.

--- a/internal/adapter/peer/fleet.go
+++ b/internal/adapter/peer/fleet.go
@@ -249,12 +249,12 @@
 }
 
 // ServeFleet serves the fleet calls of other hosts until ctx is done.
-func ServeFleet(ctx context.Context, lis net.Listener, identity Identity, handler port.FleetServer, log logrus.FieldLogger) error {
+func ServeFleet(ctx context.Context, lis net.Listener, identity Identity, handler port.FleetServer, limits ServerLimits, log logrus.FieldLogger) error {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterFleet(mux, &fleetServer{identity: identity, handler: handler}); err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	return serveCalls(ctx, lis, mux, log)
+	return serveCalls(ctx, lis, mux, limits, log)
 }
 
 type fleetServer struct {
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -9,8 +9,10 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/sapphirehaven/sapphirehaven/internal/peerpb"
 	"github.com/sapphirehaven/sapphirehaven/internal/port"
@@ -31,12 +33,17 @@
 	if err := peerpb.DRPCRegisterPeer(mux, &server{identity, handler}); err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	return serveCalls(ctx, lis, mux, log)
+	return serveCalls(ctx, lis, mux, ServerLimits{}, log)
 }
 
 // serveCalls serves the calls that a handler knows until ctx is done.
-func serveCalls(ctx context.Context, lis net.Listener, handler drpc.Handler, log logrus.FieldLogger) error {
-	server := drpcserver.New(recoveringHandler{handler, log})
+func serveCalls(ctx context.Context, lis net.Listener, handler drpc.Handler, limits ServerLimits, log logrus.FieldLogger) error {
+	if limits.MaxConnections > 0 {
+		lis = newBoundedListener(lis, limits.MaxConnections, log)
+	}
+	server := drpcserver.NewWithOptions(recoveringHandler{handler, log}, drpcserver.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: limits.MaxMessageBytes}},
+	})
 	return errors.Wrap(server.Serve(ctx, countingListener{lis}), "peer")
 }
 
--- a/internal/app/client_limits.go
+++ b/internal/app/client_limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sapphirehaven/sapphirehaven/internal/adapter/httpserver"
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/peer"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/membudget"
 )
 
@@ -18,6 +19,8 @@
 	// CallerConnections, DirectoryConnections and AdminConnections bound the connections of callers, those to
 	// the readiness and resolution addresses, and those to the administration interface; 0: no bound.
 	CallerConnections, DirectoryConnections, AdminConnections int
+	// PeerConnections bounds the connections that other hosts open; 0: no bound.
+	PeerConnections int
 	// TargetConnections bounds the connections to targets that are kept open without a request; 0: no bound.
 	TargetConnections int
 	// ReceiveBuffer, BodyReceiveBuffer and SendBuffer are the sizes of the kernel's buffers of a caller's
@@ -50,6 +53,10 @@
 	callerPercent    = 42
 	directoryPercent = 5
 	targetPercent    = 45
+	// Hosts of a region call its coordinator. Their connections are silent most of the time, and those beyond
+	// the bound are closed and opened anew.
+	peerPercent        = 2
+	minPeerConnections = 16
 	// Some responses of the administration interface have megabytes, so its connections are few on a host of
 	// any size.
 	adminPercent                             = 1
@@ -91,6 +98,7 @@
 		l.CallerConnections = max(1, sockets*callerPercent/100)
 		l.DirectoryConnections = max(1, sockets*directoryPercent/100)
 		l.TargetConnections = max(1, sockets*targetPercent/100)
+		l.PeerConnections = max(sockets*peerPercent/100, minPeerConnections)
 		l.AdminConnections = min(max(sockets*adminPercent/100, minAdminConnections), maxAdminConnections)
 	}
 	return l
@@ -114,6 +122,11 @@
 	return httpserver.Limits{MaxConnections: l.AdminConnections, ReceiveBuffer: l.ReceiveBuffer, SendBuffer: l.SendBuffer}
 }
 
+// peers returns the limits of the server for other hosts.
+func (l *ClientLimits) peers() peer.ServerLimits {
+	return peer.ServerLimits{MaxConnections: l.PeerConnections, MaxMessageBytes: peer.MaxFleetMessageBytes}
+}
+
 // callers returns the limits of the server for callers.
 func (l *ClientLimits) callers(memory *membudget.Budget) httpserver.Limits {
 	return httpserver.Limits{MaxConnections: l.CallerConnections, Memory: memory, ReceiveBuffer: l.ReceiveBuffer, BodyReceiveBuffer: l.BodyReceiveBuffer, SendBuffer: l.SendBuffer}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -306,7 +306,7 @@
 }
 
 func (l *gatewayListeners) servePeers(ctx context.Context) {
-	if err := peer.ServeFleet(ctx, l.peerListener, l.gateway.identity, l.gateway.replica, l.gateway.log); err != nil && ctx.Err() == nil {
+	if err := peer.ServeFleet(ctx, l.peerListener, l.gateway.identity, l.gateway.replica, l.gateway.settings.Limits.peers(), l.gateway.log); err != nil && ctx.Err() == nil {
 		l.gateway.log.WithError(err).Error("peer server stopped; calls from other hosts are no longer served")
 	}
 }
