httpserver: what the kernel holds of refused bodies is reserved, and refused connections yield

What was seen: 900 clients with bodies far over the limit, announced or just sent, beside bodies that stop short took 106 MB with the kernel's buffers (36 MB of it there) of a host with 96 MB and 2,140 descriptors (TestClientsWithBodiesOverLimit); with the other kinds of clients among them 102 MB (TestClientsWithAllShapes).

Cause: after a refusal net/http reads nothing of a long body for half a second, and the connection then reads 256 KiB in a second. The peer goes on sending and fills the kernel's receive buffer, up to 64 KiB for each connection, which no reservation covers. For up to 2.5 s such a connection also counted as a request in service, which is never closed under pressure.

Change: a phase of its own for the time between the end of the handler and the close. In it the body is read on from the start, at most 512 KiB and 2 s, so that the peer can read the refusal as before. The buffer is reserved as transit; without room it is made small before it is emptied, and the window never opens again. Under pressure such connections are closed first, once the peer has had 0.2 s. What a closed connection holds is reserved until its peer has closed it.

--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -21,6 +21,8 @@
 	phaseReading
 	// phaseServing: a request is being served.
 	phaseServing
+	// phaseDiscarding: the handler has ended without having read the whole body.
+	phaseDiscarding
 )
 
 // Parameters of the time between the end of writing and the close of a connection. A connection that is
@@ -47,9 +49,10 @@
 	peerClosed bool
 	closed     bool
 	// lingerEnd is the end of the time that the peer is given to close the connection, or the zero time
-	// if it needs none.
-	lingerEnd time.Time
-	ahead     readAhead
+	// if it needs none, lingerBytes the number of bytes that are discarded meanwhile.
+	lingerEnd   time.Time
+	lingerBytes int64
+	ahead       readAhead
 
 	server *Server
 	// address is that of the client, without its port.
@@ -62,6 +65,11 @@
 	bodyBytes int
 	// memory is what the connection holds of the memory budget.
 	memory int64
+	// discarded is the number of bytes of a refused body that were discarded, until discardEnd.
+	// discardMemory is what is reserved for the kernel's buffer meanwhile.
+	discarded     int64
+	discardEnd    time.Time
+	discardMemory int64
 	// since is the start of the current phase, closeTime that of Close.
 	since, closeTime time.Time
 	// head is the request head that is being read, until headEnd; the zero time means no limit.
@@ -86,6 +94,9 @@
 	if n > 0 && c.phase == phaseServing {
 		c.countBody(n)
 	}
+	if n > 0 && c.phase == phaseDiscarding {
+		c.countDiscarded(n)
+	}
 	if n > 0 && c.phase == phaseReading {
 		if limit := c.scanHead(p[:n]); limit != nil {
 			return 0, limit
@@ -111,6 +122,9 @@
 	if len(c.ahead.pending) > 0 && len(p) > 0 {
 		return c.ahead.take(p), nil
 	}
+	if c.discardedEnough() {
+		return 0, errDiscardedEnough
+	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -195,7 +209,7 @@
 		return net.ErrClosed
 	}
 	deadline := c.httpDeadline
-	for _, end := range []time.Time{c.waitEnd, c.headEnd} {
+	for _, end := range []time.Time{c.waitEnd, c.headEnd, c.discardEnd} {
 		if deadline.IsZero() || (!end.IsZero() && end.Before(deadline)) {
 			deadline = end
 		}
@@ -223,6 +237,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.setPhase(phaseIdle)
+	c.endDiscarding()
 	c.keepMemory(connectionBytes)
 	c.endBody()
 	c.setWaitEnd(end)
@@ -250,8 +265,16 @@
 	}
 }
 
-// CloseWrite ends writing. The peer then reads the end of the stream after all that was written.
+// CloseWrite ends writing and discards the rest of a refused body. net/http calls it, and then waits for half
+// a second, before it closes a connection on which it has not read a body to its end.
 func (c *conn) CloseWrite() error {
+	err := c.closeWrite()
+	c.discardRest()
+	return err
+}
+
+// closeWrite ends writing. The peer then reads the end of the stream after all that was written.
+func (c *conn) closeWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
@@ -268,10 +291,10 @@
 	c.closed = true
 	c.cancelStarted()
 	c.closeTime = time.Now()
-	if c.peerClosed || c.closeAtOnce || c.CloseWrite() != nil {
+	if c.peerClosed || c.closeAtOnce || c.closeWrite() != nil {
 		return c.Conn.Close()
 	}
-	c.lingerEnd = time.Now().Add(lingerTime)
+	c.lingerEnd, c.lingerBytes = c.lingerLimits(time.Now())
 	// A read of net/http in the background must not go on.
 	return c.Conn.SetReadDeadline(time.Now())
 }
@@ -279,7 +302,7 @@
 // linger waits after Close until the peer has closed the connection as well, and closes it.
 func (c *conn) linger() {
 	c.mu.Lock()
-	end := c.lingerEnd
+	end, bytes := c.lingerEnd, c.lingerBytes
 	c.mu.Unlock()
 	if end.IsZero() {
 		return
@@ -288,7 +311,7 @@
 	if c.Conn.SetReadDeadline(end) != nil {
 		return
 	}
-	if _, err := io.CopyN(io.Discard, c.Conn, maxLingerBytes); err == nil {
+	if _, err := io.CopyN(io.Discard, c.Conn, bytes); err == nil {
 		time.Sleep(time.Until(end))
 	}
 }
--- a/internal/adapter/httpserver/conn_limits.go
+++ b/internal/adapter/httpserver/conn_limits.go
@@ -87,6 +87,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keepMemory(0)
+	c.endDiscarding()
 }
 
 // Write implements net.Conn.
@@ -164,7 +165,9 @@
 		e.rank = rankIdle
 	case c.phase == phaseReading && now.Sub(c.since) >= readStallTime:
 		e.rank = rankReading
-	case c.phase == phaseServing && !c.writingSince.IsZero() && now.Sub(c.writingSince) >= writeStallTime:
+	case c.phase == phaseDiscarding && c.writingSince.IsZero() && now.Sub(c.since) >= minLingerTime:
+		e.rank = rankDiscarding
+	case c.phase >= phaseServing && !c.writingSince.IsZero() && now.Sub(c.writingSince) >= writeStallTime:
 		e.rank, e.since = rankWriting, c.writingSince
 	default:
 		return e, false
--- a/internal/adapter/httpserver/limits.go
+++ b/internal/adapter/httpserver/limits.go
@@ -72,21 +72,28 @@
 	// Refused connections got a 503 when they were opened or before the head of a request was complete.
 	// RefusedForShare are those of them whose client had an equal share of the connections already.
 	Refused, RefusedForShare uint64
-	// EvictedWaiting, EvictedReading and EvictedWriting connections were closed under pressure while they
-	// waited for a request, read its head, or waited for the peer to read a response.
-	EvictedWaiting, EvictedReading, EvictedWriting uint64
+	// EvictedWaiting, EvictedReading, EvictedDiscarding and EvictedWriting connections were closed under
+	// pressure while they waited for a request, read its head, discarded a refused body, or waited for the peer
+	// to read a response.
+	EvictedWaiting, EvictedReading, EvictedDiscarding, EvictedWriting uint64
+	// Discards counts the requests whose body the handler did not read to its end, DiscardsNarrowed those of
+	// them without room for the kernel's buffer, and DiscardsCut those that sent maxDiscardBytes after it.
+	Discards, DiscardsNarrowed, DiscardsCut uint64
 	// HeadsTooLarge and HeadsTimedOut count the request heads beyond the limits of the configuration.
 	HeadsTooLarge, HeadsTimedOut uint64
 }
 
 // Evicted returns the number of connections that were closed under pressure.
-func (s LimitStats) Evicted() uint64 { return s.EvictedWaiting + s.EvictedReading + s.EvictedWriting }
+func (s LimitStats) Evicted() uint64 {
+	return s.EvictedWaiting + s.EvictedReading + s.EvictedDiscarding + s.EvictedWriting
+}
 
 // LimitStats returns the counters.
 func (s *Server) LimitStats() LimitStats {
 	return LimitStats{
 		Refused: s.refused.Load(), RefusedForShare: s.refusedForShare.Load(), HeadsTooLarge: s.headsTooLarge.Load(), HeadsTimedOut: s.headsTimedOut.Load(),
-		EvictedWaiting: s.evictedWaiting.Load(), EvictedReading: s.evictedReading.Load(), EvictedWriting: s.evictedWriting.Load(),
+		Discards: s.discards.Load(), DiscardsNarrowed: s.discardsNarrowed.Load(), DiscardsCut: s.discardsCut.Load(),
+		EvictedWaiting: s.evictedWaiting.Load(), EvictedReading: s.evictedReading.Load(), EvictedDiscarding: s.evictedDiscarding.Load(), EvictedWriting: s.evictedWriting.Load(),
 	}
 }
 
@@ -102,7 +109,8 @@
 	// writing is the number of connections with a Write that has not returned.
 	writing atomic.Int64
 
-	refused, refusedForShare, evictedWaiting, evictedReading, evictedWriting, headsTooLarge, headsTimedOut atomic.Uint64
+	discards, discardsNarrowed, discardsCut                                                                                   atomic.Uint64
+	refused, refusedForShare, evictedWaiting, evictedReading, evictedDiscarding, evictedWriting, headsTooLarge, headsTimedOut atomic.Uint64
 }
 
 // countAddress changes the number of open connections of a client. The caller holds the lock.
@@ -229,8 +237,8 @@
 // evictable is a connection that can be closed under pressure.
 type evictable struct {
 	conn *conn
-	// rank orders by what is lost: nothing but a new connection, a request that is not complete, or a
-	// response that is not read.
+	// rank orders by what is lost: nothing, a new connection, a request that is not complete, or a response that
+	// is not read.
 	rank  int
 	since time.Time
 	// share is the number of connections of the client.
@@ -242,6 +250,7 @@
 // Ranks of connections to close.
 const (
 	rankLingering = iota
+	rankDiscarding
 	rankNew
 	rankIdle
 	rankReading
@@ -268,7 +277,7 @@
 			}
 			continue
 		}
-		if e.share = s.perAddress[c.address]; e.share >= share {
+		if e.share = s.perAddress[c.address]; e.share >= share || e.rank == rankDiscarding {
 			list = append(list, e)
 		}
 	}
@@ -279,6 +288,9 @@
 		switch e.rank {
 		case rankLingering:
 			e.conn.abort()
+		case rankDiscarding:
+			s.evictedDiscarding.Add(1)
+			e.conn.abort()
 		case rankNew, rankIdle:
 			s.evictedWaiting.Add(1)
 			e.conn.evictWaiting()
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -72,7 +72,7 @@
 	// a further request.
 	New, Idle int
 	// Reading connections have sent a part of a request header, Serving ones have a request that is
-	// being served.
+	// being served or the rest of whose body is discarded.
 	Reading, Serving int
 }
 
@@ -96,9 +96,6 @@
 	s.http = &http.Server{
 		Handler: handler,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			if cfg.Concurrent == nil {
-				return ctx
-			}
 			return context.WithValue(ctx, connKey{}, c)
 		},
 		ReadHeaderTimeout: cfg.ReadHeaderTimeout,
@@ -169,7 +166,7 @@
 			open.Idle++
 		case phaseReading:
 			open.Reading++
-		case phaseServing:
+		case phaseServing, phaseDiscarding:
 			open.Serving++
 		}
 	}
@@ -254,7 +251,6 @@
 	case http.StateClosed:
 		delete(s.conns, c)
 		s.countAddress(c, -1)
-		c.release()
 		s.lingering[c] = struct{}{}
 		go s.linger(c)
 	case http.StateHijacked:
@@ -268,6 +264,7 @@
 // linger waits until a connection that net/http has closed is closed by its peer as well.
 func (s *Server) linger(c *conn) {
 	c.linger()
+	c.release()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.lingering, c)
--- a/internal/adapter/ingress/caller.go
+++ b/internal/adapter/ingress/caller.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/httpserver"
 )
 
 // Limits for slow callers.
@@ -17,7 +19,7 @@
 	writeChunkBytes = 64 << 10
 	// bodyDrainTimeout limits how long the unread rest of a request body is
 	// discarded before the connection is closed, so that the caller receives the
-	// response before a TCP reset.
+	// response before a TCP reset. It is for servers other than httpserver.Server.
 	bodyDrainTimeout = time.Second
 	// renewalFraction limits the rate of deadline updates, each of which resets a
 	// timer: the deadline is only renewed if that extends it by at least
@@ -97,9 +99,12 @@
 	}
 }
 
-// limitBodyDrain limits the time for which http.Server discards an unread body.
-func (w *callerWriter) limitBodyDrain() {
-	if !w.body.complete.Load() && w.conn != nil {
+// limitBodyDrain limits what the server discards of an unread body.
+func (w *callerWriter) limitBodyDrain(r *http.Request) {
+	if w.body.complete.Load() || httpserver.DiscardBody(r) {
+		return
+	}
+	if w.conn != nil {
 		_ = w.conn.SetReadDeadline(time.Now().Add(bodyDrainTimeout))
 	}
 }
--- a/internal/adapter/ingress/server.go
+++ b/internal/adapter/ingress/server.go
@@ -168,7 +168,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	w := newCallerWriter(response, r, s.cfg.WriteTimeout)
-	defer w.limitBodyDrain()
+	defer w.limitBodyDrain(r)
 	if s.drain.draining() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/app/gateway_limits.go
+++ b/internal/app/gateway_limits.go
@@ -113,6 +113,8 @@
 // logLimits writes a line if clients met a limit since the last one.
 func logLimits(log logrus.FieldLogger, last, current limitCounts, callers *httpserver.Server) {
 	c, m := current.connections, current.memory
+	// That a body is not read is no limit: a request without a route is refused before.
+	last.connections.Discards = c.Discards
 	refusedMemory := uint64(0)
 	for class := range membudget.NumClasses {
 		refusedMemory += m.Refused[class] - last.memory.Refused[class]
@@ -125,7 +127,8 @@
 		"event": "clients_limited", "budget": m.Size, "connections": open.New + open.Idle + open.Reading + open.Serving,
 		"max_connections": callers.MaxConnections(), "arriving_bodies": m.Arriving, "clients": m.Clients,
 		"refused_connections": c.Refused - last.connections.Refused, "refused_for_share": c.RefusedForShare - last.connections.RefusedForShare, "evicted_waiting": c.EvictedWaiting - last.connections.EvictedWaiting,
-		"evicted_reading": c.EvictedReading - last.connections.EvictedReading, "evicted_writing": c.EvictedWriting - last.connections.EvictedWriting,
+		"evicted_reading": c.EvictedReading - last.connections.EvictedReading, "evicted_discarding": c.EvictedDiscarding - last.connections.EvictedDiscarding, "evicted_writing": c.EvictedWriting - last.connections.EvictedWriting,
+		"discards_narrowed": c.DiscardsNarrowed - last.connections.DiscardsNarrowed, "discards_cut": c.DiscardsCut - last.connections.DiscardsCut,
 		"heads_too_large": c.HeadsTooLarge - last.connections.HeadsTooLarge, "heads_timed_out": c.HeadsTimedOut - last.connections.HeadsTimedOut,
 		"refused_memory": refusedMemory, "evicted_stalled": m.EvictedStalled - last.memory.EvictedStalled,
 		"evicted_for_fairness": m.EvictedForFairness - last.memory.EvictedForFairness,
@@ -154,9 +157,12 @@
 	for _, e := range []struct {
 		phase string
 		count uint64
-	}{{"waiting", c.EvictedWaiting}, {"reading", c.EvictedReading}, {"writing", c.EvictedWriting}} {
+	}{{"waiting", c.EvictedWaiting}, {"reading", c.EvictedReading}, {"discarding", c.EvictedDiscarding}, {"writing", c.EvictedWriting}} {
 		metrics.WriteCounterUint64(w, fmt.Sprintf("sapphirehaven_connections_evicted_total{phase=%q}", e.phase), e.count)
 	}
+	metrics.WriteCounterUint64(w, "sapphirehaven_bodies_discarded_total", c.Discards)
+	metrics.WriteCounterUint64(w, "sapphirehaven_bodies_discarded_narrowed_total", c.DiscardsNarrowed)
+	metrics.WriteCounterUint64(w, "sapphirehaven_bodies_discarded_cut_total", c.DiscardsCut)
 	metrics.WriteCounterUint64(w, `sapphirehaven_heads_refused_total{reason="size"}`, c.HeadsTooLarge)
 	metrics.WriteCounterUint64(w, `sapphirehaven_heads_refused_total{reason="time"}`, c.HeadsTimedOut)
 	g.writeServerMetrics(w)
