httpserver, membudget: bodies without progress yield their connections

What callers saw: 240 clients of an address each that send a body byte by byte take all 168 connections, and ordinary callers get a 503 for as long as the timeout of the route (TestClientsWithSlowBodiesOfManyAddresses: no ordinary request in 75 s). Equal shares do not help there, since each client has one connection.

Cause: a body without progress was ended early only when its memory was needed. Near the bound of the connections nothing in service was ended but responses that are not read.

Change: near that bound, bodies that received less than 512 bytes in the last second are ended with 408, after the connections that wait and before the responses that are not read; those of the client with the most bodies first. Their connections then discard what arrives and yield after 0.2 s.

--- a/internal/adapter/httpserver/conn_limits.go
+++ b/internal/adapter/httpserver/conn_limits.go
@@ -155,7 +155,7 @@
 func (c *conn) evictable(now time.Time) (evictable, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e := evictable{conn: c, since: c.since, evicted: c.evicted}
+	e := evictable{conn: c, since: c.since, ending: c.evicted || c.phase == phaseDiscarding}
 	switch {
 	case c.evicted || c.closed:
 		return e, false
--- a/internal/adapter/httpserver/limits.go
+++ b/internal/adapter/httpserver/limits.go
@@ -243,8 +243,8 @@
 	since time.Time
 	// share is the number of connections of the client.
 	share int
-	// evicted is set if the connection is being closed.
-	evicted bool
+	// ending is set if the connection is being closed.
+	ending bool
 }
 
 // Ranks of connections to close.
@@ -257,7 +257,7 @@
 	rankWriting
 )
 
-// evict closes up to n connections, less those that are being closed. Among those with the same rank it
+// evict closes up to n connections, less those that are being closed, or ends the bodies that arrive on them. Among those with the same rank it
 // chooses from the client with the most connections, the longest waiting first. Clients with fewer
 // connections than the one that needs room, which has the given number, are spared. The caller holds the
 // lock.
@@ -272,7 +272,7 @@
 	for c := range s.conns {
 		e, ok := c.evictable(now)
 		if !ok {
-			if e.evicted {
+			if e.ending {
 				n--
 			}
 			continue
@@ -284,7 +284,18 @@
 	slices.SortFunc(list, func(x, y evictable) int {
 		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(y.share, x.share), x.since.Compare(y.since))
 	})
-	for _, e := range list[:max(0, min(n, len(list)))] {
+	// A body that makes no progress has not been passed on; a response that is not read has.
+	unread, _ := slices.BinarySearchFunc(list, rankWriting, func(e evictable, rank int) int { return cmp.Compare(e.rank, rank) })
+	s.closeEvictable(list[:max(0, min(n, unread))])
+	if n -= unread; n > 0 && s.limits.Memory != nil {
+		n -= s.limits.Memory.EvictStalled(n, now)
+	}
+	s.closeEvictable(list[unread:][:max(0, min(n, len(list)-unread))])
+}
+
+// closeEvictable closes connections under pressure. The caller holds the lock.
+func (s *Server) closeEvictable(list []evictable) {
+	for _, e := range list {
 		switch e.rank {
 		case rankLingering:
 			e.conn.abort()
--- a/internal/core/membudget/body.go
+++ b/internal/core/membudget/body.go
@@ -1,6 +1,7 @@
 package membudget
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -245,7 +246,40 @@
 	if missing > 0 {
 		return nil, Refused
 	}
-	for _, v := range found {
+	b.markEvicted(found)
+	return found, Wait
+}
+
+// EvictStalled evicts up to n bodies that make no progress, because the connections that they arrive on are needed.
+// Those of the client with the most bodies come first, then those without progress for the longest time. It
+// returns their number.
+func (b *Budget) EvictStalled(n int, now time.Time) int {
+	if n <= 0 {
+		return 0
+	}
+	b.mu.Lock()
+	var stalled []*Body
+	for body := range b.arriving {
+		if body.stalled(now) {
+			stalled = append(stalled, body)
+		}
+	}
+	slices.SortFunc(stalled, func(x, y *Body) int {
+		return cmp.Or(cmp.Compare(b.clients[y.client].bodies, b.clients[x.client].bodies), x.progressAt.Compare(y.progressAt))
+	})
+	var victims evictions
+	for _, body := range stalled[:min(n, len(stalled))] {
+		victims = append(victims, eviction{body, Stalled})
+	}
+	b.markEvicted(victims)
+	b.mu.Unlock()
+	victims.evict()
+	return len(victims)
+}
+
+// markEvicted records that bodies are evicted. The caller holds the lock and calls evict without it.
+func (b *Budget) markEvicted(victims evictions) {
+	for _, v := range victims {
 		v.body.evicted = true
 		delete(b.arriving, v.body)
 		b.evicting += v.body.held()
@@ -255,7 +289,6 @@
 			b.evictedForFairness++
 		}
 	}
-	return found, Wait
 }
 
 // candidates returns the bodies that can be evicted for another one, in this order: those that make no
--- a/internal/core/membudget/budget_test.go
+++ b/internal/core/membudget/budget_test.go
@@ -1,6 +1,7 @@
 package membudget
 
 import (
+	"slices"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -223,3 +224,36 @@
 		t.Error("bytes in transit take more than an eighth of the budget")
 	}
 }
+
+// TestEvictStalled guards against bodies without progress that keep connections from others, and against the
+// eviction of bodies that make progress or of more than asked for.
+func TestEvictStalled(t *testing.T) {
+	b := New(DefaultConfig(64 << 20))
+	start := time.Unix(0, 0)
+	var evicted []string
+	open := func(name, client string, at time.Time) *Body {
+		body, decision := b.OpenBody(client, 4<<10, at, func(Reason) { evicted = append(evicted, name) })
+		if decision != Granted {
+			t.Fatalf("%s: decision %v", name, decision)
+		}
+		return body
+	}
+	open("lone", "a", start)
+	open("newer", "b", start.Add(2*time.Millisecond))
+	open("older", "b", start.Add(time.Millisecond))
+	moving := open("moving", "b", start)
+	now := start.Add(2 * defaultStallTime)
+	moving.Received(progressBytes, now)
+	if n := b.EvictStalled(2, now); n != 2 || !slices.Equal(evicted, []string{"older", "newer"}) {
+		t.Errorf("evicted %d: %v, want the bodies of the client with more of them, the older one first", n, evicted)
+	}
+	if n := b.EvictStalled(5, now); n != 1 || evicted[len(evicted)-1] != "lone" {
+		t.Errorf("evicted %d: %v, want the lone one", n, evicted)
+	}
+	if n := b.EvictStalled(-1, now); n != 0 {
+		t.Errorf("evicted %d without need", n)
+	}
+	if status := b.Status(); status.EvictedStalled != 3 || status.Arriving != 1 {
+		t.Errorf("%+v", status)
+	}
+}
--- a/internal/systemtest/clients_slow_test.go
+++ b/internal/systemtest/clients_slow_test.go
@@ -20,11 +20,17 @@
 // keepClients starts clients of another address that call serve on a new connection as soon as the one before
 // has ended, until the end of the test. They are not waited for by check.
 func keepClients(t *testing.T, count int, address string, serve func(net.Conn)) {
+	t.Helper()
+	keepClientsOf(t, count, address, func(int) net.IP { return net.ParseIP(otherClient) }, serve)
+}
+
+// keepClientsOf is keepClients with an address for each client.
+func keepClientsOf(t *testing.T, count int, address string, addressOf func(client int) net.IP, serve func(net.Conn)) {
 	t.Helper()
 	stop := make(chan struct{})
 	var running sync.WaitGroup
-	dialer := net.Dialer{Timeout: clientWriteTime, LocalAddr: &net.TCPAddr{IP: net.ParseIP(otherClient)}}
-	for range count {
+	for i := range count {
+		dialer := net.Dialer{Timeout: clientWriteTime, LocalAddr: &net.TCPAddr{IP: addressOf(i)}}
 		running.Go(func() {
 			for {
 				if conn, err := dialer.Dial("tcp", address); err == nil {
@@ -59,17 +65,31 @@
 	c := newClientGroup(t)
 	c.store.PutConfiguration(3, 15*time.Second, groupRoutes(10*time.Minute)...)
 	time.Sleep(settleTime)
-	keepClients(t, 400, c.host.Caller, func(conn net.Conn) {
-		if announce(conn, "/upload/1", 4<<10, "") != nil {
+	keepClients(t, 400, c.host.Caller, sendSlowly)
+	time.Sleep(settleTime)
+	c.check(t)
+}
+
+// sendSlowly sends a body byte by byte.
+func sendSlowly(conn net.Conn) {
+	if announce(conn, "/upload/1", 4<<10, "") != nil {
+		return
+	}
+	for {
+		time.Sleep(250 * time.Millisecond)
+		if _, err := conn.Write([]byte("a")); err != nil {
 			return
 		}
-		for {
-			time.Sleep(250 * time.Millisecond)
-			if _, err := conn.Write([]byte("a")); err != nil {
-				return
-			}
-		}
-	})
+	}
+}
+
+// TestClientsWithSlowBodiesOfManyAddresses guards against the same with clients that each have an address and one
+// connection.
+func TestClientsWithSlowBodiesOfManyAddresses(t *testing.T) {
+	c := newClientGroup(t)
+	c.store.PutConfiguration(3, 15*time.Second, groupRoutes(10*time.Minute)...)
+	time.Sleep(settleTime)
+	keepClientsOf(t, 240, c.host.Caller, func(i int) net.IP { return net.IPv4(127, 0, 1, byte(i+1)) }, sendSlowly)
 	time.Sleep(settleTime)
 	c.check(t)
 }
