httpserver, target: the kernel's buffers of long responses are reserved

What was seen: 700 callers that read downloads of 16 MiB slowly and never stop took 126 MB with the kernel's buffers (61 MB of it there) of a host with 96 MB and 2,140 descriptors (TestClientsThatReadSlowly).

Cause: each response had a send buffer of 64 KiB toward its caller and a receive buffer of 64 KiB from its target, which the kernel doubles, and no reservation covered them. Callers that read a little all the time are not among those that are closed for not reading.

Change: a connection to a caller has a send buffer of 8 KiB, which holds most responses; from the ninth KiB of a response on it gets 64 KiB, reserved as transit. A connection to a target receives through 32 KiB, a response of more than 16 KiB through 64 KiB with a reservation (the window's bound is raised too, since the kernel keeps that of the buffer the connection was opened with). Without room the small buffers stay, and a response that is forwarded while it arrives gets one of 16 KiB. A reservation toward a caller lasts until the kernel has sent everything.

TestRacingIdleTimeout had no end but a delay of the machine that lets a connection become idle: it took 5 to 52 s here, 379 s once. Its callers stop after their second now; what it requires is the same.

--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -70,6 +70,9 @@
 	discarded     int64
 	discardEnd    time.Time
 	discardMemory int64
+	// responseBytes is the number of bytes of the current response that were written, sendMemory what is
+	// reserved for the larger send buffer.
+	responseBytes, sendMemory int64
 	// since is the start of the current phase, closeTime that of Close.
 	since, closeTime time.Time
 	// head is the request head that is being read, until headEnd; the zero time means no limit.
--- a/internal/adapter/httpserver/conn_limits.go
+++ b/internal/adapter/httpserver/conn_limits.go
@@ -88,14 +88,15 @@
 	defer c.mu.Unlock()
 	c.keepMemory(0)
 	c.endDiscarding()
+	c.releaseSendMemory()
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.server.writing.Add(1)
 	defer c.server.writing.Add(-1)
-	c.setWriting(time.Now())
-	defer c.setWriting(time.Time{})
+	c.startWriting(len(p))
+	defer c.endWriting()
 	return c.Conn.Write(p)
 }
 
@@ -137,10 +138,18 @@
 	}
 }
 
-func (c *conn) setWriting(since time.Time) {
+// startWriting records the start of a Write of n bytes.
+func (c *conn) startWriting(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writingSince = since
+	c.writingSince = time.Now()
+	c.countResponse(n)
+}
+
+func (c *conn) endWriting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = time.Time{}
 }
 
 // closedAt returns the time of Close.
--- a/internal/adapter/httpserver/limits.go
+++ b/internal/adapter/httpserver/limits.go
@@ -23,6 +23,9 @@
 	ReceiveBuffer, SendBuffer int
 	// BodyReceiveBuffer replaces ReceiveBuffer while a large request body is read.
 	BodyReceiveBuffer int
+	// ResponseSendBuffer replaces SendBuffer for a response of more than smallResponseBytes while Memory has
+	// room for it; 0: as SendBuffer.
+	ResponseSendBuffer int
 }
 
 const (
@@ -79,6 +82,8 @@
 	// Discards counts the requests whose body the handler did not read to its end, DiscardsNarrowed those of
 	// them without room for the kernel's buffer, and DiscardsCut those that sent maxDiscardBytes after it.
 	Discards, DiscardsNarrowed, DiscardsCut uint64
+	// SendsNarrowed counts the responses without room for the larger send buffer.
+	SendsNarrowed uint64
 	// HeadsTooLarge and HeadsTimedOut count the request heads beyond the limits of the configuration.
 	HeadsTooLarge, HeadsTimedOut uint64
 }
@@ -92,7 +97,7 @@
 func (s *Server) LimitStats() LimitStats {
 	return LimitStats{
 		Refused: s.refused.Load(), RefusedForShare: s.refusedForShare.Load(), HeadsTooLarge: s.headsTooLarge.Load(), HeadsTimedOut: s.headsTimedOut.Load(),
-		Discards: s.discards.Load(), DiscardsNarrowed: s.discardsNarrowed.Load(), DiscardsCut: s.discardsCut.Load(),
+		Discards: s.discards.Load(), DiscardsNarrowed: s.discardsNarrowed.Load(), DiscardsCut: s.discardsCut.Load(), SendsNarrowed: s.sendsNarrowed.Load(),
 		EvictedWaiting: s.evictedWaiting.Load(), EvictedReading: s.evictedReading.Load(), EvictedDiscarding: s.evictedDiscarding.Load(), EvictedWriting: s.evictedWriting.Load(),
 	}
 }
@@ -106,10 +111,13 @@
 	perAddress map[string]int
 	// refusing is the number of refused connections that wait for their peer to close them.
 	refusing atomic.Int64
+	// unsent holds the idle connections whose peers have not read all of a long response. It is guarded by the
+	// lock of the server.
+	unsent map[*conn]struct{}
 	// writing is the number of connections with a Write that has not returned.
 	writing atomic.Int64
 
-	discards, discardsNarrowed, discardsCut                                                                                   atomic.Uint64
+	discards, discardsNarrowed, discardsCut, sendsNarrowed                                                                    atomic.Uint64
 	refused, refusedForShare, evictedWaiting, evictedReading, evictedDiscarding, evictedWriting, headsTooLarge, headsTimedOut atomic.Uint64
 }
 
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -83,7 +83,7 @@
 		listeners:   map[*listener]struct{}{},
 		conns:       map[*conn]struct{}{},
 		lingering:   map[*conn]struct{}{},
-		limitState:  limitState{limits: cfg.Limits, perAddress: map[string]int{}},
+		limitState:  limitState{limits: cfg.Limits, perAddress: map[string]int{}, unsent: map[*conn]struct{}{}},
 	}
 	handler := cfg.Handler
 	if cfg.Concurrent != nil {
@@ -248,13 +248,16 @@
 		c.startServing()
 	case http.StateIdle:
 		c.startWaiting(s.nextWaitEnd())
+		s.endResponse(c)
 	case http.StateClosed:
 		delete(s.conns, c)
+		delete(s.unsent, c)
 		s.countAddress(c, -1)
 		s.lingering[c] = struct{}{}
 		go s.linger(c)
 	case http.StateHijacked:
 		delete(s.conns, c)
+		delete(s.unsent, c)
 		s.countAddress(c, -1)
 		c.release()
 		s.signalIfAllClosed()
--- a/internal/adapter/httpserver/server_test.go
+++ b/internal/adapter/httpserver/server_test.go
@@ -358,7 +358,7 @@
 		go func() {
 			defer func() { done <- struct{}{} }()
 			for end := time.Now().Add(time.Second); time.Now().Before(end); {
-				answered.Add(callOnce(address, idleTimeout-time.Millisecond+time.Duration(i)*100*time.Microsecond))
+				answered.Add(callOnce(address, idleTimeout-time.Millisecond+time.Duration(i)*100*time.Microsecond, end))
 			}
 		}()
 	}
@@ -370,16 +370,16 @@
 	}
 }
 
-// callOnce sends requests over one connection with a pause before each until it is closed, and returns
-// the number of responses.
-func callOnce(address string, pause time.Duration) (answered int64) {
+// callOnce sends requests over one connection with a pause before each until it is closed or the time is over,
+// and returns the number of responses.
+func callOnce(address string, pause time.Duration, end time.Time) (answered int64) {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		return 0
 	}
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
-	for {
+	for time.Now().Before(end) {
 		if _, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 			return answered
 		}
@@ -393,4 +393,5 @@
 		answered++
 		time.Sleep(pause)
 	}
+	return answered
 }
--- a/internal/adapter/ingress/attempt.go
+++ b/internal/adapter/ingress/attempt.go
@@ -184,6 +184,7 @@
 		q.caller.latestDeadline = q.deadline
 	}
 	q.copyHeader(response.Header)
+	response.NarrowBuffer()
 	q.w.WriteHeader(response.Status)
 	err := q.buffer.writeTo(q.w)
 	q.buffer.release()
--- a/internal/adapter/target/config.go
+++ b/internal/adapter/target/config.go
@@ -72,7 +72,11 @@
 	// largeBodyBytes is sent, if Memory has room for it; default 0, as SendBuffer. It has no
 	// effect without SendBuffer, since the kernel's choice could not be restored.
 	BodySendBuffer int
-	// Memory is the budget for larger send buffers; required with BodySendBuffer.
+	// BodyReceiveBuffer is the size of the buffer for received bytes while a response of more than
+	// largeBodyBytes arrives, if Memory has room for it; default 0, as ReceiveBuffer. It has no effect without
+	// ReceiveBuffer. Without room, a response that is forwarded while it arrives gets a smaller one.
+	BodyReceiveBuffer int
+	// Memory is the budget for larger buffers; required with BodySendBuffer or BodyReceiveBuffer.
 	Memory *membudget.Budget
 	// Dialect defines the headers that targets use; default dialect.Native.
 	Dialect dialect.Dialect
--- a/internal/adapter/target/conn.go
+++ b/internal/adapter/target/conn.go
@@ -23,7 +23,10 @@
 	headLimited   bool
 	counter       *byteCounter
 	// transit is what the send buffer holds of the memory budget.
-	transit      int64
+	transit int64
+	// received is what the receive buffer holds of the memory budget; narrowed is set if it was made small.
+	received     int64
+	narrowed     bool
 	reused       bool
 	openedAt     time.Time
 	lastResponse time.Time
--- a/internal/adapter/target/pool.go
+++ b/internal/adapter/target/pool.go
@@ -187,6 +187,7 @@
 // shows that the connection is alive.
 func (p *pool) putIdle(c *conn, now time.Time) {
 	p.shrinkSendBuffer(c)
+	p.restoreReceiveBuffer(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	tp := p.target(c.address)
@@ -229,6 +230,7 @@
 // reused and delivered no response; the target's idle connections are then closed
 // as well, because they may be dead too.
 func (p *pool) closeInUse(c *conn, suspect bool) {
+	p.restoreReceiveBuffer(c)
 	_ = c.Close()
 	p.releaseTransit(c)
 	p.mu.Lock()
--- a/internal/adapter/target/receive.go
+++ b/internal/adapter/target/receive.go
@@ -184,6 +184,7 @@
 		requestIDMatches: x.a.RequestID != "" && head.Header.Get(d.RequestID) == x.a.RequestID,
 	}
 	x.c.parseKeepAlive(head.Header)
+	x.enlargeReceiveBuffer(head.ContentLength)
 	if x.a.Trace != nil {
 		x.a.Trace.Draining = r.Draining
 		x.a.Trace.Load = parseLoadHeader(head.Header.Get(d.Load))
--- a/internal/adapter/target/sockopt_linux.go
+++ b/internal/adapter/target/sockopt_linux.go
@@ -71,6 +71,16 @@
 	return sockErr
 }
 
+// setWindowClamp bounds the window that is offered to the peer. The kernel keeps the bound of the buffer with which
+// a connection was opened, also when the buffer is made larger.
+func setWindowClamp(sc syscall.Conn, bytes int) {
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+		})
+	}
+}
+
 // hasUnsent reports whether bytes that were written have not been acknowledged by the peer.
 func hasUnsent(sc syscall.Conn) bool {
 	raw, err := sc.SyscallConn()
--- a/internal/adapter/target/transit.go
+++ b/internal/adapter/target/transit.go
@@ -61,6 +61,45 @@
 	p.releaseTransit(c)
 }
 
+// narrowReceiveBuffer is the size of the kernel's buffer for a response that is forwarded while it arrives and has
+// no reservation. It is half of ReceiveBuffer: a sender waits with less than half of the largest window it has seen.
+const narrowReceiveBuffer = 16 << 10
+
+// enlargeReceiveBuffer takes a larger receive buffer for a long response, of a declared length or -1, if the memory
+// budget has room for it. Without room the response arrives through the buffer of the connection.
+func (x *exchange) enlargeReceiveBuffer(length int64) {
+	cfg := &x.t.cfg
+	n := int64(cfg.BodyReceiveBuffer)
+	if cfg.ReceiveBuffer == 0 || n <= int64(cfg.ReceiveBuffer) || length >= 0 && length <= largeBodyBytes {
+		return
+	}
+	if cfg.Memory.TakeTransit(n, time.Now()) {
+		x.c.received = n
+		setReceiveBuffer(x.c.Conn, cfg.BodyReceiveBuffer)
+	}
+}
+
+// NarrowBuffer is called before a body is forwarded while it arrives, since its reader can be slower than the
+// target. If the body has no reservation, the kernel's buffer for it is made small.
+func (r *Response) NarrowBuffer() {
+	if c := r.x.c; !r.ended && c.received == 0 && r.x.t.cfg.BodyReceiveBuffer > 0 {
+		c.narrowed = true
+		setReceiveBuffer(c.Conn, narrowReceiveBuffer)
+	}
+}
+
+// restoreReceiveBuffer ends the use of a larger or a smaller receive buffer, and of its reservation.
+func (p *pool) restoreReceiveBuffer(c *conn) {
+	if c.received == 0 && !c.narrowed {
+		return
+	}
+	if c.received > 0 {
+		p.cfg.Memory.Release(membudget.Transit, c.received)
+	}
+	c.received, c.narrowed = 0, false
+	setReceiveBuffer(c.Conn, p.cfg.ReceiveBuffer)
+}
+
 // discardUnsent makes the close of a connection discard the bytes that the target has not
 // taken. The kernel would keep them until Config.UserTimeout, and callers that give up and
 // repeat their uploads would add more.
@@ -70,6 +109,15 @@
 	}
 }
 
+// setReceiveBuffer sets the size of the kernel's buffer for received bytes. A failure only leaves the size that
+// was set before.
+func setReceiveBuffer(nc net.Conn, size int) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(size)
+		setWindowClamp(tcp, size)
+	}
+}
+
 // setSendBuffer sets the size of the kernel's buffer for sent bytes. A failure only leaves
 // the size that was set before.
 func setSendBuffer(nc net.Conn, size int) {
--- a/internal/adapter/target/transit_test.go
+++ b/internal/adapter/target/transit_test.go
@@ -233,3 +233,43 @@
 		t.Errorf("the buffer has %d bytes after a large body, %d before", after, before)
 	}
 }
+
+// TestLongResponseTakesMemory guards against a reservation for the kernel's receive buffer that outlasts its
+// response, and against a response that does not arrive through a small buffer.
+func TestLongResponseTakesMemory(t *testing.T) {
+	const body = 256 << 10
+	address := serveTCP(t, func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			if _, err := c.Write(append([]byte("HTTP/1.1 200 OK\r\nContent-Length: 262144\r\n\r\n"), make([]byte, body)...)); err != nil {
+				return
+			}
+		}
+	})
+	for _, room := range []int64{1 << 20, 0} {
+		tr := newTransport(t, func(c *Config) {
+			c.SendBuffer, c.ReceiveBuffer, c.BodyReceiveBuffer = 16<<10, 32<<10, 64<<10
+			c.Memory = membudget.New(membudget.Config{Size: 1 << 30, Max: [membudget.NumClasses]int64{membudget.Transit: max(1, room)}})
+		})
+		for range 2 {
+			response, result := tr.Do(t.Context(), Attempt{Address: address, Method: "GET", URI: "/"})
+			if response == nil {
+				t.Fatalf("no response: %+v", result)
+			}
+			response.NarrowBuffer()
+			if used, reserved := transitOf(tr), room > 0; reserved != (used > 0) {
+				t.Errorf("with room for %d bytes, %d are reserved", room, used)
+			}
+			if n, err := io.Copy(io.Discard, response.Body); n != body || err != nil {
+				t.Fatalf("read %d bytes, %v", n, err)
+			}
+			response.Finish()
+			if used := transitOf(tr); used != 0 {
+				t.Errorf("%d bytes are reserved after the response", used)
+			}
+		}
+	}
+}
--- a/internal/app/client_limits.go
+++ b/internal/app/client_limits.go
@@ -23,12 +23,12 @@
 	PeerConnections int
 	// TargetConnections bounds the connections to targets that are kept open without a request; 0: no bound.
 	TargetConnections int
-	// ReceiveBuffer, BodyReceiveBuffer and SendBuffer are the sizes of the kernel's buffers of a caller's
-	// connection; 0: the kernel chooses.
-	ReceiveBuffer, BodyReceiveBuffer, SendBuffer int
-	// TargetSendBuffer, TargetBodySendBuffer and TargetReceiveBuffer are those of a connection to a target;
-	// 0: the kernel chooses.
-	TargetSendBuffer, TargetBodySendBuffer, TargetReceiveBuffer int
+	// ReceiveBuffer, BodyReceiveBuffer, SendBuffer and ResponseSendBuffer are the sizes of the kernel's buffers of
+	// a caller's connection; 0: the kernel chooses.
+	ReceiveBuffer, BodyReceiveBuffer, SendBuffer, ResponseSendBuffer int
+	// TargetSendBuffer, TargetBodySendBuffer, TargetReceiveBuffer and TargetBodyReceiveBuffer are those of a
+	// connection to a target; 0: the kernel chooses.
+	TargetSendBuffer, TargetBodySendBuffer, TargetReceiveBuffer, TargetBodyReceiveBuffer int
 	// MaxUnreadResponses bounds the connections whose callers have not read their responses for half a
 	// second; 0: no bound.
 	MaxUnreadResponses int
@@ -68,17 +68,21 @@
 	// with a round trip of 16 ms, it carries 32 Mbit/s.
 	receiveBuffer     = 32 << 10
 	bodyReceiveBuffer = 128 << 10
-	// sendBuffer bounds what the kernel keeps of a response that a caller does not read. With a round trip
-	// of 16 ms, a connection carries 32 Mbit/s.
-	sendBuffer = 64 << 10
+	// sendBuffer bounds what the kernel keeps of a response that a caller does not read, or reads slowly. It
+	// holds most responses. A longer one is sent through responseSendBuffer while the budget has room for its
+	// bytes in the kernel. With a round trip of 16 ms, a connection carries 32 Mbit/s then, 4 without room.
+	sendBuffer         = 8 << 10
+	responseSendBuffer = 64 << 10
 	// targetSendBuffer holds a request head and a small body. A larger body is sent through
 	// targetBodySendBuffer while the budget has room for its bytes in the kernel. With a round trip of 60 ms
 	// between regions, a connection carries 17 to 34 Mbit/s then.
 	targetSendBuffer     = 16 << 10
 	targetBodySendBuffer = 128 << 10
-	// targetReceiveBuffer bounds what the kernel keeps of a response whose caller does not read. With a round
-	// trip of 60 ms, a connection carries 8 Mbit/s, nearly the 10 Mbit/s of a small host.
-	targetReceiveBuffer = 64 << 10
+	// targetReceiveBuffer bounds what the kernel keeps of a response whose caller does not read. A long one
+	// arrives through targetBodyReceiveBuffer while the budget has room for its bytes in the kernel: with a
+	// round trip of 60 ms, a connection carries 8 Mbit/s then, nearly the 10 Mbit/s of a small host.
+	targetReceiveBuffer     = 32 << 10
+	targetBodyReceiveBuffer = 64 << 10
 )
 
 // NewClientLimits returns the limits of a process with the given memory and descriptors, each 0 if unknown.
@@ -89,9 +93,10 @@
 		ResponseBufferBytes: memoryBytes / responseFraction,
 	}
 	if memoryBytes > 0 {
-		l.ReceiveBuffer, l.BodyReceiveBuffer, l.SendBuffer = receiveBuffer, bodyReceiveBuffer, sendBuffer
-		l.TargetSendBuffer, l.TargetBodySendBuffer, l.TargetReceiveBuffer = targetSendBuffer, targetBodySendBuffer, targetReceiveBuffer
-		l.MaxUnreadResponses = max(1, int(memoryBytes/kernelFraction/(2*(receiveBuffer+sendBuffer+targetReceiveBuffer))))
+		l.ReceiveBuffer, l.BodyReceiveBuffer, l.SendBuffer, l.ResponseSendBuffer = receiveBuffer, bodyReceiveBuffer, sendBuffer, responseSendBuffer
+		l.TargetSendBuffer, l.TargetBodySendBuffer = targetSendBuffer, targetBodySendBuffer
+		l.TargetReceiveBuffer, l.TargetBodyReceiveBuffer = targetReceiveBuffer, targetBodyReceiveBuffer
+		l.MaxUnreadResponses = max(1, int(memoryBytes/kernelFraction/(2*(receiveBuffer+responseSendBuffer+targetBodyReceiveBuffer))))
 	}
 	// With few descriptors the reserve would leave none for sockets.
 	if sockets := max(maxFiles-reservedFiles, maxFiles/2); maxFiles > 0 {
@@ -114,12 +119,12 @@
 
 // Directory returns the limits of the server for the readiness and resolution addresses.
 func (l *ClientLimits) Directory() httpserver.Limits {
-	return httpserver.Limits{MaxConnections: l.DirectoryConnections, ReceiveBuffer: l.ReceiveBuffer, SendBuffer: l.SendBuffer}
+	return httpserver.Limits{MaxConnections: l.DirectoryConnections, ReceiveBuffer: l.ReceiveBuffer, SendBuffer: l.ResponseSendBuffer}
 }
 
 // Admin returns the limits of the server of the administration interface.
 func (l *ClientLimits) Admin() httpserver.Limits {
-	return httpserver.Limits{MaxConnections: l.AdminConnections, ReceiveBuffer: l.ReceiveBuffer, SendBuffer: l.SendBuffer}
+	return httpserver.Limits{MaxConnections: l.AdminConnections, ReceiveBuffer: l.ReceiveBuffer, SendBuffer: l.ResponseSendBuffer}
 }
 
 // peers returns the limits of the server for other hosts.
@@ -129,5 +134,5 @@
 
 // callers returns the limits of the server for callers.
 func (l *ClientLimits) callers(memory *membudget.Budget) httpserver.Limits {
-	return httpserver.Limits{MaxConnections: l.CallerConnections, Memory: memory, ReceiveBuffer: l.ReceiveBuffer, BodyReceiveBuffer: l.BodyReceiveBuffer, SendBuffer: l.SendBuffer}
+	return httpserver.Limits{MaxConnections: l.CallerConnections, Memory: memory, ReceiveBuffer: l.ReceiveBuffer, BodyReceiveBuffer: l.BodyReceiveBuffer, SendBuffer: l.SendBuffer, ResponseSendBuffer: l.ResponseSendBuffer}
 }
--- a/internal/app/client_limits_test.go
+++ b/internal/app/client_limits_test.go
@@ -14,7 +14,7 @@
 		files  int
 	}{{184 << 20, 4100}, {284 << 20, 4100}, {536 << 20, 8192}} {
 		l := NewClientLimits(process.memory, process.files)
-		unread := int64(2 * l.MaxUnreadResponses * (l.ReceiveBuffer + l.SendBuffer + l.TargetReceiveBuffer))
+		unread := int64(2 * l.MaxUnreadResponses * (l.ReceiveBuffer + l.ResponseSendBuffer + l.TargetBodyReceiveBuffer))
 		if l.BudgetBytes+unread > process.memory*3/4 {
 			t.Errorf("%d MB: a budget of %d MB and %d MB of unread bytes", process.memory>>20, l.BudgetBytes>>20, unread>>20)
 		}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -203,7 +203,8 @@
 	cfg.NonIdempotentReuse = 8 * time.Second
 	cfg.MaxIdle = 16
 	cfg.MaxOpen = limits.TargetConnections
-	cfg.SendBuffer, cfg.BodySendBuffer, cfg.ReceiveBuffer = limits.TargetSendBuffer, limits.TargetBodySendBuffer, limits.TargetReceiveBuffer
+	cfg.SendBuffer, cfg.BodySendBuffer = limits.TargetSendBuffer, limits.TargetBodySendBuffer
+	cfg.ReceiveBuffer, cfg.BodyReceiveBuffer = limits.TargetReceiveBuffer, limits.TargetBodyReceiveBuffer
 	cfg.Memory = memory
 	cfg.InlineBodyBytes = 64 << 10
 	cfg.BodyFlushWait = 20 * time.Millisecond
--- a/internal/app/gateway_limits.go
+++ b/internal/app/gateway_limits.go
@@ -100,6 +100,7 @@
 		}
 		g.heap.setPressure(now.Sub(pressureAt) < pressureHoldTime)
 		g.callers.CloseUnread(g.settings.Limits.MaxUnreadResponses)
+		g.callers.ReleaseSent()
 		if now.Sub(logged) >= limitsLogInterval {
 			logged = now
 			current := g.limitCounts()
@@ -128,7 +129,7 @@
 		"max_connections": callers.MaxConnections(), "arriving_bodies": m.Arriving, "clients": m.Clients,
 		"refused_connections": c.Refused - last.connections.Refused, "refused_for_share": c.RefusedForShare - last.connections.RefusedForShare, "evicted_waiting": c.EvictedWaiting - last.connections.EvictedWaiting,
 		"evicted_reading": c.EvictedReading - last.connections.EvictedReading, "evicted_discarding": c.EvictedDiscarding - last.connections.EvictedDiscarding, "evicted_writing": c.EvictedWriting - last.connections.EvictedWriting,
-		"discards_narrowed": c.DiscardsNarrowed - last.connections.DiscardsNarrowed, "discards_cut": c.DiscardsCut - last.connections.DiscardsCut,
+		"discards_narrowed": c.DiscardsNarrowed - last.connections.DiscardsNarrowed, "discards_cut": c.DiscardsCut - last.connections.DiscardsCut, "sends_narrowed": c.SendsNarrowed - last.connections.SendsNarrowed,
 		"heads_too_large": c.HeadsTooLarge - last.connections.HeadsTooLarge, "heads_timed_out": c.HeadsTimedOut - last.connections.HeadsTimedOut,
 		"refused_memory": refusedMemory, "evicted_stalled": m.EvictedStalled - last.memory.EvictedStalled,
 		"evicted_for_fairness": m.EvictedForFairness - last.memory.EvictedForFairness,
@@ -163,6 +164,7 @@
 	metrics.WriteCounterUint64(w, "sapphirehaven_bodies_discarded_total", c.Discards)
 	metrics.WriteCounterUint64(w, "sapphirehaven_bodies_discarded_narrowed_total", c.DiscardsNarrowed)
 	metrics.WriteCounterUint64(w, "sapphirehaven_bodies_discarded_cut_total", c.DiscardsCut)
+	metrics.WriteCounterUint64(w, "sapphirehaven_responses_narrowed_total", c.SendsNarrowed)
 	metrics.WriteCounterUint64(w, `sapphirehaven_heads_refused_total{reason="size"}`, c.HeadsTooLarge)
 	metrics.WriteCounterUint64(w, `sapphirehaven_heads_refused_total{reason="time"}`, c.HeadsTimedOut)
 	g.writeServerMetrics(w)
--- a/internal/core/membudget/budget_test.go
+++ b/internal/core/membudget/budget_test.go
@@ -1,8 +1,8 @@
 package membudget
 
 import (
-	"slices"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
