requestlog, ingress: texts that callers choose are cut in logs and events

What was found: the timeline keeps 4,096 events, and those of refused requests have the request's ID, which the caller chooses up to the length of a request head (an event of 14 KiB in TestEventsKeepNoLongIDs). So do 1,024 queued lines of the log, with the path of a request without a route besides. At one event a second for each kind of problem it takes some ten minutes to fill: 60 MB at 16 KiB, outside of the budget. Worked out from the sizes; no host was run for that long.

Change: request IDs and other texts of a line are cut after 256 bytes.

--- a/internal/adapter/ingress/events.go
+++ b/internal/adapter/ingress/events.go
@@ -6,6 +6,7 @@
 
 	"github.com/sapphirehaven/sapphirehaven/internal/core/event"
 	"github.com/sapphirehaven/sapphirehaven/internal/engine"
+	"github.com/sapphirehaven/sapphirehaven/internal/requestlog"
 )
 
 // eventInterval is the minimum time between two events for the same problem.
@@ -40,6 +41,7 @@
 // add records a problem. The first problem is recorded immediately; further ones
 // within the interval are recorded as one event when the interval ends.
 func (e *problemEvents) add(p *Problem, requestID string) {
+	requestID = requestlog.Cut(requestID)
 	key := problemKey{p.Type, p.Outcome}
 	e.mu.Lock()
 	counter := e.pending[key]
--- a/internal/adapter/ingress/events_test.go
+++ b/internal/adapter/ingress/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -52,3 +53,13 @@
 		}
 	})
 }
+
+// TestEventsKeepNoLongIDs guards against a timeline that keeps the IDs of refused requests, which callers choose up
+// to the length of a request head.
+func TestEventsKeepNoLongIDs(t *testing.T) {
+	recorded := &eventRecorder{}
+	newProblemEvents(recorded).add(notRunProblem(503, "queue_full", ""), strings.Repeat("x", 14<<10))
+	if length := len(recorded.list[0]); length > 1<<10 {
+		t.Errorf("the event has %d bytes", length)
+	}
+}
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,18 @@
 	routinePerSecond = 100
 )
 
+// maxTextBytes is the length of a request ID or another text of a line from which on it is cut. Callers choose
+// them, up to the length of a request head, and queued lines keep them outside of the memory budget.
+const maxTextBytes = 256
+
+// Cut returns a text as it is kept in logs and events: its end is replaced if it is long.
+func Cut(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxTextBytes], "") + "..."
+}
+
 // Line is a log line. Fields are additional key and value pairs.
 type Line struct {
 	// Event is the type of the decision.
@@ -69,6 +82,12 @@
 		l.drop()
 		return
 	}
+	line.Request = Cut(line.Request)
+	for name, value := range line.Fields {
+		if text, ok := value.(string); ok {
+			line.Fields[name] = Cut(text)
+		}
+	}
 	select {
 	case l.lines <- line:
 	default:
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"testing/synctest"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 )
@@ -62,3 +63,20 @@
 	var none *Log
 	none.Write(Line{})
 }
+
+// TestLongTextsAreCut guards against queued lines that keep request IDs and other texts that callers choose, up to
+// the length of a request head.
+func TestLongTextsAreCut(t *testing.T) {
+	l := New(logrus.New())
+	long := strings.Repeat("\u00e9", 8<<10)
+	l.Write(Line{Event: "problem", Request: long, Fields: logrus.Fields{"detail": long, "count": 1}})
+	line := <-l.lines
+	for _, text := range []string{line.Request, line.Fields["detail"].(string)} {
+		if len(text) > 1<<10 || !utf8.ValidString(text) || !strings.HasPrefix(text, long[:200]) {
+			t.Errorf("%d bytes: %.20q", len(text), text)
+		}
+	}
+	if line.Fields["count"] != 1 {
+		t.Errorf("fields %v", line.Fields)
+	}
+}
