--- a/internal/adapter/httpserver/limits.go
+++ b/internal/adapter/httpserver/limits.go
@@ -265,10 +265,10 @@
 	rankWriting
 )
 
-// evict closes up to n connections, less those that are being closed, or ends the bodies that arrive on them. Among those with the same rank it
-// chooses from the client with the most connections, the longest waiting first. Clients with fewer
-// connections than the one that needs room, which has the given number, are spared. The caller holds the
-// lock.
+// evict closes up to n connections, less those that are being closed, or ends bodies that arrive on them
+// without progress. Among connections with the same rank it chooses from the client with the most, the longest
+// waiting first. Clients with fewer connections than the one that needs room, which has the given number, are
+// spared. The caller holds the lock.
 func (s *Server) evict(n, share int) {
 	now := time.Now()
 	var list []evictable
@@ -292,7 +292,7 @@
 	slices.SortFunc(list, func(x, y evictable) int {
 		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(y.share, x.share), x.since.Compare(y.since))
 	})
-	// A body that makes no progress has not been passed on; a response that is not read has.
+	// Responses that are not read come last: their requests have run.
 	unread, _ := slices.BinarySearchFunc(list, rankWriting, func(e evictable, rank int) int { return cmp.Compare(e.rank, rank) })
 	s.closeEvictable(list[:max(0, min(n, unread))])
 	if n -= unread; n > 0 && s.limits.Memory != nil {
--- a/internal/core/membudget/budget.go
+++ b/internal/core/membudget/budget.go
@@ -21,8 +21,8 @@
 	Bodies
 	// Responses is what is kept of responses until callers have read them.
 	Responses
-	// Transit is the bytes of bodies in the kernel's send buffers of connections to targets, in
-	// addition to what Bodies counts.
+	// Transit is the bytes of long bodies and responses in the kernel's buffers of connections, in addition
+	// to what Bodies and Responses count.
 	Transit
 	NumClasses
 )
@@ -54,8 +54,8 @@
 	// requests, which can be sent without reading a response.
 	connectionsMax = 2
 	requestsMax    = 4
-	// transitMax bounds the part of the budget that targets which do not read can occupy. An upload that
-	// finds no room is sent through a smaller buffer.
+	// transitMax bounds the part of the budget that targets and callers which do not read can occupy. What
+	// finds no room is sent and received through smaller buffers.
 	transitMax = 8
 )
 
@@ -133,7 +133,7 @@
 }
 
 // TakeTransit reserves n bytes of Transit. It takes nothing of what the bodies that make progress have
-// declared, since a body can be sent without a reservation and cannot arrive without room.
+// declared, since bodies and responses can be sent without a reservation, and a body cannot arrive without room.
 func (b *Budget) TakeTransit(n int64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/standin/address.go
+++ b/internal/standin/address.go
@@ -11,11 +11,11 @@
 	"github.com/pkg/errors"
 )
 
-// Ports of FreeAddress. They lie below the ephemeral range, from which the kernel takes the local ports
-// of outgoing connections.
+// Ports of FreeAddress. They lie above those of scripts/demo.sh, which may run beside tests, and below the ephemeral
+// range, from which the kernel takes the local ports of outgoing connections.
 const (
-	firstFreePort = 12000
-	freePorts     = 20000
+	firstFreePort = 22000
+	freePorts     = 10000
 	// portAttempts limits the ports that are tried.
 	portAttempts = 1000
 )
--- a/internal/standin/address_test.go
+++ b/internal/standin/address_test.go
@@ -10,8 +10,10 @@
 )
 
 // TestFreeAddress guards against an address that an outgoing connection may take before the test that asked
-// for it listens there, and against an address that two tests get.
+// for it listens there, against an address that two tests get, and against one of scripts/demo.sh, which fails if it
+// runs beside the test then.
 func TestFreeAddress(t *testing.T) {
+	const lastDemoPort = 21208
 	ephemeral := 32768
 	if data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
 		if ephemeral, err = strconv.Atoi(strings.Fields(string(data))[0]); err != nil {
@@ -28,8 +30,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if n, err := strconv.Atoi(port); err != nil || n >= ephemeral || seen[address] {
-			t.Errorf("address %s (%v), want an unused port below %d", address, err, ephemeral)
+		if n, err := strconv.Atoi(port); err != nil || n <= lastDemoPort || n >= ephemeral || seen[address] {
+			t.Errorf("address %s (%v), want an unused port above %d and below %d", address, err, lastDemoPort, ephemeral)
 		}
 		seen[address] = true
 	}
