soak, KNOWN-RED: a request that no caller sent is reported with the target it was meant for

Without a caller only a process of another run can have sent it; targets listen on ports that the kernel chooses, which it gives out again when another run has ended. The report did not say whom the request was meant for, which tells the runs apart. Not traced, and listed.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -173,7 +173,8 @@
 	}
 	switch {
 	case !known:
-		add(ruleUnknown, "no caller sent a request with this ID")
+		// Another run on this computer may have had a target at this address.
+		add(ruleUnknown, "no caller sent a request with this ID, which was meant for target %q", cmp.Or(r.expected, r.target))
 	case r.request != c.request:
 		add(ruleUnknown, "differs from the caller's request %s %s (%s instead of %s)", c.method, c.path, r.bodySum, c.bodySum)
 	}
