--- a/internal/adapter/httpserver/discard_test.go
+++ b/internal/adapter/httpserver/discard_test.go
@@ -138,16 +138,7 @@
 		c, _ := dial(t, address)
 		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nshort")
 	}
-	for end := time.Now().Add(10 * time.Second); ; {
-		c, br := dial(t, address)
-		_, _ = io.WriteString(c, request)
-		if res, err := http.ReadResponse(br, nil); err == nil && res.StatusCode == http.StatusOK {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatal("no request is served")
-		}
-	}
+	awaitServed(t, address)
 	if stats := s.LimitStats(); stats.EvictedDiscarding == 0 {
 		t.Errorf("counted %+v", stats)
 	}
--- a/internal/adapter/httpserver/limits_test.go
+++ b/internal/adapter/httpserver/limits_test.go
@@ -79,11 +79,7 @@
 	expectBody(t, firstReader, "/1")
 	first.Close()
 	second.Close()
-	for end := time.Now().Add(10 * time.Second); memory.Used() != 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%d bytes are in use without connections", memory.Used())
-		}
-	}
+	awaitUnused(t, memory)
 }
 
 // TestWaitingConnectionsYield guards against connections that send nothing and keep out others, and
@@ -107,19 +103,25 @@
 			t.Fatalf("%+v exceed %d", open, limit)
 		}
 	}
+	awaitServed(t, address)
+	if stats := s.LimitStats(); stats.EvictedWaiting == 0 || stats.Refused == 0 {
+		t.Errorf("counted %+v, want refused and closed connections", stats)
+	}
+}
+
+// awaitServed sends requests on new connections until one is served.
+func awaitServed(t *testing.T, address string) {
+	t.Helper()
 	for end := time.Now().Add(10 * time.Second); ; {
 		c, br := dial(t, address)
 		_, _ = io.WriteString(c, request)
 		if res, err := http.ReadResponse(br, nil); err == nil && res.StatusCode == http.StatusOK {
-			break
+			return
 		}
 		if time.Now().After(end) {
 			t.Fatal("no request is served")
 		}
 	}
-	if stats := s.LimitStats(); stats.EvictedWaiting == 0 || stats.Refused == 0 {
-		t.Errorf("counted %+v, want refused and closed connections", stats)
-	}
 }
 
 // TestClientWithManyConnectionsYields guards against a client whose connections displace those of another.
--- a/internal/adapter/httpserver/send_buffer.go
+++ b/internal/adapter/httpserver/send_buffer.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/sockopt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/membudget"
 )
 
@@ -41,7 +42,7 @@
 	if c.sendMemory == 0 {
 		return true
 	}
-	if hasUnsent(c.Conn) {
+	if sockopt.HasUnsent(c.Conn) {
 		return false
 	}
 	c.setWriteBuffer(c.server.limits.SendBuffer)
--- a/internal/adapter/target/sockopt_linux.go
+++ b/internal/adapter/target/sockopt_linux.go
@@ -4,8 +4,6 @@
 	"net"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is TCP_USER_TIMEOUT from linux/tcp.h, which package syscall does
@@ -70,24 +68,3 @@
 	}
 	return sockErr
 }
-
-// setWindowClamp bounds the window that is offered to the peer. The kernel keeps the bound of the buffer with which
-// a connection was opened, also when the buffer is made larger.
-func setWindowClamp(sc syscall.Conn, bytes int) {
-	if raw, err := sc.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
-		})
-	}
-}
-
-// hasUnsent reports whether bytes that were written have not been acknowledged by the peer.
-func hasUnsent(sc syscall.Conn) bool {
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unsent := 0
-	err = raw.Control(func(fd uintptr) { unsent, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && unsent > 0
-}
--- a/internal/adapter/target/sockopt_other.go
+++ b/internal/adapter/target/sockopt_other.go
@@ -18,9 +18,3 @@
 
 // setBuffers does nothing: the sizes of the buffers are those of the system.
 func setBuffers(syscall.RawConn, int, int) error { return nil }
-
-// setWindowClamp does nothing: the window is that of the system.
-func setWindowClamp(syscall.Conn, int) {}
-
-// hasUnsent always returns false, since the socket is not inspected on this platform.
-func hasUnsent(syscall.Conn) bool { return false }
--- a/internal/adapter/target/transit.go
+++ b/internal/adapter/target/transit.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"github.com/sapphirehaven/sapphirehaven/internal/adapter/sockopt"
 	"github.com/sapphirehaven/sapphirehaven/internal/core/membudget"
 )
 
@@ -54,7 +55,7 @@
 	if c.transit == 0 {
 		return
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && hasUnsent(tcp) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && sockopt.HasUnsent(tcp) {
 		return
 	}
 	setSendBuffer(c.Conn, p.cfg.SendBuffer)
@@ -104,7 +105,7 @@
 // taken. The kernel would keep them until Config.UserTimeout, and callers that give up and
 // repeat their uploads would add more.
 func (p *pool) discardUnsent(c *conn) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && p.cfg.SendBuffer > 0 && hasUnsent(tcp) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && p.cfg.SendBuffer > 0 && sockopt.HasUnsent(tcp) {
 		_ = tcp.SetLinger(0)
 	}
 }
@@ -114,7 +115,7 @@
 func setReceiveBuffer(nc net.Conn, size int) {
 	if tcp, ok := nc.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(size)
-		setWindowClamp(tcp, size)
+		sockopt.SetWindowClamp(tcp, size)
 	}
 }
 
