--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -84,21 +84,18 @@
 // Gateway is a running host that takes its configuration and targets from the platform's registry. Host
 // is its counterpart for deployments with a log service.
 type Gateway struct {
-	settings  GatewaySettings
-	log       logrus.FieldLogger
-	timeline  *timeline.Timeline
-	transport *target.Transport
-	services  *services
-	identity  *identity
-	fleet     *peer.Fleet
-	replica   *discovery.Replica
-	ingress   *ingress.Server
-	requests  *requestlog.Log
-	admin     *admin.Server
-	callers   *httpserver.Server
-	// servers are the other servers whose limits are counted and logged, guarded by serversMu.
-	serversMu      sync.Mutex
-	servers        []*watchedServer
+	settings       GatewaySettings
+	log            logrus.FieldLogger
+	timeline       *timeline.Timeline
+	transport      *target.Transport
+	services       *services
+	identity       *identity
+	fleet          *peer.Fleet
+	replica        *discovery.Replica
+	ingress        *ingress.Server
+	requests       *requestlog.Log
+	admin          *admin.Server
+	callers        *httpserver.Server
 	compiledRoutes compiledRoutes
 	rejections     rejections
 	// generation and retryAllowance are those of the active configuration.
@@ -124,6 +121,10 @@
 	// between regions.
 	byteRate rateMeter
 	link     locality.LinkMeter
+
+	// servers are the servers beside callers whose limits are counted and logged.
+	serversMu sync.Mutex
+	servers   []*watchedServer
 }
 
 // NewGateway creates a host. Run starts it.
